--- /dev/null
+++ b/Makefile
@@ -0,0 +1,70 @@
+GO ?= go
+GOLANGCI_LINT_VERSION := v2.15.0
+GOLANGCI_LINT := $(shell $(GO) env GOPATH)/bin/golangci-lint
+FUZZ_TIME ?= 5s
+
+BENCHES := bench-mixed bench-leave-return bench-faults bench-overload
+
+.PHONY: all build demo $(BENCHES) test lint fmt vet unit fuzz fuzz-fixed known-red tools
+
+all: build
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+# Starts a fleet of separate processes on loopback, sends requests of all lengths
+# through it and prints what came back.
+demo: build
+	bin/goosebench mixed --fleet drummond --duration 15s --scale 8
+
+# Each bench runs a scenario on both deployments within two and a half minutes
+# and fails if one of the scenario's bars is missed (docs/benchmarks.md).
+
+# The mixed load is the nominal one of 10 model requests a second by the engines'
+# clock, which runs six times as fast as real time; so does the deadline of 60 s.
+bench-mixed: build
+	sh scripts/bench.sh mixed --baselines affinity/fair,round-robin/fifo/half --duration 6s --scale 6 --model-rate 60 --timeout 10s
+
+bench-leave-return: build
+	sh scripts/bench.sh leave-return --duration 27s --scale 4 --model-rate 40 --timeout 15s
+
+bench-faults: build
+	sh scripts/bench.sh faults --duration 45s --scale 4 --model-rate 20 --timeout 15s
+
+# Engines at real speed, full by their stated speeds and then at twice that.
+# Long prompts and long outputs cannot finish within the callers' timeout on a
+# full engine and are left out.
+bench-overload: build
+	sh scripts/bench.sh overload --at-capacity --factor 2 --duration 15s --timeout 5s --long-share 0 --long-prompt 64000 --max-output 64
+
+# Runs everything that CI runs.
+test: tools lint vet unit fuzz-fixed known-red
+
+tools:
+	@test -x $(GOLANGCI_LINT) || $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+
+lint:
+	$(GOLANGCI_LINT) fmt --diff ./...
+	$(GOLANGCI_LINT) run ./...
+
+fmt:
+	$(GOLANGCI_LINT) fmt ./...
+
+vet:
+	$(GO) vet ./...
+
+unit:
+	sh scripts/test.sh
+
+# Runs every fuzz target on the same inputs each time; GOOSEFUZZ_SEED draws others.
+fuzz-fixed:
+	sh scripts/fuzz-fixed.sh
+
+# Searches with Go's random fuzzer, FUZZ_TIME for each target; no part of CI. The
+# fuzzer writes a finding below testdata/fuzz: commit it there with the fix, and
+# it is a seed of both fuzz and fuzz-fixed.
+fuzz:
+	FUZZ_TIME=$(FUZZ_TIME) sh scripts/fuzz.sh
+
+known-red:
+	@test ! -s KNOWN-RED.txt || { echo "known failures:"; cat KNOWN-RED.txt; }
--- /dev/null
+++ b/cmd/gooseberryhold/main.go
@@ -0,0 +1,17 @@
+// Command gooseberryhold runs entry instances and is their operators' tool.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/goosecommand"
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseserve"
+)
+
+func main() {
+	app := &goosecommand.App{
+		Serve: gooseserve.Run, Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Environ: os.Environ(),
+	}
+	os.Exit(app.Run(context.Background(), os.Args[1:]))
+}
--- /dev/null
+++ b/internal/goosebench/bench_test.go
@@ -0,0 +1,261 @@
+package goosebench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/goosefleet"
+	"github.com/gooseberryhold/gooseberryhold/internal/goosestand"
+)
+
+// Guards against plans that differ between runs, so that phases with one seed
+// could not be compared, and against a wrong share of long prompts.
+func TestPlan(t *testing.T) {
+	t.Parallel()
+	l := DefaultLoad()
+	l.Duration, l.ModelRate = 1000*time.Second, 20
+	plan := NewPlan(l)
+	if !reflect.DeepEqual(plan, NewPlan(l)) {
+		t.Error("equal loads: got different plans")
+	}
+	models, long, least, most := 0, 0, 1<<30, 0
+	for _, q := range plan {
+		if q.Kind != KindModel {
+			continue
+		}
+		models++
+		if q.PromptTokens > l.LongPrompt {
+			long++
+		}
+		least, most = min(least, q.PromptTokens), max(most, q.PromptTokens)
+	}
+	if got := float64(long) / float64(models); got < 0.015 || got > 0.025 {
+		t.Errorf("share of long prompts: got %.4f, want about 0.02", got)
+	}
+	if least < l.MinPrompt || most > l.MaxPrompt || least > 2*l.MinPrompt || most < l.MaxPrompt/2 {
+		t.Errorf("prompt lengths: got %d to %d, want about %d to %d", least, most, l.MinPrompt, l.MaxPrompt)
+	}
+	for _, q := range withoutLong(plan) {
+		if q.PromptTokens > 64_000 {
+			t.Fatalf("plan without long prompts: got one of %d tokens", q.PromptTokens)
+		}
+	}
+}
+
+// serve answers calls like an entry instance; answer gets the number of the
+// call and the expected output.
+func serve(t *testing.T, answer func(w http.ResponseWriter, n int, tokens func(from, to int) string)) *Target {
+	t.Helper()
+	var calls atomic.Int32
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		prompt, _ := goosestand.PromptOf(body)
+		hash := goosestand.PromptHash(prompt)
+		answer(w, int(calls.Add(1)), func(from, to int) string {
+			return fmt.Sprintf("data: {\"offset\":%d,\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", from, goosestand.Answer(hash, from, to))
+		})
+	}))
+	t.Cleanup(srv.Close)
+	return &Target{Callers: []string{srv.Listener.Addr().String()}, Workspaces: []goosefleet.Workspace{{Name: "w", Key: "k"}}, Model: "m"}
+}
+
+const done = "data: [DONE]\n\n"
+
+// Guards against answers that are incomplete, repeated or another request's and
+// yet count as served, and against callers that ignore Retry-After.
+func TestCallerChecksAnswers(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		answer func(w http.ResponseWriter, n int, tokens func(from, to int) string)
+		want   Result
+		tries  int
+	}{
+		"whole": {func(w http.ResponseWriter, _ int, tokens func(int, int) string) {
+			fmt.Fprint(w, ": keep-alive\n\n", tokens(0, 3), tokens(3, 8), done)
+		}, ResultServed, 1},
+		"repeated chunk": {func(w http.ResponseWriter, _ int, tokens func(int, int) string) {
+			fmt.Fprint(w, tokens(0, 3), tokens(0, 3), tokens(3, 8), done)
+		}, ResultWrong, 1},
+		"missing chunk": {func(w http.ResponseWriter, _ int, tokens func(int, int) string) {
+			fmt.Fprint(w, tokens(0, 3), tokens(5, 8), done)
+		}, ResultWrong, 1},
+		"end marker too early": {func(w http.ResponseWriter, _ int, tokens func(int, int) string) {
+			fmt.Fprint(w, tokens(0, 3), done)
+		}, ResultWrong, 1},
+		"no end marker": {func(w http.ResponseWriter, _ int, tokens func(int, int) string) {
+			fmt.Fprint(w, tokens(0, 8))
+		}, ResultCut, maxTries},
+		"refused, then whole": {func(w http.ResponseWriter, n int, tokens func(int, int) string) {
+			if n == 1 {
+				w.WriteHeader(http.StatusTooManyRequests)
+				fmt.Fprint(w, `{"error":{"code":"overloaded","run":"not-run","retry-after-ms":1}}`)
+				return
+			}
+			fmt.Fprint(w, tokens(0, 8), done)
+		}, ResultServed, 2},
+		"refused for good": {func(w http.ResponseWriter, _ int, _ func(int, int) string) {
+			w.WriteHeader(http.StatusForbidden)
+			fmt.Fprint(w, `{"error":{"code":"no-route","run":"not-run"}}`)
+		}, ResultRefused, 1},
+		"error frame": {func(w http.ResponseWriter, _ int, tokens func(int, int) string) {
+			fmt.Fprint(w, tokens(0, 3), "event: error\ndata: {\"error\":{\"code\":\"crashes-backend\",\"run\":\"unknown\"}}\n\n")
+		}, ResultFailed, 1},
+		"status without a refusal": {func(w http.ResponseWriter, _ int, _ func(int, int) string) {
+			w.WriteHeader(http.StatusBadGateway)
+		}, ResultWrong, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			target := serve(t, tt.answer)
+			o := newCaller(target, "run").do(t.Context(), Request{Kind: KindModel, PromptTokens: 40, OutputTokens: 8, Seed: 7}, time.Now())
+			if o.Result != tt.want || o.Tries != tt.tries {
+				t.Errorf("got %s after %d tries (%s), want %s after %d", o.Result, o.Tries, o.Detail, tt.want, tt.tries)
+			}
+		})
+	}
+}
+
+// Guards against orders that ran twice, were lost or ran in spite of not-run
+// and yet do not show in the report.
+func TestOrdersCompared(t *testing.T) {
+	t.Parallel()
+	order := func(body string, r Result, run string) Outcome {
+		return Outcome{Request: Request{Kind: KindOrder}, Body: body, Result: r, Run: run}
+	}
+	p := &Phase{outcomes: []Outcome{
+		order("once", ResultServed, "ran"), order("twice", ResultServed, "ran"), order("never", ResultServed, "ran"),
+		order("refused", ResultRefused, "not-run"), order("ran anyway", ResultRefused, "not-run"), order("cut", ResultCut, "unknown"),
+	}}
+	p.orders(&Target{Orders: "o"}, totals{executed: map[string]map[string]int{"o": {"once": 1, "twice": 2, "ran anyway": 1, "cut": 1}}})
+	want := Orders{Placed: 6, Served: 3, NotRun: 2, Unknown: 1, Executed: 4, Doubles: 1, Lost: 1, FalseNotRun: 1}
+	if p.Orders != want {
+		t.Errorf("got %+v, want %+v", p.Orders, want)
+	}
+	if got := len(p.Violations()); got != 3 {
+		t.Errorf("violations: got %d, want 3", got)
+	}
+}
+
+// Guards against a leave whose late work is overlooked and a return that counts
+// as full use too early.
+func TestLeaveTimes(t *testing.T) {
+	t.Parallel()
+	var samples []Sample
+	started := 0
+	for i := range 120 {
+		at := float64(i) / 2
+		if at <= 22 || at >= 45 {
+			started += 10
+		}
+		samples = append(samples, Sample{At: at, Started: map[string]int{"a": started}})
+	}
+	l := leaveTimes(samples, "a", 20, 40)
+	if l.LastWork != 2 || l.FullUse < 4 || l.FullUse > 6 {
+		t.Errorf("got %+v, want last work after 2 s and full use after about 5 s", *l)
+	}
+	if l := leaveTimes(samples, "a", 20, -1); l.LastWork != -1 || l.FullUse != -1 {
+		t.Errorf("failed return: got %+v, want no times", *l)
+	}
+}
+
+// Guards against requests that are counted in the wrong period of a leave, or in
+// none.
+func TestPeriods(t *testing.T) {
+	t.Parallel()
+	var outcomes []Outcome
+	for i := range 10 {
+		outcomes = append(outcomes, Outcome{Request: Request{At: time.Duration(i) * time.Second, Kind: KindOrder}, Result: ResultServed, First: time.Second})
+	}
+	outcomes[4].Result = ResultRefused
+	for i, want := range []Period{{Name: "before", Requests: 3}, {Name: "away", Requests: 4}, {Name: "after", Requests: 3}} {
+		got := periods(outcomes, 3, 7)[i]
+		if got.Name != want.Name || got.Requests != want.Requests || got.Plain.Count != int64(got.Results[ResultServed]) {
+			t.Errorf("got %+v, want %s with %d requests", got, want.Name, want.Requests)
+		}
+	}
+}
+
+// Guards against load on other machines and against unclear usage errors.
+func TestUsage(t *testing.T) {
+	t.Parallel()
+	far := filepath.Join(t.TempDir(), "far.json")
+	data, _ := json.Marshal(Target{Callers: []string{"192.0.2.1:80"}, Workspaces: []goosefleet.Workspace{{}}})
+	if err := os.WriteFile(far, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tests := map[string]struct {
+		args []string
+		want string
+	}{
+		"no scenario":    {nil, "usage:"},
+		"no fleet":       {[]string{"mixed"}, "--fleet or --target"},
+		"unknown fleet":  {[]string{"mixed", "--fleet", "x"}, "unknown fleet"},
+		"not loopback":   {[]string{"mixed", "--target", far}, "not a loopback address"},
+		"wrong baseline": {[]string{"mixed", "--fleet", "ponnala", "--baselines", "x"}, "routing-policy/queue-discipline"},
+		"no capacity":    {[]string{"overload", "--target", far, "--at-capacity"}, "--at-capacity"},
+		"no time":        {[]string{"mixed", "--fleet", "ponnala", "--limit", "0s"}, "--limit"},
+		"slopes":         {[]string{"slopes", "--series", "x"}, "series"},
+		"wrong share":    {[]string{"mixed", "--fleet", "ponnala", "--long-share", "2"}, "--long-share"},
+	}
+	for name, tt := range tests {
+		var stderr bytes.Buffer
+		if code := Run(t.Context(), tt.args, io.Discard, &stderr); code != exitUsage || !strings.Contains(stderr.String(), tt.want) {
+			t.Errorf("%s: got exit %d and %q, want 2 and %q", name, code, stderr.String(), tt.want)
+		}
+	}
+}
+
+// Guards against a report that lacks its files, and against a phase that loses
+// requests or leaves counters out.
+func TestPhaseAndReport(t *testing.T) {
+	t.Parallel()
+	e := goosestand.NewEngine(fastEngine(), "127.0.0.1:0", "", quiet)
+	if err := e.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Stop)
+	target := &Target{
+		Callers: []string{e.Address()}, Workspaces: []goosefleet.Workspace{{Key: "k"}}, Model: "m",
+		Backends: []*goosefleet.Simulator{{Name: "e", DataCentre: "a", Address: e.Address(), Control: e.Address()}},
+	}
+	l := DefaultLoad()
+	l.Duration, l.ModelRate, l.OrderRate, l.LookupRate, l.LongPrompt, l.MaxPrompt = time.Second, 20, 0, 0, 5000, 70_000
+	b := &bench{log: quiet, load: l, run: "t", baselines: []Baseline{{RoutingPolicy: "affinity", QueueDiscipline: "fair"}}}
+	b.start = func(context.Context, Baseline) (*Target, *goosefleet.Fleet, func(), error) {
+		return target, nil, func() {}, nil
+	}
+	r := &Report{Scenario: "mixed", Load: l}
+	if err := b.mixed(t.Context(), r); err != nil {
+		t.Fatal(err)
+	}
+	p := r.Phases[1]
+	if p.Requests == 0 || p.Results[ResultServed] != p.Requests || p.Waste.Generated != p.Waste.Received || len(p.Violations()) != 0 {
+		t.Errorf("got %+v, want every request served and no waste", p)
+	}
+	dir := t.TempDir()
+	var table bytes.Buffer
+	if err := r.write(dir, &table); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"mixed.json", "mixed-first-token.svg", "mixed-results.svg", "mixed-starts.svg", "mixed-slowdown.svg"} {
+		if info, err := os.Stat(filepath.Join(dir, name)); err != nil || info.Size() == 0 {
+			t.Errorf("%s: got %v, want a file", name, err)
+		}
+	}
+	if !strings.Contains(table.String(), "no guarantee was seen broken") {
+		t.Errorf("table: got %s", table.String())
+	}
+}
--- /dev/null
+++ b/internal/goosecommand/cert.go
@@ -0,0 +1,150 @@
+package goosecommand
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"io/fs"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosecert"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	day            = 24 * time.Hour
+	authorityValid = 10 * 365 * day
+	instanceValid  = 365 * day
+)
+
+type certFlags struct {
+	certificate, key        *string
+	authority, authorityKey *string
+	fleet, addresses        *string
+	valid                   *time.Duration
+	force                   *bool
+	output                  *string
+}
+
+func certCommand() command {
+	return command{
+		name: "cert", usage: "authority | instance <name> | show <file>", short: "make and show certificates of instances",
+		long: "Makes the fleet's certificate authority and the certificates with which instances prove their\nnames to each other. Keys are written readable by their owner alone; nothing is overwritten\n" +
+			"without --force.",
+		examples: []string{
+			"cert authority --fleet drummond-kerr --certificate authority.pem --key authority.key",
+			"cert instance leith-entry-1 --address 127.0.0.1 --authority authority.pem --authority-key authority.key",
+			"cert show leith-entry-1.pem",
+		},
+		flags: func(f *flag.FlagSet) run {
+			c := certFlags{
+				certificate:  f.String("certificate", "", "`file` to write (default authority.pem or <name>.pem)"),
+				key:          f.String("key", "", "`file` to write (default authority.key or <name>.key)"),
+				authority:    f.String("authority", "authority.pem", "`file` with the authority's certificate"),
+				authorityKey: f.String("authority-key", "authority.key", "`file` with the authority's key"),
+				fleet:        f.String("fleet", "gooseberryhold", "`name` of the fleet in the authority's certificate"),
+				addresses:    f.String("address", "", "IP `addresses` of the instance, separated by commas"),
+				valid:        f.Duration("valid", 0, "how `long` the certificate is valid (default 87600h for an authority, 8760h for an instance)"),
+				force:        f.Bool("force", false, "overwrite files"),
+				output:       outputFlag(f),
+			}
+			return c.run
+		},
+	}
+}
+
+func (c certFlags) run(_ context.Context, a *App, args []string) error {
+	what, rest := "", args
+	if len(args) > 0 {
+		what, rest = args[0], args[1:]
+	}
+	want := map[string]int{"authority": 0, "instance": 1, "show": 1}
+	n, ok := want[what]
+	if !ok {
+		return usagef("say what to do: authority, instance or show")
+	}
+	if len(rest) != n {
+		return usagef("cert %s takes %d arguments, not %d", what, n, len(rest))
+	}
+	if *c.valid < 0 {
+		return usagef("--valid must be above zero")
+	}
+	switch what {
+	case "authority":
+		return c.newAuthority(a)
+	case "instance":
+		return c.newInstance(a, rest[0])
+	}
+	return c.show(a, rest[0])
+}
+
+func (c certFlags) newAuthority(a *App) error {
+	p, err := goosecert.NewAuthority(*c.fleet, time.Now(), orElse(*c.valid, authorityValid))
+	if err != nil {
+		return err
+	}
+	return c.write(a, p, "authority")
+}
+
+func (c certFlags) newInstance(a *App, name string) error {
+	if !goose.ValidName(name) {
+		return usagef("%q is not a name: %s", name, goose.NameRule)
+	}
+	var ips []net.IP
+	for s := range strings.SplitSeq(*c.addresses, ",") {
+		if s = strings.TrimSpace(s); s == "" {
+			continue
+		}
+		ip := net.ParseIP(s)
+		if ip == nil {
+			return usagef("--address: %q is not an IP address", s)
+		}
+		ips = append(ips, ip)
+	}
+	authority, err := goosecert.Read(*c.authority, *c.authorityKey)
+	if err != nil {
+		return errors.Wrap(err, "authority")
+	}
+	p, err := goosecert.NewInstance(authority, goose.InstanceID(name), ips, time.Now(), orElse(*c.valid, instanceValid))
+	if err != nil {
+		return err
+	}
+	return c.write(a, p, name)
+}
+
+func (c certFlags) write(a *App, p goosecert.Pair, name string) error {
+	certificate, key := orElse(*c.certificate, name+".pem"), orElse(*c.key, name+".key")
+	err := p.Write(certificate, key, *c.force)
+	if errors.Is(err, fs.ErrExist) {
+		return errors.Errorf("%v; nothing was written; use --force to overwrite", err)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(a.Stdout, "wrote %s and %s\n", certificate, key)
+	return nil
+}
+
+func (c certFlags) show(a *App, file string) error {
+	info, err := goosecert.Inspect(file)
+	if err != nil {
+		return err
+	}
+	return a.print(*c.output, info, func(w io.Writer) {
+		row(w, "NAME", "ISSUER", "DNS NAMES", "ADDRESSES", "FROM", "UNTIL")
+		row(w, info.Name, info.Issuer, strings.Join(info.DNSNames, ","), strings.Join(info.Addresses, ","), stamp(info.NotBefore), stamp(info.NotAfter))
+	})
+}
+
+func orElse[T comparable](v, other T) T {
+	var zero T
+	if v == zero {
+		return other
+	}
+	return v
+}
--- /dev/null
+++ b/internal/goosecommand/local.go
@@ -0,0 +1,175 @@
+package goosecommand
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseyaml"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseconfig"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosesettings"
+
+	"github.com/pkg/errors"
+)
+
+const envSettings = goosesettings.Prefix + "SETTINGS"
+
+func serveCommand() command {
+	return command{
+		name: "serve", usage: "[--settings file]", short: "run one entry instance",
+		long:     "Runs one entry instance until SIGTERM or SIGINT. It then stops accepting, finishes its\nrequests and exits; a second signal ends it at once. Each setting can be overridden by an\nenvironment variable, such as GOOSEBERRYHOLD_LISTEN.",
+		examples: []string{"serve --settings leith-entry-1.yaml"},
+		flags: func(f *flag.FlagSet) run {
+			file := f.String("settings", "", "settings `file` (default $"+envSettings+")")
+			return func(ctx context.Context, a *App, args []string) error {
+				if len(args) > 0 {
+					return usagef("unexpected argument %q", args[0])
+				}
+				return a.serve(ctx, *file)
+			}
+		},
+	}
+}
+
+func (a *App) serve(ctx context.Context, file string) error {
+	if file == "" {
+		file = a.env(envSettings)
+	}
+	s, err := goosesettings.Load(file, a.Environ)
+	if err != nil {
+		gooseevent.SettingsInvalid.Log(slog.New(slog.NewJSONHandler(a.Stderr, nil)), slog.String("file", file), slog.Any("error", err))
+		return err
+	}
+	logger := slog.New(slog.NewJSONHandler(a.Stderr, &slog.HandlerOptions{Level: s.Level()}))
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// The next signal has its default effect again.
+	context.AfterFunc(ctx, stop)
+	return a.Serve(ctx, s, logger)
+}
+
+// checked is one file that was found valid.
+type checked struct {
+	File           string `json:"file"`
+	Kind           string `json:"kind"`
+	Services       int    `json:"services,omitempty"`
+	Workspaces     int    `json:"workspaces,omitempty"`
+	DataCentres    int    `json:"data-centres,omitempty"`
+	BackendServers int    `json:"backend-servers,omitempty"`
+	Selectors      int    `json:"selectors,omitempty"`
+}
+
+func checkCommand() command {
+	return command{
+		name: "check", usage: "[file...] [--settings file]", short: "check files without an instance",
+		long:     "Checks configuration files, and a settings file with the overrides of the environment,\nand lists everything that is wrong in them. A file '-' is read from standard input.",
+		examples: []string{"check fleet.yaml", "check --settings leith-entry-1.yaml"},
+		flags: func(f *flag.FlagSet) run {
+			settings := f.String("settings", "", "settings `file` to check")
+			output := outputFlag(f)
+			return func(_ context.Context, a *App, args []string) error {
+				if len(args) == 0 && *settings == "" {
+					return usagef("give a configuration file or --settings")
+				}
+				return a.check(args, *settings, *output)
+			}
+		},
+	}
+}
+
+func (a *App) check(files []string, settings, output string) error {
+	var valid []checked
+	var wrong gooseyaml.InvalidError
+	add := func(c checked, err error) error {
+		var invalid *gooseyaml.InvalidError
+		switch {
+		case errors.As(err, &invalid):
+			wrong.Problems = append(wrong.Problems, invalid.Problems...)
+			return nil
+		case err == nil:
+			valid = append(valid, c)
+		}
+		return err
+	}
+	if settings != "" {
+		_, err := goosesettings.Load(settings, a.Environ)
+		if err := add(checked{File: settings, Kind: "settings"}, err); err != nil {
+			return err
+		}
+	}
+	for _, f := range files {
+		c, err := a.checkConfiguration(f)
+		if err := add(c, err); err != nil {
+			return err
+		}
+	}
+	if len(wrong.Problems) > 0 {
+		return &wrong
+	}
+	return a.print(output, valid, func(w io.Writer) {
+		for _, c := range valid {
+			if c.Kind == "settings" {
+				fmt.Fprintf(w, "%s: valid settings\n", c.File)
+				continue
+			}
+			fmt.Fprintf(w, "%s: valid; services %d, workspaces %d, data centres %d, backend servers %d, selectors %d\n",
+				c.File, c.Services, c.Workspaces, c.DataCentres, c.BackendServers, c.Selectors)
+		}
+	})
+}
+
+func (a *App) checkConfiguration(file string) (checked, error) {
+	data, err := a.read(file)
+	if err != nil {
+		return checked{}, err
+	}
+	c, err := gooseconfig.Parse(file, data)
+	if err != nil {
+		return checked{}, err
+	}
+	return checked{
+		File: file, Kind: "configuration", Services: len(c.Services), Workspaces: len(c.Workspaces),
+		DataCentres: len(c.DataCentres), BackendServers: len(c.BackendServers), Selectors: len(c.Selectors),
+	}, nil
+}
+
+// read reads a file, or standard input for "-".
+func (a *App) read(file string) ([]byte, error) {
+	if file == "-" {
+		data, err := io.ReadAll(io.LimitReader(a.Stdin, gooseyaml.MaxBytes+1))
+		return data, errors.Wrap(err, "standard input")
+	}
+	data, err := os.ReadFile(file)
+	return data, errors.Wrap(err, "read file")
+}
+
+func versionCommand() command {
+	return command{
+		name: "version", usage: "[--output format]", short: "print the version of the program",
+		long: "Prints the version of the program and of the Go release that built it.",
+		flags: func(f *flag.FlagSet) run {
+			output := outputFlag(f)
+			return func(_ context.Context, a *App, args []string) error {
+				if len(args) > 0 {
+					return usagef("unexpected argument %q", args[0])
+				}
+				v := struct {
+					Version string `json:"version"`
+					Go      string `json:"go"`
+				}{"unknown", runtime.Version()}
+				if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+					v.Version = info.Main.Version
+				}
+				return a.print(*output, v, func(w io.Writer) { fmt.Fprintf(w, "gooseberryhold %s (%s)\n", v.Version, v.Go) })
+			}
+		},
+	}
+}
--- /dev/null
+++ b/internal/goosecommand/operations_test.go
@@ -0,0 +1,58 @@
+package goosecommand_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// Guards against a metric that the operations page does not describe, and
+// against one that it describes but no instance writes.
+func TestOperationsPageListsMetrics(t *testing.T) {
+	t.Parallel()
+	page, err := os.ReadFile("../../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := names(regexp.MustCompile(`gooseberryhold_[a-z_]+`).FindAllString(string(page), -1))
+	var want []string
+	for _, root := range []string{"../../internal", "../../pkg"} {
+		want = append(want, metricsOf(t, root)...)
+	}
+	if want = names(want); len(want) == 0 {
+		t.Fatal("got no metrics in the code, want some")
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("metrics on the page: got %v, want %v", got, want)
+	}
+}
+
+// metricsOf returns the metrics that the Go files under root define.
+func metricsOf(t *testing.T, root string) []string {
+	t.Helper()
+	defines := regexp.MustCompile(`metrics\.(?:New|GetOrCreate)\w+\([^\n]*?(gooseberryhold_[a-z_]+)`)
+	var all []string
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		code, err := os.ReadFile(path)
+		for _, m := range defines.FindAllStringSubmatch(string(code), -1) {
+			all = append(all, m[1])
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return all
+}
+
+func names(all []string) []string {
+	slices.Sort(all)
+	return slices.Compact(all)
+}
--- /dev/null
+++ b/internal/gooseengine/openai.go
@@ -0,0 +1,181 @@
+package gooseengine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+// Headers of the engine protocol.
+const (
+	headerRequest  = "X-Request-Id"
+	headerFencing  = "X-Fencing-Token"
+	headerPriority = "X-Priority"
+	headerOffset   = "X-Resume-Offset"
+	headerBehind   = "X-KV-Behind"
+	headerProcess  = "X-Process-Id"
+	headerCold     = "X-Cold"
+)
+
+func init() {
+	goose.RegisterProtocol("openai", func() goose.Protocol { return OpenAI{} })
+	goose.RegisterProtocol("http", func() goose.Protocol { return Plain{} })
+}
+
+// OpenAI speaks the engine protocol.
+type OpenAI struct{}
+
+var (
+	_ goose.Protocol         = OpenAI{}
+	_ goose.KVMover          = OpenAI{}
+	_ goose.KVLister         = OpenAI{}
+	_ goose.Commander        = OpenAI{}
+	_ goose.CacheEventSource = OpenAI{}
+)
+
+// Start implements goose.Protocol.
+func (p OpenAI) Start(ctx context.Context, a goose.Attempt) (goose.Stream, error) {
+	return p.StartWith(ctx, a, nil)
+}
+
+// StartWith implements goose.KVMover.
+func (OpenAI) StartWith(ctx context.Context, a goose.Attempt, behind []goose.KVHandle) (goose.Stream, error) {
+	x, err := openVerified(ctx, a.Address, a.Process, a.Check, func(r *fasthttp.Request) {
+		fillAttempt(r, a)
+		r.Header.Set(headerFencing, strconv.FormatInt(int64(a.Epoch), 10))
+		r.Header.Set(headerPriority, strconv.Itoa(a.Priority))
+		if a.Offset > 0 {
+			r.Header.Set(headerOffset, strconv.Itoa(a.Offset))
+		}
+		if len(behind) > 0 {
+			r.Header.Set(headerBehind, strings.Join(names(behind), ","))
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return accepted(x, a.ID, a.Offset)
+}
+
+// accepted turns an answer's header into a stream or an error.
+func accepted(x *exchange, id goose.AttemptID, offset int) (goose.Stream, error) {
+	if x.resp.StatusCode() != http.StatusOK {
+		defer x.close()
+		return nil, x.statusError()
+	}
+	if x.foreign(id) {
+		droppedForeign.Inc()
+		x.close()
+		return nil, disconnected(errors.Errorf("answer of attempt %q, want %q", x.header(headerRequest), id))
+	}
+	return newStream(x, id, offset), nil
+}
+
+// fillAttempt sets what both protocols send.
+func fillAttempt(r *fasthttp.Request, a goose.Attempt) {
+	r.Header.SetMethod(a.Method)
+	r.Header.SetRequestURI(a.Path)
+	r.Header.Set(headerRequest, string(a.ID))
+	if a.ContentType != "" {
+		r.Header.SetContentType(a.ContentType)
+	}
+	if len(a.Body) > 0 {
+		r.SetBodyRaw(a.Body)
+	}
+}
+
+// Resume implements goose.Protocol.
+func (OpenAI) Resume(ctx context.Context, address string, id goose.AttemptID, offset int) (goose.Stream, error) {
+	x, err := open(ctx, address, nil, func(r *fasthttp.Request) {
+		r.Header.SetMethod(http.MethodGet)
+		r.Header.SetRequestURI(streamPath(id) + "?offset=" + strconv.Itoa(offset))
+		r.Header.Set(headerRequest, string(id))
+	})
+	if err != nil {
+		return nil, err
+	}
+	if x.resp.StatusCode() == http.StatusNotFound {
+		x.close()
+		return nil, goose.ErrStreamGone
+	}
+	return accepted(x, id, offset)
+}
+
+// Cancel implements goose.Protocol. A stream that the engine does not know
+// counts as cancelled.
+func (OpenAI) Cancel(ctx context.Context, address string, id goose.AttemptID) error {
+	_, err := control(ctx, address, http.MethodDelete, streamPath(id))
+	return unlessGone(err)
+}
+
+func unlessGone(err error) error {
+	var status *goose.StatusError
+	if errors.As(err, &status) && status.Status == http.StatusNotFound {
+		return nil
+	}
+	return err
+}
+
+func streamPath(id goose.AttemptID) string { return "/v1/streams/" + url.PathEscape(string(id)) }
+
+// Streams implements goose.Protocol.
+func (OpenAI) Streams(ctx context.Context, address string) ([]goose.RunningStream, error) {
+	b, err := control(ctx, address, http.MethodGet, "/v1/streams")
+	if err != nil {
+		return nil, err
+	}
+	var all []goose.RunningStream
+	if err := json.Unmarshal(b, &all); err != nil {
+		return nil, errors.Wrapf(err, "streams of %s", address)
+	}
+	return all, nil
+}
+
+// Call implements goose.Protocol; engines answer it without streaming.
+func (OpenAI) Call(ctx context.Context, a goose.Attempt) (goose.PlainAnswer, error) {
+	return call(ctx, a, func(r *fasthttp.Request) {
+		r.Header.Set(headerFencing, strconv.FormatInt(int64(a.Epoch), 10))
+		r.Header.Set(headerPriority, strconv.Itoa(a.Priority))
+	})
+}
+
+// Send implements goose.Commander.
+func (OpenAI) Send(ctx context.Context, address string, c goose.Command) error {
+	b, err := json.Marshal(c)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	_, err = controlChecked(ctx, address, http.MethodPost, commandPath, b, c.Check)
+	return err
+}
+
+const commandPath = "/v1/commands"
+
+// LastCommand implements goose.Commander.
+func (OpenAI) LastCommand(ctx context.Context, address string) (goose.CommandStatus, error) {
+	b, err := control(ctx, address, http.MethodGet, commandPath)
+	if err != nil {
+		return goose.CommandStatus{}, err
+	}
+	var s struct {
+		goose.Command
+		Running bool   `json:"running"`
+		AgeMS   int64  `json:"age-ms"`
+		Error   string `json:"error"`
+	}
+	if err := json.Unmarshal(b, &s); err != nil {
+		return goose.CommandStatus{}, errors.Wrapf(err, "last command of %s", address)
+	}
+	return goose.CommandStatus{
+		Running: s.Running, Command: s.Command, Age: time.Duration(s.AgeMS) * time.Millisecond, Error: s.Error,
+	}, nil
+}
--- /dev/null
+++ b/internal/gooseengine/plain.go
@@ -0,0 +1,77 @@
+package gooseengine
+
+import (
+	"context"
+	"net"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+// ErrUnsupported means that the protocol lacks the operation.
+var ErrUnsupported = errors.New("not supported by the protocol")
+
+// Plain speaks to plain HTTP services, which have neither streams nor cancel.
+type Plain struct{}
+
+var _ goose.Protocol = Plain{}
+
+// Call implements goose.Protocol.
+func (Plain) Call(ctx context.Context, a goose.Attempt) (goose.PlainAnswer, error) {
+	return call(ctx, a, func(*fasthttp.Request) {})
+}
+
+func call(ctx context.Context, a goose.Attempt, more func(*fasthttp.Request)) (goose.PlainAnswer, error) {
+	x, err := open(ctx, a.Address, a.Check, func(r *fasthttp.Request) {
+		fillAttempt(r, a)
+		more(r)
+	})
+	if err != nil {
+		return goose.PlainAnswer{}, err
+	}
+	defer x.close()
+	if x.foreign(a.ID) {
+		droppedForeign.Inc()
+		return goose.PlainAnswer{}, disconnected(errors.Errorf("answer of attempt %q, want %q", x.header(headerRequest), a.ID))
+	}
+	body, err := x.body(maxPlainAnswer)
+	if err != nil {
+		return goose.PlainAnswer{}, err
+	}
+	return goose.PlainAnswer{
+		Status:      x.resp.StatusCode(),
+		ContentType: string(x.resp.Header.ContentType()),
+		Body:        body,
+		Process:     x.header(headerProcess),
+		Cold:        x.header(headerCold) == "true",
+	}, nil
+}
+
+// Load implements goose.Protocol. A plain service has no load report, and any
+// request could have an effect, so a connection is opened and closed again.
+func (Plain) Load(ctx context.Context, address string) (goose.LoadReport, error) {
+	dialer := net.Dialer{Timeout: connectTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return goose.LoadReport{}, notSent(err)
+	}
+	return goose.LoadReport{}, errors.WithStack(conn.Close())
+}
+
+// Start implements goose.Protocol; plain services do not stream.
+func (Plain) Start(context.Context, goose.Attempt) (goose.Stream, error) {
+	return nil, notSent(ErrUnsupported)
+}
+
+// Resume implements goose.Protocol; plain services keep no streams.
+func (Plain) Resume(context.Context, string, goose.AttemptID, int) (goose.Stream, error) {
+	return nil, goose.ErrStreamGone
+}
+
+// Cancel implements goose.Protocol; plain services have no cancel operation.
+func (Plain) Cancel(context.Context, string, goose.AttemptID) error { return ErrUnsupported }
+
+// Streams implements goose.Protocol; plain services keep no streams.
+func (Plain) Streams(context.Context, string) ([]goose.RunningStream, error) { return nil, nil }
--- /dev/null
+++ b/internal/gooseentry/entry_test.go
@@ -0,0 +1,82 @@
+package gooseentry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/goosetest"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+const chat = `{"model":"mend","stream":true,"max_tokens":16,"messages":[{"role":"user","content":"sharpen"}]}`
+
+// Guards against an answer that is not passed on whole, in both forms, and
+// against an engine that is not asked for a stream.
+func TestModelAnswer(t *testing.T) {
+	engine := goosetest.NewBackend(t, goosetest.Answering(5))
+	r := newRig(t, nil, engine)
+	events := r.post(t, "/v1/chat/completions", chat).body
+	if got, want := textOf(events), "t0 t1 t2 t3 t4 "; got != want {
+		t.Errorf("streamed text: got %q, want %q", got, want)
+	}
+	if !strings.HasSuffix(events, "data: [DONE]\n\n") {
+		t.Errorf("stream without end marker: %q", events)
+	}
+	for name, body := range map[string]string{
+		"stream false":  strings.Replace(chat, "true", "false", 1),
+		"stream absent": strings.Replace(chat, `"stream":true,`, "", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			var whole wholeAnswer
+			if err := json.Unmarshal([]byte(r.post(t, "/v1/chat/completions", body).body), &whole); err != nil {
+				t.Fatal(err)
+			}
+			if got, want := whole.Choices[0].Message.Content, "t0 t1 t2 t3 t4 "; got != want {
+				t.Errorf("whole text: got %q, want %q", got, want)
+			}
+			sent := map[string]any{}
+			if err := json.Unmarshal(engine.Bodies[len(engine.Bodies)-1], &sent); err != nil || sent["stream"] != true {
+				t.Errorf("engine got %s (%v), want a request for a stream", engine.Bodies[len(engine.Bodies)-1], err)
+			}
+		})
+	}
+	r.drained(t)
+	if got, want := r.permits.Outcomes(), "finished finished finished"; got != want {
+		t.Errorf("outcomes: got %q, want %q", got, want)
+	}
+}
+
+// Guards against a changed path, method, body or answer of a plain service, and
+// against calls that count as giant prompts or as equal to one another.
+func TestPlainAnswer(t *testing.T) {
+	shop := goosetest.NewBackend(t, func(_ *goosetest.Backend, w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = w.Write([]byte("12 left"))
+	})
+	r := newRig(t, func(_ *Options, r *rig) {
+		for i := range r.cat.Servers {
+			r.cat.Servers[i].MemoryTokens = 0
+		}
+	}, shop)
+	resp := r.post(t, "/services/stock/count/a%20b?n=1", "payload")
+	if got, want := resp.status, http.StatusTeapot; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+	if got, want := resp.body, "12 left"; got != want {
+		t.Errorf("body: got %q, want %q", got, want)
+	}
+	if got, want := shop.Got[0], "POST /count/a%20b?n=1"; got != want {
+		t.Errorf("request: got %q, want %q", got, want)
+	}
+	if got, want := string(shop.Bodies[0]), "payload"; got != want {
+		t.Errorf("request body: got %q, want %q", got, want)
+	}
+	r.post(t, "/services/stock/count/other", "payload")
+	first, second := r.permits.Requests[0], r.permits.Requests[1]
+	if first.Class != goose.ClassShort || first.Fingerprint == second.Fingerprint {
+		t.Errorf("permit requests: got %+v and %+v, want short ones with fingerprints of their own", first, second)
+	}
+}
--- /dev/null
+++ b/internal/gooseentry/fakes_test.go
@@ -0,0 +1,175 @@
+package gooseentry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	_ "github.com/gooseberryhold/gooseberryhold/internal/gooseengine"
+	"github.com/gooseberryhold/gooseberryhold/internal/goosetest"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+// rig is an Entry on loopback with its fakes.
+type rig struct {
+	*Entry
+	url      string
+	cat      *goosetest.Catalogue
+	permits  *goosetest.Permits
+	ledger   *goosetest.Ledger
+	suspects *goosetest.Suspects
+	logs     *bytes.Buffer
+}
+
+// newRig serves model service "mend" and plain services "stock" (idempotent)
+// and "orders" on the backends, all in data centre leith.
+func newRig(t testing.TB, change func(*Options, *rig), backends ...*goosetest.Backend) *rig {
+	cat := &goosetest.Catalogue{InForce: 1, Services: []goose.ServiceSpec{
+		{Name: "mend", Kind: goose.KindModel, Protocol: "openai", Idempotent: true, Deadline: time.Hour},
+		{Name: "stock", Kind: goose.KindPlain, Protocol: "http", Idempotent: true, Deadline: time.Hour},
+		{Name: "orders", Kind: goose.KindPlain, Protocol: "http", Deadline: time.Hour},
+	}}
+	for i, b := range backends {
+		for _, s := range cat.Services {
+			cat.Servers = append(cat.Servers, goose.BackendServer{
+				Name: goose.ReplicaID(fmt.Sprintf("%s-%d", s.Name, i)), Service: s.Name, DataCentre: "leith",
+				Address: b.Address(), MemoryTokens: 100_000, State: goose.StateActive,
+			})
+		}
+	}
+	r := &rig{
+		cat: cat, permits: &goosetest.Permits{Servers: cat}, ledger: &goosetest.Ledger{},
+		suspects: goosetest.NewSuspects(), logs: &bytes.Buffer{},
+	}
+	o := Options{
+		Instance: "leith-1", DataCentre: "leith", Configuration: cat, Permits: r.permits, Ledger: r.ledger,
+		Suspects: r.suspects, Membership: goosetest.Membership{}, Protocol: goose.NewProtocol,
+		Limits: Limits{Probe: 20 * time.Millisecond, KeepAlive: 40 * time.Millisecond, HeaderDelay: time.Minute, CancelTimeout: time.Second},
+		Logger: slog.New(slog.NewJSONHandler(r.logs, nil)),
+	}
+	if change != nil {
+		change(&o, r)
+	}
+	r.Entry = New(o)
+	app := fiber.New(r.FiberConfig())
+	r.Register(app)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = app.Listener(Listener(ln), fiber.ListenConfig{DisableStartupMessage: true})
+	}()
+	t.Cleanup(func() {
+		_ = app.Shutdown()
+		// A test that ends before the server has started would wait for ever.
+		_ = ln.Close()
+		<-served
+	})
+	r.url = "http://" + ln.Addr().String()
+	return r
+}
+
+// answer is a whole answer of the entry instance.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// post sends a request with the workspace's key; header holds name, value pairs.
+func (r *rig) post(t testing.TB, path, body string, header ...string) answer {
+	t.Helper()
+	resp, err := r.send(context.Background(), path, body, header...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Errorf("answer broke off: %v", err)
+	}
+	return answer{resp.StatusCode, resp.Header, string(b)}
+}
+
+func (r *rig) send(ctx context.Context, path, body string, header ...string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer forge-key")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	return http.DefaultClient.Do(req)
+}
+
+// drained waits until all work has ended, so that releases can be looked at.
+func (r *rig) drained(t testing.TB) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if err := r.Drain(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// textOf joins the texts of an event stream.
+func textOf(events string) string {
+	var out strings.Builder
+	sc := bufio.NewScanner(strings.NewReader(events))
+	for sc.Scan() {
+		var c struct {
+			Choices []struct {
+				Delta struct{ Content string }
+			}
+		}
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if ok && json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) > 0 {
+			out.WriteString(c.Choices[0].Delta.Content)
+		}
+	}
+	return out.String()
+}
+
+func refusalIn(t testing.TB, s string) refusalError {
+	t.Helper()
+	var b refusalBody
+	if err := json.Unmarshal([]byte(s), &b); err != nil {
+		t.Fatalf("refusal body %q: %v", s, err)
+	}
+	return b.Error
+}
+
+// chat returns the text of a streamed answer.
+func (r *rig) chat(t testing.TB, body string) string {
+	t.Helper()
+	return textOf(r.post(t, "/v1/chat/completions", body).body)
+}
+
+// raw sends a request over a connection that the test can break.
+func (r *rig) raw(t testing.TB, path, body string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer forge-key\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
--- /dev/null
+++ b/internal/gooseetcd/message.go
@@ -0,0 +1,232 @@
+// Package gooseetcd has the messages of the etcd v3 HTTP/JSON API as a server sees
+// them. The client in goosestore has types of its own, so that a mistake in either
+// shows in the tests that join the two.
+package gooseetcd
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"unicode"
+
+	"github.com/pkg/errors"
+)
+
+// Number is a 64-bit integer that JSON writes as a string; it reads both.
+type Number int64
+
+// MarshalJSON writes the number as a string.
+func (n Number) MarshalJSON() ([]byte, error) {
+	return []byte(`"` + strconv.FormatInt(int64(n), 10) + `"`), nil
+}
+
+// UnmarshalJSON reads a string or a number.
+func (n *Number) UnmarshalJSON(b []byte) error {
+	v, err := strconv.ParseInt(strings.Trim(string(b), `"`), 10, 64)
+	*n = Number(v)
+	return errors.Wrap(err, "number")
+}
+
+// Header is part of every answer.
+type Header struct {
+	ClusterID Number `json:"cluster_id"`
+	MemberID  Number `json:"member_id"`
+	Revision  Number `json:"revision"`
+	RaftTerm  Number `json:"raft_term"`
+}
+
+// HeaderAt returns the header of an answer at a revision.
+func HeaderAt(rev int64) *Header {
+	return &Header{ClusterID: 1, MemberID: 1, Revision: Number(rev), RaftTerm: 1}
+}
+
+// KV is a key with its value and revisions.
+type KV struct {
+	Key            []byte `json:"key"`
+	CreateRevision Number `json:"create_revision,omitempty"`
+	ModRevision    Number `json:"mod_revision,omitempty"`
+	Version        Number `json:"version,omitempty"`
+	Value          []byte `json:"value,omitempty"`
+	Lease          Number `json:"lease,omitempty"`
+}
+
+// RangeRequest reads a key, or the keys up to RangeEnd.
+type RangeRequest struct {
+	Key       []byte `json:"key"`
+	RangeEnd  []byte `json:"range_end"`
+	Limit     Number `json:"limit"`
+	Revision  Number `json:"revision"`
+	KeysOnly  bool   `json:"keys_only"`
+	CountOnly bool   `json:"count_only"`
+	// MinModRevision leaves out keys that were last changed before it.
+	MinModRevision Number `json:"min_mod_revision"`
+}
+
+// PutRequest writes a key.
+type PutRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease Number `json:"lease"`
+}
+
+// DeleteRequest deletes a key, or the keys up to RangeEnd.
+type DeleteRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end"`
+}
+
+// Comparison is a condition of a transaction.
+type Comparison struct {
+	Key            []byte `json:"key"`
+	Target         string `json:"target"`
+	Result         string `json:"result"`
+	ModRevision    Number `json:"mod_revision"`
+	CreateRevision Number `json:"create_revision"`
+	Version        Number `json:"version"`
+	Lease          Number `json:"lease"`
+	Value          []byte `json:"value"`
+}
+
+// Operation is one of the requests that a transaction may hold.
+type Operation struct {
+	Range  *RangeRequest  `json:"request_range"`
+	Put    *PutRequest    `json:"request_put"`
+	Delete *DeleteRequest `json:"request_delete_range"`
+	Txn    *TxnRequest    `json:"request_txn"`
+}
+
+// TxnRequest runs Success if all comparisons hold, and Failure otherwise.
+type TxnRequest struct {
+	Compare []Comparison `json:"compare"`
+	Success []Operation  `json:"success"`
+	Failure []Operation  `json:"failure"`
+}
+
+// RangeAnswer answers a RangeRequest.
+type RangeAnswer struct {
+	Header *Header `json:"header,omitempty"`
+	KVs    []KV    `json:"kvs,omitempty"`
+	More   bool    `json:"more,omitempty"`
+	Count  Number  `json:"count,omitempty"`
+}
+
+// PutAnswer answers a PutRequest.
+type PutAnswer struct {
+	Header *Header `json:"header,omitempty"`
+}
+
+// DeleteAnswer answers a DeleteRequest.
+type DeleteAnswer struct {
+	Header  *Header `json:"header,omitempty"`
+	Deleted Number  `json:"deleted,omitempty"`
+}
+
+// Answer answers an Operation.
+type Answer struct {
+	Range  *RangeAnswer  `json:"response_range,omitempty"`
+	Put    *PutAnswer    `json:"response_put,omitempty"`
+	Delete *DeleteAnswer `json:"response_delete_range,omitempty"`
+	Txn    *TxnAnswer    `json:"response_txn,omitempty"`
+}
+
+// TxnAnswer answers a TxnRequest.
+type TxnAnswer struct {
+	Header    *Header  `json:"header,omitempty"`
+	Succeeded bool     `json:"succeeded,omitempty"`
+	Responses []Answer `json:"responses,omitempty"`
+}
+
+// SetRevision writes the headers of the answer and those within.
+func (a *TxnAnswer) SetRevision(rev int64) {
+	a.Header = HeaderAt(rev)
+	for i := range a.Responses {
+		r := &a.Responses[i]
+		switch {
+		case r.Range != nil:
+			r.Range.Header = HeaderAt(rev)
+		case r.Put != nil:
+			r.Put.Header = HeaderAt(rev)
+		case r.Delete != nil:
+			r.Delete.Header = HeaderAt(rev)
+		case r.Txn != nil:
+			r.Txn.SetRevision(rev)
+		}
+	}
+}
+
+// Event is a change that a watch reports.
+type Event struct {
+	Type string `json:"type,omitempty"`
+	KV   KV     `json:"kv"`
+}
+
+// WatchAnswer is one message of a watch.
+type WatchAnswer struct {
+	Header          *Header `json:"header"`
+	Created         bool    `json:"created,omitempty"`
+	Canceled        bool    `json:"canceled,omitempty"`
+	CompactRevision Number  `json:"compact_revision,omitempty"`
+	CancelReason    string  `json:"cancel_reason,omitempty"`
+	Events          []Event `json:"events,omitempty"`
+}
+
+// LeaseRequest grants a lease of TTL seconds, or names one to renew or revoke.
+type LeaseRequest struct {
+	ID  Number `json:"ID"`
+	TTL Number `json:"TTL"`
+}
+
+// WatchRequest begins a watch.
+type WatchRequest struct {
+	Create struct {
+		Key           []byte `json:"key"`
+		RangeEnd      []byte `json:"range_end"`
+		StartRevision Number `json:"start_revision"`
+	} `json:"create_request"`
+}
+
+// Decode reads a request; names may be in snake or camel case, as the gateway
+// accepts both.
+func Decode(body []byte, into any) error {
+	var tree any
+	d := json.NewDecoder(strings.NewReader(string(body)))
+	d.UseNumber()
+	if err := d.Decode(&tree); err != nil {
+		return errors.Wrap(err, "request body")
+	}
+	b, err := json.Marshal(snakeCase(tree))
+	if err != nil {
+		return errors.Wrap(err, "request body")
+	}
+	return errors.Wrap(json.Unmarshal(b, into), "request body")
+}
+
+func snakeCase(v any) any {
+	switch t := v.(type) {
+	case map[string]any:
+		out := make(map[string]any, len(t))
+		for k, x := range t {
+			out[snakeName(k)] = snakeCase(x)
+		}
+		return out
+	case []any:
+		for i := range t {
+			t[i] = snakeCase(t[i])
+		}
+	}
+	return v
+}
+
+func snakeName(k string) string {
+	if strings.ToUpper(k) == k {
+		return k
+	}
+	var b strings.Builder
+	for i, r := range k {
+		if unicode.IsUpper(r) && i > 0 {
+			b.WriteByte('_')
+		}
+		b.WriteRune(unicode.ToLower(r))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/gooseevent/events.go
@@ -0,0 +1,49 @@
+package gooseevent
+
+import "log/slog"
+
+// Events of the instance: 1xx.
+var (
+	InstanceStarted     = define(101, slog.LevelInfo, "instance started", "The instance listens for callers, operators and peers.")
+	InstanceReady       = define(102, slog.LevelInfo, "instance ready", "A configuration is in force; requests are admitted.")
+	InstanceDraining    = define(103, slog.LevelInfo, "instance draining", "A planned stop began; running requests finish.")
+	InstanceStopped     = define(104, slog.LevelInfo, "instance stopped", "All work has ended.")
+	CertificateRenewed  = define(106, slog.LevelInfo, "certificate renewed", "The certificate files changed; new connections to other instances use the new certificate.")
+	CertificateUnusable = define(107, slog.LevelError, "certificate files unusable", "The certificate files changed, but cannot be used; the certificate read before stays in use.")
+	CertificateExpires  = define(108, slog.LevelWarn, "certificate expires soon", "Less than a tenth of the certificate's life is left; renew the files.")
+	SettingsInvalid     = define(105, slog.LevelError, "settings invalid", "The settings file has an error; the message names file and setting.")
+)
+
+// Events of configuration: 2xx.
+var (
+	ConfigurationInForce  = define(201, slog.LevelInfo, "configuration in force", "A newer configuration version is used from now on.")
+	ConfigurationRejected = define(202, slog.LevelWarn, "configuration rejected", "A version was older than the one in force or failed its checks; the one in force stays.")
+)
+
+// Events of pools: 3xx.
+var (
+	PoolAcquired = define(301, slog.LevelInfo, "pool acquired", "This instance dispatches the pool from now on.")
+	PoolLost     = define(302, slog.LevelWarn, "pool lost", "This instance no longer dispatches the pool.")
+	PoolMode     = define(303, slog.LevelInfo, "pool mode changed", "The authority under which the pool is dispatched changed.")
+)
+
+// Events of replicas: 4xx.
+var (
+	ReplicaCold    = define(401, slog.LevelWarn, "replica cold", "The backend server is in a cold start; only its cold limit is used.")
+	ReplicaWarm    = define(402, slog.LevelInfo, "replica warm", "The backend server reached its full limits.")
+	ReplicaCrashed = define(403, slog.LevelWarn, "replica crashed", "A backend server broke off its requests; they became suspects.")
+	HandleFreed    = define(405, slog.LevelInfo, "orphan KV handle deleted", "An exported KV cache without an owner was deleted at its backend server.")
+	OrphanFreed    = define(404, slog.LevelInfo, "orphan stream cancelled", "A stream without an owner was cancelled at its backend server.")
+)
+
+// Events of requests and orders: 5xx.
+var (
+	RequestRefused = define(501, slog.LevelInfo, "request refused", "A caller got a refusal; code and run tell why and what ran.")
+	OrderUnknown   = define(502, slog.LevelWarn, "order outcome unknown", "An order may or may not have run; settle it with 'gooseberryhold orders'.")
+)
+
+// Events of members: 6xx.
+var (
+	MemberLive   = define(601, slog.LevelInfo, "member live", "An instance was heard from.")
+	MemberSilent = define(602, slog.LevelWarn, "member silent", "An instance has been silent for the failure timeout.")
+)
--- /dev/null
+++ b/internal/goosefuzz/race.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package goosefuzz
+
+const raceEnabled = true
--- /dev/null
+++ b/internal/gooseoperator/client.go
@@ -0,0 +1,256 @@
+package gooseoperator
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseconfig"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosedispatch"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseload"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// ErrUnreachable means that the instance was not reached; the call had no effect.
+var ErrUnreachable = errors.New("instance not reached")
+
+const (
+	dialTimeout     = 3 * time.Second
+	clientTimeout   = 15 * time.Second
+	pollInForce     = 200 * time.Millisecond
+	maxAnswerBytes  = 64 << 20
+	settleAfterLost = 10 * time.Second
+)
+
+// Client calls the operator API of one instance. It never sends a request
+// twice on its own.
+type Client struct {
+	base  string
+	token string
+	http  *fasthttp.HostClient
+}
+
+// NewClient returns a client of the API at address, which is host:port or an
+// http URL.
+func NewClient(address, token string) (*Client, error) {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	u, err := url.Parse(address)
+	if err != nil || u.Scheme != "http" || u.Host == "" || u.Path != "" && u.Path != "/" {
+		return nil, errors.Errorf("operator API %q: must be host:port or http://host:port", address)
+	}
+	return &Client{base: "http://" + u.Host, token: token, http: &fasthttp.HostClient{
+		Addr: u.Host, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxAnswerBytes,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		Dial: func(addr string) (net.Conn, error) {
+			c, err := fasthttp.DialTimeout(addr, dialTimeout)
+			if err != nil {
+				return nil, errors.Wrap(ErrUnreachable, err.Error())
+			}
+			return c, nil
+		},
+	}}, nil
+}
+
+// Status returns what the instance knows.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return call[Status](ctx, c, http.MethodGet, pathStatus, nil)
+}
+
+// Config returns the configuration in force there.
+func (c *Client) Config(ctx context.Context) (Config, error) {
+	return call[Config](ctx, c, http.MethodGet, pathConfig, nil)
+}
+
+// Apply publishes a configuration. If the answer is lost, it looks for the
+// change id in the audit entries; gooseconfig.ErrUnsettled is returned only
+// if they are not reached either.
+func (c *Client) Apply(ctx context.Context, q ApplyRequest) (Applied, error) {
+	a, err := call[Applied](ctx, c, http.MethodPut, pathConfig, q)
+	if q.DryRun {
+		return a, err
+	}
+	return c.settle(ctx, q.ChangeID, a, err)
+}
+
+// Label changes labels or the state of one object; see Apply.
+func (c *Client) Label(ctx context.Context, q LabelRequest) (Applied, error) {
+	a, err := call[Applied](ctx, c, http.MethodPost, pathLabel, q)
+	return c.settle(ctx, q.ChangeID, a, err)
+}
+
+// Command commands a backend server. If the answer is lost, it looks for the
+// outcome in the audit trail; the outcome is unknown if it is not there. An
+// error means that nothing was done.
+func (c *Client) Command(ctx context.Context, q CommandRequest) (Commanded, error) {
+	out, err := call[Commanded](ctx, c, http.MethodPost, pathCommands, q)
+	var known *APIError
+	switch {
+	case errors.Is(err, ErrUnreachable), errors.As(err, &known):
+		return out, err
+	case err != nil:
+		out = Commanded{ChangeID: q.ChangeID, Replica: q.Replica, Command: q.command().String()}
+		out.CommandResult = goose.CommandResult{Outcome: goose.CommandUnknown, Reason: err.Error()}
+	}
+	if out.Outcome == goose.CommandUnknown {
+		out.CommandResult = c.recorded(ctx, q.ChangeID, out.CommandResult)
+	}
+	return out, nil
+}
+
+// recorded returns the outcome in the audit trail, or the given one.
+func (c *Client) recorded(ctx context.Context, id string, otherwise goose.CommandResult) goose.CommandResult {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleAfterLost)
+	defer cancel()
+	for {
+		entries, err := c.Audit(ctx, 1, id)
+		if err == nil && len(entries) == 1 && entries[0].Reason != gooseload.NoOutcome {
+			return goose.CommandResult{Outcome: goose.CommandOutcome(entries[0].Outcome), Reason: entries[0].Reason}
+		}
+		t := time.NewTimer(pollInForce)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return otherwise
+		}
+	}
+}
+
+// Replicas returns what the dispatchers know about all backend servers.
+func (c *Client) Replicas(ctx context.Context) ([]goosedispatch.PoolReport, error) {
+	return call[[]goosedispatch.PoolReport](ctx, c, http.MethodGet, pathReplicas, nil)
+}
+
+// Audit returns the newest audit entries, or that of one change.
+func (c *Client) Audit(ctx context.Context, limit int, changeID string) ([]gooseconfig.AuditEntry, error) {
+	q := url.Values{"limit": {strconv.Itoa(limit)}}
+	if changeID != "" {
+		q.Set("change", changeID)
+	}
+	return call[[]gooseconfig.AuditEntry](ctx, c, http.MethodGet, pathAudit+"?"+q.Encode(), nil)
+}
+
+// Orders returns the orders in a state, or all for an empty one.
+func (c *Client) Orders(ctx context.Context, state goose.OrderState, limit int) ([]goose.Order, error) {
+	q := url.Values{"limit": {strconv.Itoa(limit)}, "state": {string(state)}}
+	return call[[]goose.Order](ctx, c, http.MethodGet, pathOrders+"?"+q.Encode(), nil)
+}
+
+// Settle decides an order whose outcome is unknown.
+func (c *Client) Settle(ctx context.Context, q SettleRequest) error {
+	_, err := call[SettleRequest](ctx, c, http.MethodPost, pathOrders, q)
+	return err
+}
+
+// InForce polls until every live member has at least the version, or ctx ends;
+// it returns the last status seen.
+func (c *Client) InForce(ctx context.Context, version int64) (Status, error) {
+	var last Status
+	var seen bool
+	for {
+		s, err := c.Status(ctx)
+		if err == nil {
+			last, seen = s, true
+			if len(Behind(s, version)) == 0 {
+				return s, nil
+			}
+		}
+		t := time.NewTimer(pollInForce)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			if !seen {
+				return last, err
+			}
+			return last, nil
+		}
+	}
+}
+
+// Behind returns the live members whose version is lower.
+func Behind(s Status, version int64) []MemberStatus {
+	var out []MemberStatus
+	for _, m := range s.Members {
+		if m.Live && m.Version < version {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// settle finds out what became of a change whose answer was lost or unclear.
+func (c *Client) settle(ctx context.Context, id string, a Applied, err error) (Applied, error) {
+	var known *APIError
+	if err == nil || errors.Is(err, ErrUnreachable) || errors.As(err, &known) && known.Run != goose.RunUnknown {
+		return a, err
+	}
+	// The caller's own time may be over when an answer is lost.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleAfterLost)
+	defer cancel()
+	for {
+		entries, auditErr := c.Audit(ctx, 1, id)
+		if auditErr == nil && len(entries) == 1 {
+			e := entries[0]
+			return Applied{Version: e.Version, ChangeID: id, Changed: true, Summary: e.Summary}, nil
+		}
+		t := time.NewTimer(pollInForce)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return Applied{}, errors.Wrapf(gooseconfig.ErrUnsettled, "change %s (%v)", id, err)
+		}
+	}
+}
+
+// call sends one request, once.
+func call[T any](ctx context.Context, c *Client, method, path string, body any) (T, error) {
+	var out T
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(c.base + path)
+	req.Header.SetMethod(method)
+	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.token)
+	// A kept connection may be closed by the other side just as it is used.
+	req.SetConnectionClose()
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return out, errors.Wrap(err, "encode request")
+		}
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(data)
+	}
+	deadline := time.Now().Add(clientTimeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+		return out, errors.Wrapf(err, "%s %s", method, c.base+path)
+	}
+	if resp.StatusCode() != http.StatusOK {
+		return out, decodeError(resp)
+	}
+	return out, errors.Wrapf(json.Unmarshal(resp.Body(), &out), "answer of %s", c.base+path)
+}
+
+func decodeError(resp *fasthttp.Response) error {
+	var b errorBody
+	if err := json.Unmarshal(resp.Body(), &b); err != nil || b.Error == nil {
+		return errors.Errorf("status %d: %.200s", resp.StatusCode(), resp.Body())
+	}
+	b.Error.Status = resp.StatusCode()
+	return b.Error
+}
--- /dev/null
+++ b/internal/gooseoperator/server_test.go
@@ -0,0 +1,415 @@
+package gooseoperator_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseoperator"
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseoperatortest"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseconfig"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseload"
+
+	"github.com/pkg/errors"
+)
+
+const fleet = `services:
+  - {name: job-desk, kind: plain, idempotent: false, deadline: 10s}
+workspaces:
+  - {name: press-room, key-hashes: ["0000000000000000000000000000000000000000000000000000000000000001"]}
+data-centres:
+  - {name: kochi-a}
+  - {name: kochi-b}
+backend-servers:
+  - {name: job-1, service: job-desk, data-centre: kochi-a, address: "127.0.0.1:9001", concurrency: 4, cold-concurrency: 1}
+`
+
+func TestMain(m *testing.M) {
+	gooseoperatortest.RegisterProtocols()
+	os.Exit(m.Run())
+}
+
+type instance struct {
+	*gooseoperatortest.Instance
+	client *gooseoperator.Client
+}
+
+func start(t *testing.T) *instance {
+	t.Helper()
+	i, err := gooseoperatortest.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := i.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	return &instance{Instance: i, client: client(t, i.Address)}
+}
+
+func client(t *testing.T, address string) *gooseoperator.Client {
+	t.Helper()
+	c, err := gooseoperator.NewClient(address, gooseoperatortest.Token)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func (i *instance) apply(t *testing.T, id string, base int64, yaml string) (gooseoperator.Applied, error) {
+	t.Helper()
+	return i.client.Apply(t.Context(), gooseoperator.ApplyRequest{ChangeID: id, Author: "ada", Base: base, File: "fleet.yaml", Configuration: yaml})
+}
+
+// Guards against operator calls without the token, and against probes that
+// need one.
+func TestAuthentication(t *testing.T) {
+	t.Parallel()
+	i := start(t)
+	tests := map[string]struct {
+		path, header string
+		want         int
+	}{
+		"no token":           {"/operator/status", "", 401},
+		"wrong token":        {"/operator/status", "Bearer type-hig", 401},
+		"wrong scheme":       {"/operator/audit", "Basic " + gooseoperatortest.Token, 401},
+		"token":              {"/operator/status", "Bearer " + gooseoperatortest.Token, 200},
+		"unknown path":       {"/operator/nothing", "Bearer " + gooseoperatortest.Token, 404},
+		"health":             {"/healthz", "", 200},
+		"not ready":          {"/readyz", "", 503},
+		"metrics":            {"/metrics", "", 200},
+		"bad limit":          {"/operator/audit?limit=0", "Bearer " + gooseoperatortest.Token, 400},
+		"unknown state":      {"/operator/orders?state=lost", "Bearer " + gooseoperatortest.Token, 400},
+		"change not there":   {"/operator/audit?change=x", "Bearer " + gooseoperatortest.Token, 404},
+		"unknown state path": {"/operator", "", 401},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			q, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+i.Address+tt.path, nil)
+			q.Header.Set("Authorization", tt.header)
+			resp, err := http.DefaultClient.Do(q)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != tt.want {
+				t.Errorf("got %d, want %d", resp.StatusCode, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against changes that are lost, published in spite of a conflict or a
+// fault, or reported with the wrong outcome.
+func TestApply(t *testing.T) {
+	t.Parallel()
+	i := start(t)
+	changed := strings.Replace(fleet, "concurrency: 4", "concurrency: 5", 1)
+	steps := []struct {
+		id, yaml string
+		base     int64
+		code     goose.Code
+		want     gooseoperator.Applied
+	}{
+		{"one", fleet, 0, "", gooseoperator.Applied{Version: 1, Changed: true}},
+		{"one", fleet, 0, "", gooseoperator.Applied{Version: 1, Changed: true}}, // repeated
+		{"two", fleet, 1, "", gooseoperator.Applied{Version: 1}},                // same content
+		{"three", changed, 0, goose.CodeConflict, gooseoperator.Applied{}},
+		{"four", "services: 1", 1, goose.CodeBadRequest, gooseoperator.Applied{}},
+		{"", changed, 1, goose.CodeBadRequest, gooseoperator.Applied{}},
+		{"five", changed, 1, "", gooseoperator.Applied{Version: 2, Changed: true}},
+	}
+	for n, s := range steps {
+		a, err := i.apply(t, s.id, s.base, s.yaml)
+		var known *gooseoperator.APIError
+		if errors.As(err, &known); (known == nil) != (s.code == "") || known != nil && known.Code != s.code {
+			t.Fatalf("step %d: got %v, want code %q", n, err, s.code)
+		}
+		if a.Version != s.want.Version || a.Changed != s.want.Changed {
+			t.Errorf("step %d: got %+v, want %+v", n, a, s.want)
+		}
+	}
+	c, err := i.client.Config(t.Context())
+	if err != nil || c.Version != 2 || c.Author != "ada" || !strings.Contains(c.Configuration, "concurrency: 5") {
+		t.Errorf("got %+v, %v, want version 2 by ada with concurrency 5", c, err)
+	}
+	i.Store.Down(true)
+	_, err = i.client.Label(t.Context(), gooseoperator.LabelRequest{ChangeID: "six", Author: "ada", Object: gooseconfig.Object{Kind: "data-centre", Name: "kochi-a"}, State: goose.StateLeaving})
+	var known *gooseoperator.APIError
+	if !errors.As(err, &known) || known.Code != goose.CodeStoreUnavailable || known.Run != goose.RunNot {
+		t.Errorf("with the store down: got %v, want %s, not-run", err, goose.CodeStoreUnavailable)
+	}
+}
+
+// Guards against racing operators who overwrite each other's labels.
+func TestLabelRace(t *testing.T) {
+	t.Parallel()
+	i := start(t)
+	if _, err := i.apply(t, "one", 0, fleet); err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	for n := range 8 {
+		wg.Go(func() {
+			q := gooseoperator.LabelRequest{
+				ChangeID: fmt.Sprintf("label-%d", n), Author: "bo",
+				Object: gooseconfig.Object{Kind: "workspace", Name: "press-room"}, Set: goose.Labels{fmt.Sprintf("l%d", n): "x"},
+			}
+			if _, err := i.client.Label(t.Context(), q); err != nil {
+				t.Errorf("label %d: %v", n, err)
+			}
+		})
+	}
+	wg.Wait()
+	c, err := i.client.Config(t.Context())
+	if err != nil || c.Version != 9 {
+		t.Fatalf("got version %d, %v, want 9", c.Version, err)
+	}
+	for n := range 8 {
+		if !strings.Contains(c.Configuration, fmt.Sprintf("l%d: x", n)) {
+			t.Errorf("label l%d is lost", n)
+		}
+	}
+}
+
+// Guards against an order that is settled twice or under a wrong state.
+func TestOrders(t *testing.T) {
+	t.Parallel()
+	i := start(t)
+	orders, err := i.client.Orders(t.Context(), goose.OrderUnknown, 10)
+	if err != nil || len(orders) != 1 {
+		t.Fatalf("got %d orders, %v, want 1", len(orders), err)
+	}
+	for n, s := range []struct {
+		state goose.OrderState
+		code  goose.Code
+	}{{goose.OrderClaimed, goose.CodeBadRequest}, {goose.OrderDone, ""}, {goose.OrderNotRun, goose.CodeConflict}} {
+		err := i.client.Settle(t.Context(), gooseoperator.SettleRequest{Key: orders[0].Key, State: s.state, Author: "ada"})
+		var known *gooseoperator.APIError
+		if errors.As(err, &known); (known == nil) != (s.code == "") || known != nil && known.Code != s.code {
+			t.Errorf("step %d: got %v, want code %q", n, err, s.code)
+		}
+	}
+}
+
+// Guards against reading calls that are told that nothing was changed, and
+// against changes that are not.
+func TestStoreDown(t *testing.T) {
+	t.Parallel()
+	i := start(t)
+	if _, err := i.apply(t, "one", 0, fleet); err != nil {
+		t.Fatal(err)
+	}
+	i.Store.Down(true)
+	i.Unreadable.Store(true)
+	tests := map[string]struct {
+		call func() error
+		said bool
+	}{
+		"orders": {func() error { _, err := i.client.Orders(t.Context(), "", 10); return err }, false},
+		"audit":  {func() error { _, err := i.client.Audit(t.Context(), 10, ""); return err }, false},
+		"apply": {func() error {
+			_, err := i.apply(t, "two", 1, strings.Replace(fleet, "concurrency: 4", "concurrency: 5", 1))
+			return err
+		}, true},
+	}
+	for name, tt := range tests {
+		var known *gooseoperator.APIError
+		if err := tt.call(); !errors.As(err, &known) || known.Code != goose.CodeStoreUnavailable {
+			t.Errorf("%s: got %v, want code %s", name, err, goose.CodeStoreUnavailable)
+		} else if got := strings.Contains(known.Message, "nothing was changed"); got != tt.said {
+			t.Errorf("%s: got message %q, want %t that it speaks of a change", name, known.Message, tt.said)
+		}
+	}
+}
+
+// Guards against a change being sent twice when its answer is lost, and against
+// it being reported as failed although it took effect.
+func TestLostAnswer(t *testing.T) {
+	t.Parallel()
+	i := start(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	var puts atomic.Int32
+	go forward(l, i.Address, "PUT", &puts)
+	a, err := client(t, l.Addr().String()).Apply(t.Context(), gooseoperator.ApplyRequest{ChangeID: "one", Author: "ada", File: "f", Configuration: fleet})
+	if err != nil || a.Version != 1 || puts.Load() != 1 {
+		t.Errorf("got %+v, %v after %d requests, want version 1 after one", a, err, puts.Load())
+	}
+}
+
+// forward passes connections on, but drops the answers to requests with the
+// method and counts them.
+func forward(l net.Listener, to, lost string, count *atomic.Int32) {
+	for {
+		from, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = from.Close() }()
+			back, err := net.Dial("tcp", to)
+			if err != nil {
+				return
+			}
+			defer func() { _ = back.Close() }()
+			method := make([]byte, len(lost))
+			if _, err := io.ReadFull(from, method); err != nil {
+				return
+			}
+			_, _ = back.Write(method)
+			go func() { _, _ = io.Copy(back, from) }()
+			if string(method) == lost {
+				count.Add(1)
+				_, _ = io.Copy(io.Discard, back)
+				return
+			}
+			_, _ = io.Copy(from, back)
+		}()
+	}
+}
+
+// Guards against a command that is sent twice, against one reported as refused
+// although it may have run, and against a lost answer whose outcome is in the
+// audit trail.
+func TestCommandOutcomes(t *testing.T) {
+	t.Parallel()
+	unknown := goose.CommandResult{Outcome: goose.CommandUnknown, Reason: "the answer of dispatcher x was lost"}
+	accepted := goose.CommandResult{Outcome: goose.CommandAccepted}
+	refused := goose.RefusedCommand("requests run on it")
+	tests := map[string]struct {
+		replica  goose.ReplicaID
+		name     string
+		lost     bool
+		result   goose.CommandResult
+		recorded goose.CommandResult
+		want     goose.CommandResult
+		code     goose.Code
+	}{
+		"accepted":                {result: accepted, want: accepted},
+		"refused":                 {result: refused, want: refused},
+		"unknown":                 {result: unknown, recorded: unknown, want: unknown},
+		"unknown, was refused":    {result: unknown, recorded: refused, want: refused},
+		"answer lost, accepted":   {lost: true, result: accepted, recorded: accepted, want: accepted},
+		"answer lost, refused":    {lost: true, result: refused, recorded: refused, want: refused},
+		"answer lost, unknown":    {lost: true, result: unknown, recorded: unknown, want: unknown},
+		"no such backend server":  {replica: "job-9", code: goose.CodeNotFound},
+		"a name that is no name":  {name: "wording 8", code: goose.CodeBadRequest},
+		"a name that is too long": {name: strings.Repeat("x", 201), code: goose.CodeBadRequest},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			i := start(t)
+			if _, err := i.apply(t, "one", 0, fleet); err != nil {
+				t.Fatal(err)
+			}
+			i.Result.Store(&tt.result)
+			i.Recorded.Store(&[]gooseload.Entry{{ID: "c1", Author: "ada", Result: tt.recorded}})
+			c := i.client
+			var sent atomic.Int32
+			if tt.lost {
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = l.Close() }()
+				go forward(l, i.Address, "POST", &sent)
+				c = client(t, l.Addr().String())
+			}
+			q := gooseoperator.CommandRequest{ChangeID: "c1", Author: "ada", Replica: "job-1", Kind: goose.CommandLoadModel, Name: "wording-8"}
+			if tt.replica != "" {
+				q.Replica = tt.replica
+			}
+			if tt.name != "" {
+				q.Name = tt.name
+			}
+			got, err := c.Command(t.Context(), q)
+			var known *gooseoperator.APIError
+			if errors.As(err, &known); (known == nil) != (tt.code == "") || known != nil && known.Code != tt.code {
+				t.Fatalf("got %v, want code %q", err, tt.code)
+			}
+			if got.CommandResult != tt.want {
+				t.Errorf("got %s, want %s", got.CommandResult, tt.want)
+			}
+			if want := map[bool]int32{true: 1}[tt.lost]; sent.Load() != want {
+				t.Errorf("sent through the broken connection: got %d, want %d", sent.Load(), want)
+			}
+		})
+	}
+}
+
+// Guards against commands that are missing from the audit trail or stand at
+// another place than their time, and against changes out of their order.
+func TestTrailHoldsCommands(t *testing.T) {
+	t.Parallel()
+	i := start(t)
+	for n := range 3 {
+		yaml := strings.Replace(fleet, "concurrency: 4", fmt.Sprint("concurrency: ", 4+n), 1)
+		if _, err := i.apply(t, fmt.Sprint("change-", n), int64(n), yaml); err != nil {
+			t.Fatal(err)
+		}
+	}
+	e := func(id string, age time.Duration) gooseload.Entry {
+		return gooseload.Entry{
+			ID: id, Author: "bo", Time: time.Now().Add(-age), Replica: "job-1", Force: true,
+			Command: goose.Command{Kind: goose.CommandLoadAdapter, Name: "seals", Model: "wording-8", Version: "12"},
+			Result:  goose.RefusedCommand("it does not answer"),
+		}
+	}
+	i.Recorded.Store(&[]gooseload.Entry{e("new", -time.Hour), e("old", time.Hour)})
+	for limit, want := range map[int]string{9: "new change-2 change-1 change-0 old", 2: "new change-2"} {
+		all, err := i.client.Audit(t.Context(), limit, "")
+		var got []string
+		for _, a := range all {
+			got = append(got, a.ChangeID)
+		}
+		if err != nil || strings.Join(got, " ") != want {
+			t.Errorf("limit %d: got %v, %v; want %s", limit, got, err, want)
+		}
+	}
+	one, err := i.client.Audit(t.Context(), 1, "old")
+	want := "load-adapter seals on wording-8 version 12 on backend-server/job-1, forced: refused: it does not answer"
+	if err != nil || len(one) != 1 || len(one[0].Summary) != 1 || one[0].Summary[0] != want || one[0].Outcome != "refused" {
+		t.Errorf("got %+v, %v; want %q", one, err, want)
+	}
+}
+
+// Guards against a version reported in force everywhere while an instance lags.
+func TestInForce(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		lag  int64
+		wait time.Duration // ends the polling; the first case ends by itself
+		want int
+	}{
+		"in force":        {lag: 0, wait: time.Minute, want: 0},
+		"instance behind": {lag: 1, wait: 2 * time.Second, want: 1},
+	}
+	for name, tt := range tests {
+		i := start(t)
+		i.Lag.Store(tt.lag)
+		if _, err := i.apply(t, "one", 0, fleet); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), tt.wait)
+		defer cancel()
+		s, err := i.client.InForce(ctx, 1)
+		if got := len(gooseoperator.Behind(s, 1)); err != nil || got != tt.want {
+			t.Errorf("%s: got %d behind, %v, want %d", name, got, err, tt.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gooseoperatortest/instance.go
@@ -0,0 +1,190 @@
+// Package gooseoperatortest runs the operator API of one instance without the
+// rest of it, for the tests of the API and of the command line.
+package gooseoperatortest
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"log/slog"
+	"net"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseoperator"
+	"github.com/gooseberryhold/gooseberryhold/internal/goosestoretest"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseconfig"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosedispatch"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseload"
+
+	"github.com/pkg/errors"
+)
+
+// Token is the operator token of every instance here.
+const Token = "type-high"
+
+// Instance is the operator side of one entry instance, in a fleet of three: the
+// second may lag behind and the third is silent.
+type Instance struct {
+	goose.Ledger
+	Address string
+	Store   *goosestoretest.Store
+	// Lag is how many versions the second instance is behind.
+	Lag atomic.Int64
+	// Result answers the next commands; nil accepts them.
+	Result atomic.Pointer[goose.CommandResult]
+	// Recorded is what the audit trail holds of commands.
+	Recorded atomic.Pointer[[]gooseload.Entry]
+	// Unreadable makes the listing of orders fail like a store that is down.
+	Unreadable atomic.Bool
+	settled    atomic.Bool
+	source     *gooseconfig.Source
+	server     *gooseoperator.Server
+	done       chan error
+}
+
+// RegisterProtocols registers the usual protocols unless the program has them.
+func RegisterProtocols() {
+	for _, p := range []string{"openai", "http"} {
+		if !slices.Contains(goose.ProtocolNames(), p) {
+			goose.RegisterProtocol(p, func() goose.Protocol { return nil })
+		}
+	}
+}
+
+// Start serves the API on a free loopback port until Stop.
+func Start() (*Instance, error) {
+	i := &Instance{Store: goosestoretest.New(), source: gooseconfig.NewSource(), done: make(chan error, 1)}
+	repository := gooseconfig.NewRepository(i.Store, "test").WithRetryPause(1)
+	sum := sha256.Sum256([]byte(Token))
+	var err error
+	i.server, err = gooseoperator.New(gooseoperator.Options{
+		TokenHash: hex.EncodeToString(sum[:]), Repository: repository, Source: i.source, Members: i, Ledger: i,
+		Refresh: func(ctx context.Context) error {
+			s, err := repository.Load(ctx, i.source.Snapshot())
+			if err == nil {
+				i.source.Adopt(s)
+			}
+			return err
+		},
+		Dispatchers: i, CommandEntries: i.commandEntries,
+		Ready:        i.ready,
+		WriteMetrics: func(w io.Writer) { _, _ = io.WriteString(w, "up 1\n") },
+		Running:      func() int { return 7 },
+		Logger:       slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	i.Address = l.Addr().String()
+	go func() { i.done <- i.server.Serve(l) }()
+	return i, nil
+}
+
+// Stop ends the server.
+func (i *Instance) Stop() error {
+	if err := i.server.Shutdown(context.Background()); err != nil {
+		return err
+	}
+	return <-i.done
+}
+
+// Command implements gooseoperator.Dispatchers. It records the outcome unless
+// there is a record of that id.
+func (i *Instance) Command(_ context.Context, q goose.CommandRequest) goose.CommandResult {
+	r := goose.CommandResult{Outcome: goose.CommandAccepted}
+	if set := i.Result.Load(); set != nil {
+		r = *set
+	}
+	var all []gooseload.Entry
+	if old := i.Recorded.Load(); old != nil {
+		all = *old
+	}
+	if !slices.ContainsFunc(all, func(e gooseload.Entry) bool { return e.ID == q.ID }) {
+		e := gooseload.Entry{ID: q.ID, Author: q.Author, Time: time.Now(), Replica: q.Replica, Command: q.Command, Force: q.Force, Result: r}
+		all = append([]gooseload.Entry{e}, all...)
+		i.Recorded.Store(&all)
+	}
+	return r
+}
+
+// Reports returns two backend servers, of which one loads, and a pool without a
+// dispatcher.
+func (i *Instance) Reports(context.Context) []goosedispatch.PoolReport {
+	return []goosedispatch.PoolReport{
+		{Status: goosedispatch.Status{Pool: goose.Pool{DataCentre: "dalkeith", Service: "wording-desk"}}, Missing: "no dispatcher is heard"},
+		{Dispatcher: "leith-entry-1", Status: goosedispatch.Status{
+			Pool: goose.Pool{DataCentre: "leith", Service: "wording-desk"}, Epoch: 9, Mode: goose.ModeLeased,
+			Replicas: []goosedispatch.ReplicaStatus{
+				{Replica: "leith-engine-1", Process: "p1", Reachable: true, Concurrency: 16, TokenLimit: 200_000, Requests: 3, Tokens: 900},
+				{Replica: "leith-engine-2", Process: "p2", Reachable: true, Cold: true, Concurrency: 1, TokenLimit: 8000, Load: "load-model wording-8"},
+			},
+		}},
+	}
+}
+
+func (i *Instance) commandEntries(context.Context, int) ([]gooseload.Entry, error) {
+	if e := i.Recorded.Load(); e != nil {
+		return *e, nil
+	}
+	return nil, nil
+}
+
+func (i *Instance) ready() error {
+	if i.source.Current().Version() == 0 {
+		return errors.New("no configuration yet")
+	}
+	return nil
+}
+
+// Self implements goose.Membership.
+func (i *Instance) Self() goose.Member {
+	return goose.Member{
+		Instance: "leith-entry-1", DataCentre: "leith", Address: "127.0.0.1:7003", Version: i.source.Current().Version(), Live: true,
+		Pools: []goose.PoolHolding{{Pool: goose.Pool{DataCentre: "leith", Service: "order-book"}, Epoch: 5, Mode: goose.ModeLeased}},
+	}
+}
+
+// Members implements goose.Membership.
+func (i *Instance) Members() []goose.Member {
+	v := i.source.Current().Version()
+	return []goose.Member{
+		i.Self(),
+		{Instance: "leith-entry-2", DataCentre: "leith", Address: "127.0.0.1:7013", Version: v - i.Lag.Load(), Live: true},
+		{Instance: "leith-entry-3", DataCentre: "leith", Address: "127.0.0.1:7023"},
+	}
+}
+
+// Dispatcher implements goose.Membership.
+func (i *Instance) Dispatcher(p goose.Pool) (goose.Member, bool) {
+	return i.Self(), p.Service == "order-book" && p.DataCentre == "leith"
+}
+
+// List returns one order whose outcome is unknown, unless it is unreadable.
+func (i *Instance) List(_ context.Context, state goose.OrderState, _ int) ([]goose.Order, error) {
+	if i.Unreadable.Load() {
+		return nil, errors.Wrap(goose.ErrUnavailable, "list orders")
+	}
+	if state != goose.OrderUnknown && state != "" || i.settled.Load() {
+		return []goose.Order{}, nil
+	}
+	return []goose.Order{{
+		Key:   goose.OrderKey{Workspace: "press-room", Service: "order-book", Key: "die-7781"},
+		State: goose.OrderUnknown, Instance: "leith-entry-2", Attempt: "a-1",
+	}}, nil
+}
+
+// Settle settles that order once.
+func (i *Instance) Settle(context.Context, goose.OrderKey, goose.OrderState, string) error {
+	if i.settled.Swap(true) {
+		return errors.New("the order is already settled")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gooseprogramtest/program.go
@@ -0,0 +1,92 @@
+// Package gooseprogramtest lets a test binary be the programs of a fleet, so that
+// its processes run with the race detector as well, and reads their logs.
+package gooseprogramtest
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/goosecommand"
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseserve"
+	"github.com/gooseberryhold/gooseberryhold/internal/goosestand"
+)
+
+// Programs that a fleet starts.
+const (
+	Stand = "goosestand"
+	Entry = "gooseberryhold"
+)
+
+// Main is the TestMain of a package that starts fleets: it runs a program if the
+// test binary is started under the program's name, and the tests otherwise.
+func Main(m *testing.M) {
+	switch filepath.Base(os.Args[0]) {
+	case Stand:
+		os.Exit(goosestand.Run(context.Background(), os.Args[1:], os.Stderr))
+	case Entry:
+		app := &goosecommand.App{Serve: gooseserve.Run, Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Environ: os.Environ()}
+		os.Exit(app.Run(context.Background(), os.Args[1:]))
+	}
+	os.Exit(m.Run())
+}
+
+// Bin returns a directory with programs, which are the test binary itself.
+func Bin(t testing.TB, programs ...string) string {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	for _, name := range programs {
+		if err := os.Symlink(self, filepath.Join(dir, name)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir
+}
+
+// Races returns an error with the first report of the race detector in each log
+// of a fleet's directory.
+func Races(dir string) error {
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil {
+		return errors.Wrap(err, "logs")
+	}
+	var found []byte
+	for _, name := range files {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return errors.Wrap(err, "log")
+		}
+		if i := bytes.Index(data, []byte("WARNING: DATA RACE")); i >= 0 {
+			found = append(found, filepath.Base(name)+": "...)
+			found = append(found, data[i:min(i+6000, len(data))]...)
+		}
+	}
+	if len(found) > 0 {
+		return errors.New(string(found))
+	}
+	return nil
+}
+
+// PrintLogs prints the end of the instances' logs in a fleet's directory, and why
+// a simulator crashed.
+func PrintLogs(t testing.TB, dir string, instances ...string) {
+	const last = 3000
+	if data, err := os.ReadFile(filepath.Join(dir, "simulators.log")); err == nil {
+		if i := bytes.Index(data, []byte("goroutine ")); i >= 0 {
+			t.Logf("a simulator crashed:\n%.4000s", data[max(i-500, 0):])
+		}
+	}
+	for _, name := range instances {
+		if data, err := os.ReadFile(filepath.Join(dir, name+".log")); err == nil {
+			t.Logf("log of %s:\n%s", name, data[max(len(data)-last, 0):])
+		}
+	}
+}
--- /dev/null
+++ b/internal/gooseserve/plugins.go
@@ -0,0 +1,9 @@
+package gooseserve
+
+import (
+	// Each of these registers its plug-ins by name.
+	_ "github.com/gooseberryhold/gooseberryhold/internal/gooseengine"
+	_ "github.com/gooseberryhold/gooseberryhold/pkg/goosequeue"
+	_ "github.com/gooseberryhold/gooseberryhold/pkg/gooseroute"
+	_ "github.com/gooseberryhold/gooseberryhold/pkg/goosestore"
+)
--- /dev/null
+++ b/internal/goosestand/etcd.go
@@ -0,0 +1,81 @@
+package goosestand
+
+import (
+	"strings"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseetcd"
+)
+
+func (kv *keyValue) wire(keysOnly bool) gooseetcd.KV {
+	w := gooseetcd.KV{
+		Key: kv.key, CreateRevision: gooseetcd.Number(kv.create), ModRevision: gooseetcd.Number(kv.mod),
+		Version: gooseetcd.Number(kv.number), Value: kv.value, Lease: gooseetcd.Number(kv.lease),
+	}
+	if keysOnly {
+		w.Value = nil
+	}
+	return w
+}
+
+// checkTxn refuses what etcd refuses before it runs a transaction. put collects
+// the keys that are written.
+func checkTxn(t *gooseetcd.TxnRequest, put map[string]bool) error {
+	if max(len(t.Compare), len(t.Success), len(t.Failure)) > maxTxnOps {
+		return errTooManyOps
+	}
+	for _, ops := range [][]gooseetcd.Operation{t.Success, t.Failure} {
+		seen := put
+		if len(t.Success) > 0 && len(t.Failure) > 0 {
+			seen = map[string]bool{}
+			for k := range put {
+				seen[k] = true
+			}
+		}
+		for _, op := range ops {
+			if err := checkOperation(op, seen); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func checkOperation(op gooseetcd.Operation, put map[string]bool) error {
+	switch {
+	case op.Txn != nil:
+		return checkTxn(op.Txn, put)
+	case op.Put == nil:
+		return nil
+	case len(op.Put.Key) == 0:
+		return errEmptyKey
+	case len(op.Put.Value) > maxValue:
+		return errTooLarge
+	case put[string(op.Put.Key)]:
+		return errDuplicateKey
+	}
+	put[string(op.Put.Key)] = true
+	return nil
+}
+
+// touches reports whether the transaction may write a key with the prefix.
+func touches(t *gooseetcd.TxnRequest, prefix string) bool {
+	for _, ops := range [][]gooseetcd.Operation{t.Success, t.Failure} {
+		for _, op := range ops {
+			switch {
+			case op.Put != nil && strings.HasPrefix(string(op.Put.Key), prefix),
+				op.Delete != nil && strings.HasPrefix(string(op.Delete.Key), prefix),
+				op.Txn != nil && touches(op.Txn, prefix):
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c change) wire() gooseetcd.Event {
+	w := gooseetcd.Event{KV: c.kv.wire(false)}
+	if c.deleted {
+		w.Type = "DELETE"
+	}
+	return w
+}
--- /dev/null
+++ b/internal/goosestand/relay_test.go
@@ -0,0 +1,153 @@
+package goosestand
+
+import (
+	"net"
+	"slices"
+	"testing"
+	"time"
+)
+
+// echoTarget answers every packet with the same packet.
+func echoTarget(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	go func() {
+		buf := make([]byte, relayPacket)
+		for {
+			n, from, err := c.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			_, _ = c.WriteTo(buf[:n], from)
+		}
+	}()
+	return c.LocalAddr().String()
+}
+
+// relaySource is one sender's socket.
+func relaySource(t *testing.T) *net.UDPConn {
+	t.Helper()
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// startRelay runs a relay to an echo and returns its address.
+func startRelay(t *testing.T, sources map[string]string) (*Relay, *net.UDPAddr) {
+	t.Helper()
+	r := NewRelay(RelayConfig{Target: echoTarget(t), Sources: sources, Seed: 7}, loopback(0), "", quiet)
+	run(t, r.Run)
+	waitFor(t, "the relay", func() bool { return r.Address() != "" })
+	to, err := net.ResolveUDPAddr("udp", r.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, to
+}
+
+// send sends packets one by one and returns which ones the relay let through to
+// the target, and which answers came back.
+func (r *Relay) send(t *testing.T, from *net.UDPConn, to *net.UDPAddr, name string, n int) (forwarded, returned []bool) {
+	t.Helper()
+	buf := make([]byte, 8)
+	for range n {
+		before := r.Counters()
+		if _, err := from.WriteTo([]byte("x"), to); err != nil {
+			t.Fatal(err)
+		}
+		var now RelayCounters
+		waitFor(t, "the packet's fate", func() bool {
+			now = r.Counters()
+			return now.Dropped[name]+now.Returned[name] > before.Dropped[name]+before.Returned[name]
+		})
+		forwarded = append(forwarded, now.Forwarded[name] > before.Forwarded[name])
+		back := now.Returned[name] > before.Returned[name]
+		returned = append(returned, back)
+		if !back {
+			continue
+		}
+		_ = from.SetReadDeadline(time.Now().Add(time.Minute))
+		if _, err := from.Read(buf); err != nil {
+			t.Fatalf("the relay counted an answer that did not arrive: %v", err)
+		}
+	}
+	return forwarded, returned
+}
+
+// Guards against a cut that lets packets through, that hits another source or
+// the other direction, and one that outlasts its fault.
+func TestRelayCuts(t *testing.T) {
+	t.Parallel()
+	a, b := relaySource(t), relaySource(t)
+	r, to := startRelay(t, map[string]string{a.LocalAddr().String(): "a", b.LocalAddr().String(): "b"})
+	tests := []struct {
+		fault string
+		// forwarded and returned are of a; b always gets its answers unless down.
+		forwarded, returned, other bool
+	}{
+		{`{}`, true, true, true},
+		{`{"cut-to":["a"]}`, false, false, true},
+		{`{"cut-to":[],"cut-from":["a"]}`, true, false, true},
+		{`{"cut-from":[],"down":true}`, false, false, false},
+		{`{"down":false,"loss":1}`, false, false, false},
+		{`{"loss":0}`, true, true, true},
+	}
+	for _, tt := range tests {
+		setFault(t, r.srv.addr(), tt.fault)
+		if f, back := r.send(t, a, to, "a", 1); f[0] != tt.forwarded || back[0] != tt.returned {
+			t.Errorf("%s: got forwarded %v, returned %v, want %v, %v", tt.fault, f[0], back[0], tt.forwarded, tt.returned)
+		}
+		if _, back := r.send(t, b, to, "b", 1); back[0] != tt.other {
+			t.Errorf("%s, other source: got returned %v, want %v", tt.fault, back[0], tt.other)
+		}
+	}
+}
+
+// Guards against losses that differ between two runs of one seed.
+func TestRelayLossIsFixedBySeed(t *testing.T) {
+	t.Parallel()
+	const packets = 60
+	r := NewRelay(RelayConfig{Target: "t", Seed: 7}, "", "", quiet)
+	draw := func(source, direction string) (lostOnes []bool) {
+		g := r.draws(source, direction)
+		for range packets {
+			lostOnes = append(lostOnes, lost(g, 0.3))
+		}
+		return lostOnes
+	}
+	if !slices.Equal(draw("a", "to"), draw("a", "to")) {
+		t.Error("equal seeds: got different losses")
+	}
+	if slices.Equal(draw("a", "to"), draw("a", "back")) || slices.Equal(draw("a", "to"), draw("b", "to")) {
+		t.Error("another source or direction: got the same losses")
+	}
+}
+
+// Guards against a change of faults that writes into the switches that packets
+// are being checked against.
+func TestFaultsInForceAreNotWrittenTo(t *testing.T) {
+	t.Parallel()
+	f := newFaults(func(f RelayFaults) RelayFaults { return f })
+	for _, body := range []string{`{"cut-to":["a","b"],"loss":0.5}`, `{"cut-to":["c"]}`} {
+		if err := f.merge([]byte(body)); err != nil {
+			t.Fatal(err)
+		}
+		if got := f.get(); got.Loss != 0.5 {
+			t.Errorf("%s: got loss %v, want 0.5", body, got.Loss)
+		}
+	}
+	before := f.get()
+	if err := f.merge([]byte(`{"cut-to":["d"]}`)); err != nil {
+		t.Fatal(err)
+	}
+	if before.CutTo[0] != "c" {
+		t.Errorf("switches read before a change: got %v, want c", before.CutTo)
+	}
+}
--- /dev/null
+++ b/internal/goosestand/token.go
@@ -0,0 +1,127 @@
+package goosestand
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	// TokenBytes is the length of one token in prompts and answers.
+	TokenBytes = 4
+	// DefaultMaxTokens is the output length of a request that names none.
+	DefaultMaxTokens = 256
+	// BlockTokens is the length of a prefix cache block.
+	BlockTokens = 256
+	// CrashMark in a prompt crashes the engine that runs it.
+	CrashMark = "CRASH-BACKEND"
+)
+
+// PromptHash is the hash on which an answer's tokens depend.
+func PromptHash(prompt string) uint64 { return xxhash.Sum64String(prompt) }
+
+// Token returns token i of the answer to the prompt with this hash: three
+// letters and a space.
+func Token(hash uint64, i int) string {
+	var b [TokenBytes]byte
+	putToken(b[:], hash, i)
+	return string(b[:])
+}
+
+func putToken(b []byte, hash uint64, i int) {
+	// The multiplier and shifts of splitmix64 spread neighbouring indices.
+	x := hash + uint64(i+1)*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	x ^= x >> 31
+	for j := range 3 {
+		b[j] = 'a' + byte(x%26)
+		x /= 26
+	}
+	b[3] = ' '
+}
+
+// Answer returns tokens from to to (exclusive) of an answer.
+func Answer(hash uint64, from, to int) string {
+	var b strings.Builder
+	b.Grow((to - from) * TokenBytes)
+	var t [TokenBytes]byte
+	for i := from; i < to; i++ {
+		putToken(t[:], hash, i)
+		b.Write(t[:])
+	}
+	return b.String()
+}
+
+// PromptTokens returns the length of a prompt in tokens.
+func PromptTokens(prompt string) int { return (len(prompt) + TokenBytes - 1) / TokenBytes }
+
+// Blocks returns the hash of every whole block's prefix: element k is the
+// xxhash of the first (k+1) x BlockTokens tokens of the prompt.
+func Blocks(prompt string) []uint64 {
+	const size = BlockTokens * TokenBytes
+	blocks := make([]uint64, 0, len(prompt)/size)
+	d := xxhash.New()
+	for len(prompt) >= size {
+		_, _ = d.WriteString(prompt[:size])
+		blocks = append(blocks, d.Sum64())
+		prompt = prompt[size:]
+	}
+	return blocks
+}
+
+// completionRequest is the body of a completion call.
+type completionRequest struct {
+	Model     string          `json:"model"`
+	Prompt    json.RawMessage `json:"prompt"`
+	MaxTokens *int            `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+	Messages  []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+// PromptOf returns the prompt of a completion call: the prompt, or the contents
+// of all messages joined by newlines.
+func PromptOf(body []byte) (string, error) {
+	var r completionRequest
+	if err := json.Unmarshal(body, &r); err != nil {
+		return "", errors.Wrap(err, "request body")
+	}
+	return r.prompt()
+}
+
+func (r *completionRequest) prompt() (string, error) {
+	if len(r.Messages) > 0 {
+		parts := make([]string, len(r.Messages))
+		for i, m := range r.Messages {
+			parts[i] = m.Content
+		}
+		return strings.Join(parts, "\n"), nil
+	}
+	if len(r.Prompt) == 0 {
+		return "", errors.New("request body has neither prompt nor messages")
+	}
+	var one string
+	if json.Unmarshal(r.Prompt, &one) == nil {
+		return one, nil
+	}
+	var many []string
+	if err := json.Unmarshal(r.Prompt, &many); err != nil {
+		return "", errors.New("prompt is neither a string nor a list of strings")
+	}
+	return strings.Join(many, "\n"), nil
+}
+
+func (r *completionRequest) maxTokens() (int, error) {
+	if r.MaxTokens == nil {
+		return DefaultMaxTokens, nil
+	}
+	if *r.MaxTokens < 1 {
+		return 0, errors.Errorf("max_tokens is %d; it must be at least 1", *r.MaxTokens)
+	}
+	return *r.MaxTokens, nil
+}
--- /dev/null
+++ b/internal/goosetest/suspects.go
@@ -0,0 +1,52 @@
+package goosetest
+
+import (
+	"sync"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+// Suspects condemns what was in flight on two crashed processes.
+type Suspects struct {
+	mu sync.Mutex
+	// Crashes counts the processes that crashed with a request in flight.
+	Crashes map[goose.Fingerprint]int
+	noted   map[string]bool
+	// Clearances counts the calls of Cleared.
+	Clearances int
+	// Processes are those of the crashes that were noted.
+	Processes []string
+}
+
+// NewSuspects returns a table without crashes.
+func NewSuspects() *Suspects {
+	return &Suspects{Crashes: map[goose.Fingerprint]int{}, noted: map[string]bool{}}
+}
+
+// Grade implements goose.Suspects.
+func (f *Suspects) Grade(fp goose.Fingerprint) goose.Suspicion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return [...]goose.Suspicion{goose.SuspicionNone, goose.SuspicionSuspect, goose.SuspicionCondemned}[min(f.Crashes[fp], 2)]
+}
+
+// Crashed implements goose.Suspects.
+func (f *Suspects) Crashed(id goose.ReplicaID, process string, all []goose.Fingerprint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Processes = append(f.Processes, process)
+	for _, fp := range all {
+		if k := string(id) + process + fp.String(); !f.noted[k] {
+			f.noted[k] = true
+			f.Crashes[fp]++
+		}
+	}
+}
+
+// Cleared implements goose.Suspects.
+func (f *Suspects) Cleared(fp goose.Fingerprint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Clearances++
+	delete(f.Crashes, fp)
+}
--- /dev/null
+++ b/pkg/goose/configuration.go
@@ -0,0 +1,163 @@
+package goose
+
+import "time"
+
+// Labels are key-value pairs that selectors match.
+type Labels map[string]string
+
+// Match reports whether l contains every pair of want.
+func (l Labels) Match(want Labels) bool {
+	for k, v := range want {
+		if l[k] != v {
+			return false
+		}
+	}
+	return true
+}
+
+// Kind tells model services from plain ones.
+type Kind string
+
+// Kinds of services.
+const (
+	KindModel Kind = "model"
+	KindPlain Kind = "plain"
+)
+
+// State tells whether operators want new work on an object.
+type State string
+
+// States of data centres, instances and backend servers.
+const (
+	StateActive  State = "active"
+	StateLeaving State = "leaving"
+)
+
+// Fencing tells whether a backend server refuses commands with an old epoch.
+type Fencing string
+
+// Fencing behaviours of backend servers.
+const (
+	FencingChecked Fencing = "checked"
+	FencingIgnored Fencing = "ignored"
+)
+
+// ServiceSpec is what operators say about a service.
+type ServiceSpec struct {
+	Name     ServiceName `yaml:"name" cbor:"1,keyasint"`
+	Kind     Kind        `yaml:"kind" cbor:"2,keyasint"`
+	Protocol string      `yaml:"protocol" cbor:"3,keyasint"`
+	Model    string      `yaml:"model,omitempty" cbor:"4,keyasint"`
+	// Idempotent is false for services whose requests must run at most once.
+	Idempotent bool          `yaml:"idempotent" cbor:"5,keyasint"`
+	Deadline   time.Duration `yaml:"deadline" cbor:"6,keyasint"`
+	Labels     Labels        `yaml:"labels,omitempty" cbor:"7,keyasint"`
+}
+
+// WorkspaceSpec is what operators say about a workspace.
+type WorkspaceSpec struct {
+	Name WorkspaceName `yaml:"name" cbor:"1,keyasint"`
+	// KeyHashes are SHA-256 sums of the workspace's keys, in hexadecimal.
+	KeyHashes []string `yaml:"key-hashes" cbor:"2,keyasint"`
+	// Weight is the share in fair queueing; above zero.
+	Weight float64 `yaml:"weight" cbor:"3,keyasint"`
+	Labels Labels  `yaml:"labels,omitempty" cbor:"4,keyasint"`
+}
+
+// DataCentreSpec is what operators say about a data centre.
+type DataCentreSpec struct {
+	Name   DataCentre `yaml:"name" cbor:"1,keyasint"`
+	Region string     `yaml:"region,omitempty" cbor:"2,keyasint"`
+	State  State      `yaml:"state" cbor:"3,keyasint"`
+	Labels Labels     `yaml:"labels,omitempty" cbor:"4,keyasint"`
+}
+
+// InstanceSpec is what operators say about an entry instance.
+type InstanceSpec struct {
+	Name   InstanceID `yaml:"name" cbor:"1,keyasint"`
+	State  State      `yaml:"state" cbor:"2,keyasint"`
+	Labels Labels     `yaml:"labels,omitempty" cbor:"3,keyasint"`
+}
+
+// BackendServer is what operators say about one replica.
+type BackendServer struct {
+	Name       ReplicaID   `yaml:"name" cbor:"1,keyasint"`
+	Service    ServiceName `yaml:"service" cbor:"2,keyasint"`
+	DataCentre DataCentre  `yaml:"data-centre" cbor:"3,keyasint"`
+	// Address is host:port with an IP host.
+	Address string `yaml:"address" cbor:"4,keyasint"`
+	// MemoryTokens bounds the sum of prompt and output tokens in flight.
+	MemoryTokens int `yaml:"memory-tokens" cbor:"5,keyasint"`
+	// Concurrency bounds the requests in flight on a warm replica.
+	Concurrency int `yaml:"concurrency" cbor:"6,keyasint"`
+	// ColdConcurrency bounds the requests in flight on a cold replica.
+	ColdConcurrency int `yaml:"cold-concurrency" cbor:"7,keyasint"`
+	// ColdTokens bounds the tokens in flight on a cold replica.
+	ColdTokens int     `yaml:"cold-tokens" cbor:"8,keyasint"`
+	Fencing    Fencing `yaml:"fencing" cbor:"9,keyasint"`
+	State      State   `yaml:"state" cbor:"10,keyasint"`
+	Labels     Labels  `yaml:"labels,omitempty" cbor:"11,keyasint"`
+}
+
+// Selector allows the requests that match it to reach the backend servers that
+// match it. An empty map matches everything.
+type Selector struct {
+	Name           string `yaml:"name" cbor:"1,keyasint"`
+	Workspaces     Labels `yaml:"workspaces,omitempty" cbor:"2,keyasint"`
+	Services       Labels `yaml:"services,omitempty" cbor:"3,keyasint"`
+	BackendServers Labels `yaml:"backend-servers,omitempty" cbor:"4,keyasint"`
+	DataCentres    Labels `yaml:"data-centres,omitempty" cbor:"5,keyasint"`
+}
+
+// WeightStore is what operators say about the platform's weight store.
+type WeightStore struct {
+	// Loads is the number of loads of the whole fleet that may begin within any
+	// Period.
+	Loads  int           `yaml:"loads" cbor:"1,keyasint"`
+	Period time.Duration `yaml:"period" cbor:"2,keyasint"`
+}
+
+// Configuration is everything operators say, as one validated document.
+// It is immutable once published.
+type Configuration struct {
+	Services       []ServiceSpec    `yaml:"services" cbor:"1,keyasint"`
+	Workspaces     []WorkspaceSpec  `yaml:"workspaces" cbor:"2,keyasint"`
+	DataCentres    []DataCentreSpec `yaml:"data-centres" cbor:"3,keyasint"`
+	Instances      []InstanceSpec   `yaml:"instances,omitempty" cbor:"4,keyasint"`
+	BackendServers []BackendServer  `yaml:"backend-servers" cbor:"5,keyasint"`
+	Selectors      []Selector       `yaml:"selectors,omitempty" cbor:"6,keyasint"`
+	// WeightStore is nil if operators state no rate; load orders are refused then.
+	WeightStore *WeightStore `yaml:"weight-store,omitempty" cbor:"7,keyasint,omitempty"`
+}
+
+// Catalogue is a read-only, indexed view of the configuration in force.
+// All methods are safe for concurrent use and return shared values that
+// callers must not change.
+type Catalogue interface {
+	// Version is the version in force; zero means none.
+	Version() int64
+	Configuration() *Configuration
+	Service(ServiceName) (ServiceSpec, bool)
+	Workspace(WorkspaceName) (WorkspaceSpec, bool)
+	// WorkspaceByKey returns the workspace whose key hashes contain the hash of key.
+	WorkspaceByKey(key string) (WorkspaceSpec, bool)
+	DataCentre(DataCentre) (DataCentreSpec, bool)
+	// InstanceState returns StateActive for instances that operators do not name.
+	InstanceState(InstanceID) State
+	BackendServer(ReplicaID) (BackendServer, bool)
+	// Pool returns the backend servers of a pool, leaving ones included.
+	Pool(Pool) []BackendServer
+	// Pools returns the pools of a data centre.
+	Pools(DataCentre) []Pool
+	// Allowed returns the backend servers of a pool that the selectors open to
+	// the workspace and that are not leaving (nor is their data centre).
+	Allowed(WorkspaceName, Pool) []BackendServer
+	// DataCentresFor returns the data centres that are not leaving and hold a
+	// backend server that the workspace may reach for the service.
+	DataCentresFor(WorkspaceName, ServiceName) []DataCentre
+}
+
+// ConfigurationSource gives the catalogue in force without blocking.
+type ConfigurationSource interface {
+	Current() Catalogue
+}
--- /dev/null
+++ b/pkg/goose/member.go
@@ -0,0 +1,76 @@
+package goose
+
+import "time"
+
+// Member is one entry instance as others see it.
+type Member struct {
+	Instance   InstanceID `cbor:"1,keyasint" json:"instance"`
+	DataCentre DataCentre `cbor:"2,keyasint" json:"data-centre"`
+	// Address is the peer link, host:port.
+	Address string `cbor:"3,keyasint" json:"address"`
+	// Incarnation rises with each start of the instance.
+	Incarnation int64 `cbor:"4,keyasint" json:"incarnation"`
+	// Version is the configuration version in force there.
+	Version int64         `cbor:"5,keyasint" json:"version"`
+	Pools   []PoolHolding `cbor:"6,keyasint" json:"pools,omitempty"`
+	Leaving bool          `cbor:"7,keyasint" json:"leaving,omitempty"`
+	// Heard is when the member was last heard from, by the local clock.
+	Heard time.Time `cbor:"-" json:"-"`
+	// Live is false once the member has been silent for the failure timeout.
+	Live bool `cbor:"-" json:"live"`
+}
+
+// PoolHolding tells that a member dispatches a pool.
+type PoolHolding struct {
+	Pool  Pool         `cbor:"1,keyasint" json:"pool"`
+	Epoch Epoch        `cbor:"2,keyasint" json:"epoch"`
+	Mode  DispatchMode `cbor:"3,keyasint" json:"mode"`
+}
+
+// Membership is a lock-free view of the fleet.
+type Membership interface {
+	Self() Member
+	// Members returns all known members, itself included, ordered by name.
+	Members() []Member
+	// Dispatcher returns the live member that dispatches the pool with the
+	// newest epoch.
+	Dispatcher(Pool) (Member, bool)
+}
+
+// OrderState is the state of a claimed order.
+type OrderState string
+
+// States of orders.
+const (
+	OrderClaimed OrderState = "claimed"
+	OrderDone    OrderState = "done"
+	OrderNotRun  OrderState = "not-run"
+	OrderUnknown OrderState = "unknown"
+)
+
+// OrderKey identifies an order.
+type OrderKey struct {
+	Workspace WorkspaceName `cbor:"1,keyasint" json:"workspace"`
+	Service   ServiceName   `cbor:"2,keyasint" json:"service"`
+	// Key is the caller's Idempotency-Key.
+	Key string `cbor:"3,keyasint" json:"key"`
+}
+
+// Order is the record of one order in the store.
+type Order struct {
+	Key   OrderKey   `cbor:"1,keyasint" json:"key"`
+	State OrderState `cbor:"2,keyasint" json:"state"`
+	// Nonce is drawn at random for each claim; it tells whose claim took effect.
+	Nonce    string     `cbor:"3,keyasint" json:"nonce"`
+	BodyHash string     `cbor:"4,keyasint" json:"body-hash"`
+	Instance InstanceID `cbor:"5,keyasint" json:"instance"`
+	Attempt  AttemptID  `cbor:"6,keyasint" json:"attempt"`
+	Time     time.Time  `cbor:"7,keyasint" json:"time"`
+	// Answer is kept if it is small enough; Kept tells.
+	Answer PlainAnswer `cbor:"8,keyasint" json:"answer"`
+	Kept   bool        `cbor:"9,keyasint" json:"kept"`
+	// Settled names the operator who settled an unknown order.
+	Settled string `cbor:"10,keyasint" json:"settled,omitempty"`
+	// Revision is the mod revision of the record; not stored in it.
+	Revision int64 `cbor:"-" json:"-"`
+}
--- /dev/null
+++ b/pkg/goose/roles.go
@@ -0,0 +1,97 @@
+package goose
+
+import "context"
+
+// Caller calls other instances over the peer link. Errors tell only that no
+// answer came; the call may have had its effect.
+type Caller interface {
+	// Call sends request to the instance at address and decodes the answer into reply.
+	Call(ctx context.Context, address, kind string, request, reply any) error
+}
+
+// Handler serves one kind of peer call. decode fills a request value; the
+// result is encoded as the answer.
+type Handler func(ctx context.Context, from InstanceID, decode func(any) error) (any, error)
+
+// Router takes handlers for kinds of peer calls.
+type Router interface {
+	// Handle panics if the kind is taken.
+	Handle(kind string, h Handler)
+}
+
+// Permits is the holder's side of the permit protocol: it polls dispatchers,
+// keeps track of held permits and repeats reports until acknowledged.
+type Permits interface {
+	// Acquire polls the pool's dispatcher until the request is granted, refused,
+	// or ctx ends. Exactly one of permit and refusal is set; a nil permit means
+	// that the request did not run.
+	Acquire(ctx context.Context, r PermitRequest) (*Permit, *Refusal)
+	// Started notes that the first byte was sent.
+	Started(p Permit)
+	// Release ends the permit. Every acquired permit must be released once.
+	Release(r PermitReport)
+	// Collect returns the permits held for a pool and the warmth seen there.
+	Collect(p Pool) Collected
+}
+
+// Suspects grades requests by the crashes they were part of.
+type Suspects interface {
+	Grade(f Fingerprint) Suspicion
+	// Crashed notes that a process of a replica crashed with these requests in
+	// flight. Noting the same process twice has no further effect.
+	Crashed(id ReplicaID, process string, inFlight []Fingerprint)
+	// Cleared notes that a suspect finished while it ran alone.
+	Cleared(f Fingerprint)
+}
+
+// ClaimStatus is the outcome of an attempt to claim an order.
+type ClaimStatus string
+
+// Outcomes of a claim.
+const (
+	// ClaimGranted means that the order is this caller's to run, once.
+	ClaimGranted ClaimStatus = "granted"
+	// ClaimDone means that the order ran; the answer is in Order if it was kept.
+	ClaimDone ClaimStatus = "done"
+	// ClaimRunning means that another attempt runs; use Join.
+	ClaimRunning ClaimStatus = "running"
+	// ClaimUnknown means that the outcome is unknown; the order never runs again.
+	ClaimUnknown ClaimStatus = "unknown"
+	// ClaimKeyReused means that the key was used with another body.
+	ClaimKeyReused ClaimStatus = "key-reused"
+	// ClaimUnavailable means that the store did not confirm the claim; the order
+	// must not run.
+	ClaimUnavailable ClaimStatus = "unavailable"
+)
+
+// Claim is the outcome of an attempt to claim an order.
+type Claim struct {
+	Status ClaimStatus
+	Order  Order
+}
+
+// Ledger records orders so that each runs at most once.
+type Ledger interface {
+	// Claim must return ClaimGranted before the first byte of an order is sent.
+	// The order may run until ctx's deadline; its record lasts longer.
+	Claim(ctx context.Context, key OrderKey, bodyHash string, attempt AttemptID) Claim
+	// Finish records the answer; it repeats the write in the background until
+	// it succeeds.
+	Finish(o Order, answer PlainAnswer)
+	// NotRun records that a claimed order did not run, so that a repeat may.
+	NotRun(o Order)
+	// Unknown records that the outcome of an order is not known.
+	Unknown(o Order)
+	// Join waits for the outcome of an order that runs elsewhere.
+	Join(ctx context.Context, o Order) Claim
+	// List returns the orders in a state (empty: all), at most limit.
+	List(ctx context.Context, state OrderState, limit int) ([]Order, error)
+	// Settle sets an unknown order to done or not-run on an operator's word.
+	Settle(ctx context.Context, key OrderKey, to OrderState, operator string) error
+}
+
+// OrderReader reads an order without claiming it; a Ledger may implement it.
+type OrderReader interface {
+	// Lookup returns false if no order has the key.
+	Lookup(ctx context.Context, key OrderKey) (Order, bool, error)
+}
--- /dev/null
+++ b/pkg/goose/store.go
@@ -0,0 +1,129 @@
+package goose
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of a Store.
+var (
+	// ErrUnavailable means that the store was not reached; the call had no effect.
+	ErrUnavailable = errors.New("store unavailable")
+	// ErrUncertain means that no answer came; the call may have had its effect.
+	ErrUncertain = errors.New("store answer lost")
+	// ErrLeaseGone means that the lease does not exist or has expired.
+	ErrLeaseGone = errors.New("lease gone")
+	// ErrCompacted means that a watch must start again from a fresh read.
+	ErrCompacted = errors.New("revision compacted")
+)
+
+// LeaseID identifies a lease of the store; zero is no lease.
+type LeaseID int64
+
+// Entry is one key of the store with its value.
+type Entry struct {
+	Key            string
+	Value          []byte
+	CreateRevision int64
+	ModRevision    int64
+	Lease          LeaseID
+}
+
+// Compare is one condition of a transaction: the key's mod revision equals
+// ModRevision; zero means that the key is absent.
+type Compare struct {
+	Key         string
+	ModRevision int64
+}
+
+// OpKind tells writes from deletions.
+type OpKind string
+
+// Kinds of operations.
+const (
+	OpPut    OpKind = "put"
+	OpDelete OpKind = "delete"
+)
+
+// Op is one change in a transaction.
+type Op struct {
+	Kind  OpKind
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// Put returns an operation that writes a key.
+func Put(key string, value []byte) Op { return Op{Kind: OpPut, Key: key, Value: value} }
+
+// Delete returns an operation that deletes a key.
+func Delete(key string) Op { return Op{Kind: OpDelete, Key: key} }
+
+// WithLease returns the operation bound to a lease.
+func (o Op) WithLease(l LeaseID) Op {
+	o.Lease = l
+	return o
+}
+
+// Txn applies Then in one step if every condition of If holds.
+type Txn struct {
+	If   []Compare
+	Then []Op
+}
+
+// TxnResult is the outcome of a transaction. Revision is the store's revision
+// after it; if Succeeded, written keys have it as their mod revision.
+type TxnResult struct {
+	Succeeded bool
+	Revision  int64
+}
+
+// WatchEvent is one change of a watched key. Entry.Value is empty for a deletion.
+type WatchEvent struct {
+	Deleted bool
+	Entry   Entry
+}
+
+// Watcher delivers the changes of a watched prefix in order of revision.
+type Watcher interface {
+	// Events is closed when the watch ends; Err then tells why.
+	Events() <-chan WatchEvent
+	Err() error
+	Close()
+}
+
+// Store is the platform's key-value service. Every method returns
+// ErrUnavailable or ErrUncertain (wrapped) when the service does not answer.
+type Store interface {
+	// Get returns false if the key is absent.
+	Get(ctx context.Context, key string) (Entry, bool, error)
+	// GetAfter is Get for an entry that changed after the revision; it returns
+	// false for an unchanged one, whose value is not transferred.
+	GetAfter(ctx context.Context, key string, revision int64) (Entry, bool, error)
+	// List returns at most limit entries of the prefix (0: all) in key order and
+	// the revision of the read.
+	List(ctx context.Context, prefix string, limit int) ([]Entry, int64, error)
+	Commit(ctx context.Context, txn Txn) (TxnResult, error)
+	// CommitAll sends independent transactions in one call; each succeeds or
+	// fails by its own conditions. They must not touch a common key.
+	CommitAll(ctx context.Context, txns []Txn) ([]TxnResult, error)
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// KeepAlive renews a lease and returns its TTL, or ErrLeaseGone.
+	KeepAlive(ctx context.Context, id LeaseID) (time.Duration, error)
+	Revoke(ctx context.Context, id LeaseID) error
+	// Watch delivers changes of the prefix from the revision on.
+	Watch(ctx context.Context, prefix string, fromRevision int64) (Watcher, error)
+	Close() error
+}
+
+// Lease is one key that at most one instance holds.
+type Lease interface {
+	// Epoch is the fencing token; valid while the lease is held.
+	Epoch() Epoch
+	// Deadline is the time, by this machine's monotonic clock, until which no
+	// other instance can hold the key. It counts from before the last
+	// successful renewal was sent.
+	Deadline() time.Time
+}
--- /dev/null
+++ b/pkg/goosecert/cert.go
@@ -0,0 +1,121 @@
+// Package goosecert makes the fleet's certificate authority and the
+// certificates with which instances prove their names to each other.
+package goosecert
+
+import (
+	"crypto"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+
+	"github.com/pkg/errors"
+)
+
+// skew lets a certificate be used by machines whose clocks are behind.
+const skew = 5 * time.Minute
+
+// Pair is a certificate with its private key, both in PEM form.
+type Pair struct {
+	Certificate []byte
+	Key         []byte
+}
+
+// NewAuthority returns a certificate authority that is valid for the given
+// time from now on.
+func NewAuthority(fleet string, now time.Time, valid time.Duration) (Pair, error) {
+	template := &x509.Certificate{
+		Subject:               pkix.Name{CommonName: fleet + " authority"},
+		NotBefore:             now.Add(-skew),
+		NotAfter:              now.Add(valid),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		MaxPathLenZero:        true,
+		KeyUsage:              x509.KeyUsageCertSign | x509.KeyUsageCRLSign,
+	}
+	key, err := newKey()
+	if err != nil {
+		return Pair{}, err
+	}
+	return issue(template, template, key.Public(), key, key)
+}
+
+// NewInstance returns a certificate for an instance, signed by the authority.
+// The instance's name is a DNS name in it; addresses may be empty. The
+// certificate ends no later than the authority's.
+func NewInstance(authority Pair, name goose.InstanceID, addresses []net.IP, now time.Time, valid time.Duration) (Pair, error) {
+	ca, caKey, err := authority.parse()
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "authority")
+	}
+	if !ca.IsCA {
+		return Pair{}, errors.Errorf("authority: the certificate of %q cannot sign others", ca.Subject.CommonName)
+	}
+	if now.After(ca.NotAfter) {
+		return Pair{}, errors.Errorf("authority: expired at %s", ca.NotAfter.Format(time.RFC3339))
+	}
+	key, err := newKey()
+	if err != nil {
+		return Pair{}, err
+	}
+	end := now.Add(valid)
+	if end.After(ca.NotAfter) {
+		end = ca.NotAfter
+	}
+	template := &x509.Certificate{
+		Subject:     pkix.Name{CommonName: string(name)},
+		DNSNames:    []string{string(name)},
+		IPAddresses: addresses,
+		NotBefore:   now.Add(-skew),
+		NotAfter:    end,
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		// Every instance is both a client and a server of its peers.
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	return issue(template, ca, key.Public(), caKey, key)
+}
+
+func newKey() (*ecdsa.PrivateKey, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	return key, errors.Wrap(err, "make key")
+}
+
+func issue(template, parent *x509.Certificate, public crypto.PublicKey, signer crypto.Signer, key *ecdsa.PrivateKey) (Pair, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "make serial number")
+	}
+	template.SerialNumber = serial
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, public, signer)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "sign certificate")
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "encode key")
+	}
+	return Pair{
+		Certificate: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		Key:         pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}),
+	}, nil
+}
+
+func (p Pair) parse() (*x509.Certificate, crypto.Signer, error) {
+	pair, err := tls.X509KeyPair(p.Certificate, p.Key)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "certificate and key")
+	}
+	signer, ok := pair.PrivateKey.(crypto.Signer)
+	if !ok {
+		return nil, nil, errors.New("the key cannot sign")
+	}
+	return pair.Leaf, signer, nil
+}
--- /dev/null
+++ b/pkg/goosecert/files.go
@@ -0,0 +1,142 @@
+package goosecert
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Modes of written files.
+const (
+	keyMode         fs.FileMode = 0o600
+	certificateMode fs.FileMode = 0o644
+)
+
+// Read reads a pair from its files.
+func Read(certificateFile, keyFile string) (Pair, error) {
+	certificate, err := os.ReadFile(certificateFile)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "certificate")
+	}
+	key, err := os.ReadFile(keyFile)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "key")
+	}
+	return Pair{Certificate: certificate, Key: key}, nil
+}
+
+// Write writes the pair to its files; the key is readable by its owner alone.
+// Unless force is set, it writes nothing if one of the files exists.
+func (p Pair) Write(certificateFile, keyFile string, force bool) error {
+	if !force {
+		for _, f := range []string{certificateFile, keyFile} {
+			if _, err := os.Lstat(f); err == nil {
+				return errors.Wrapf(fs.ErrExist, "%s", f)
+			} else if !errors.Is(err, fs.ErrNotExist) {
+				return errors.Wrap(err, "look for existing file")
+			}
+		}
+	}
+	if err := writeFile(keyFile, p.Key, keyMode, force); err != nil {
+		return err
+	}
+	return writeFile(certificateFile, p.Certificate, certificateMode, force)
+}
+
+// writeFile puts the whole file in place in one step, so that an interrupted
+// run leaves no half-written key behind.
+func writeFile(name string, data []byte, mode fs.FileMode, force bool) error {
+	t, err := os.CreateTemp(filepath.Dir(name), "."+filepath.Base(name)+"-*")
+	if err != nil {
+		return errors.Wrapf(err, "write %s", name)
+	}
+	defer func() { _ = os.Remove(t.Name()) }()
+	_, err = t.Write(data)
+	err = firstError(err, t.Chmod(mode), t.Sync(), t.Close())
+	if err != nil {
+		return errors.Wrapf(err, "write %s", name)
+	}
+	if force {
+		return errors.Wrapf(os.Rename(t.Name(), name), "write %s", name)
+	}
+	// Unlike a rename, a link fails if the file has appeared in the meantime.
+	return errors.Wrapf(os.Link(t.Name(), name), "write %s", name)
+}
+
+func firstError(all ...error) error {
+	for _, err := range all {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Info describes a certificate.
+type Info struct {
+	Name      string    `json:"name" yaml:"name"`
+	Authority bool      `json:"authority" yaml:"authority"`
+	Issuer    string    `json:"issuer" yaml:"issuer"`
+	DNSNames  []string  `json:"dns-names,omitempty" yaml:"dns-names,omitempty"`
+	Addresses []string  `json:"addresses,omitempty" yaml:"addresses,omitempty"`
+	NotBefore time.Time `json:"not-before" yaml:"not-before"`
+	NotAfter  time.Time `json:"not-after" yaml:"not-after"`
+}
+
+// Inspect describes the certificate in a PEM file.
+func Inspect(file string) (Info, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Info{}, errors.Wrap(err, "certificate")
+	}
+	block, _ := pem.Decode(data)
+	if block == nil || block.Type != "CERTIFICATE" {
+		return Info{}, errors.Errorf("%s: holds no certificate in PEM form", file)
+	}
+	c, err := x509.ParseCertificate(block.Bytes)
+	if err != nil {
+		return Info{}, errors.Wrap(err, file)
+	}
+	info := Info{
+		Name: c.Subject.CommonName, Authority: c.IsCA, Issuer: c.Issuer.CommonName,
+		DNSNames: c.DNSNames, NotBefore: c.NotBefore, NotAfter: c.NotAfter,
+	}
+	for _, ip := range c.IPAddresses {
+		info.Addresses = append(info.Addresses, ip.String())
+	}
+	return info, nil
+}
+
+// TLSConfig returns the configuration of mutual TLS between instances: both
+// sides must show a certificate of the authority. A client must set ServerName
+// to the name of the instance it calls.
+func TLSConfig(certificateFile, keyFile, authorityFile string, now time.Time) (*tls.Config, error) {
+	pair, err := tls.LoadX509KeyPair(certificateFile, keyFile)
+	if err != nil {
+		return nil, errors.Wrapf(err, "certificate %s with key %s", certificateFile, keyFile)
+	}
+	data, err := os.ReadFile(authorityFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "authority")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(data) {
+		return nil, errors.Errorf("%s: holds no certificate in PEM form", authorityFile)
+	}
+	_, err = pair.Leaf.Verify(x509.VerifyOptions{
+		Roots: roots, CurrentTime: now, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	})
+	if err != nil {
+		return nil, errors.Wrapf(err, "certificate %s is not valid under authority %s", certificateFile, authorityFile)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{pair}, RootCAs: roots, ClientCAs: roots,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}, nil
+}
--- /dev/null
+++ b/pkg/gooseconfig/repository.go
@@ -0,0 +1,198 @@
+package gooseconfig
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/pool"
+)
+
+// ErrMissing means that a head names a section that is not there: it has been
+// replaced by a newer head in the meantime.
+var ErrMissing = errors.New("section missing")
+
+const (
+	// readers bounds the concurrent reads of one load or audit listing.
+	readers = 8
+	// rereads bounds how often a load starts again when the head moved on.
+	rereads = 5
+	// readPatience bounds the repetition of reads: an operator should soon learn
+	// that the store is down.
+	readPatience = time.Second
+)
+
+// Repository reads and publishes the configuration of one fleet in the
+// platform's store. It is safe for concurrent use.
+type Repository struct {
+	store  goose.Store
+	prefix string
+	now    func() time.Time
+	pause  time.Duration
+}
+
+// NewRepository returns the repository of a fleet.
+func NewRepository(store goose.Store, fleet string) *Repository {
+	return &Repository{store: store, prefix: "/gooseberryhold/" + fleet + "/", now: time.Now, pause: retryPause}
+}
+
+// AuditEntry records one published change, or one command to a backend server,
+// whose version is zero.
+type AuditEntry struct {
+	Version  int64     `cbor:"1,keyasint" json:"version" yaml:"version"`
+	ChangeID string    `cbor:"2,keyasint" json:"change-id" yaml:"change-id"`
+	Author   string    `cbor:"3,keyasint" json:"author" yaml:"author"`
+	Time     time.Time `cbor:"4,keyasint" json:"time" yaml:"time"`
+	Base     int64     `cbor:"5,keyasint" json:"base" yaml:"base"`
+	// Summary has one line per changed object, cut off after maxSummary lines.
+	Summary []string `cbor:"6,keyasint" json:"summary" yaml:"summary"`
+	// Outcome and Reason are those of a command.
+	Outcome string `cbor:"-" json:"outcome,omitempty" yaml:"outcome,omitempty"`
+	Reason  string `cbor:"-" json:"reason,omitempty" yaml:"reason,omitempty"`
+}
+
+func (r *Repository) headKey() string          { return r.prefix + "config/head" }
+func (r *Repository) sectionKey(h Hash) string { return r.prefix + "config/sections/" + h.String() }
+
+// auditKey pads the version so that keys sort by it.
+func (r *Repository) auditKey(version int64) string {
+	return fmt.Sprintf("%saudit/%020d", r.prefix, version)
+}
+
+// Head returns the published head and its mod revision; both are zero if
+// nothing was published.
+func (r *Repository) Head(ctx context.Context) (Head, int64, error) {
+	e, ok, err := r.store.Get(ctx, r.headKey())
+	if err != nil || !ok {
+		return Head{}, 0, errors.Wrap(err, "read configuration head")
+	}
+	h, err := decodeHead(e.Value)
+	return h, e.ModRevision, err
+}
+
+// Load returns the published snapshot, version zero if there is none. Sections
+// that known has are not read again; known may be nil. Reads that the store did
+// not answer are repeated for a second.
+func (r *Repository) Load(ctx context.Context, known *Snapshot) (*Snapshot, error) {
+	patience, cancel := context.WithTimeout(ctx, readPatience)
+	defer cancel()
+	var s *Snapshot
+	// The reads themselves may take longer: the store can be slow.
+	err := r.repeat(patience, func() (err error) {
+		s, err = r.load(ctx, known)
+		return err
+	})
+	return s, err
+}
+
+func (r *Repository) load(ctx context.Context, known *Snapshot) (*Snapshot, error) {
+	var err error
+	for range rereads {
+		var h Head
+		if h, _, err = r.Head(ctx); err != nil {
+			return nil, err
+		}
+		var s *Snapshot
+		if s, err = r.LoadHead(ctx, h, known); !errors.Is(err, ErrMissing) {
+			return s, err
+		}
+	}
+	return nil, err
+}
+
+// LoadHead returns the snapshot of a head, or ErrMissing if a section has been
+// deleted since.
+func (r *Repository) LoadHead(ctx context.Context, h Head, known *Snapshot) (*Snapshot, error) {
+	if h.Version == 0 {
+		return NewSnapshot(0, &goose.Configuration{}), nil
+	}
+	sections, missing := known.pick(h)
+	var mu sync.Mutex
+	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError().WithMaxGoroutines(readers)
+	for _, hash := range missing {
+		p.Go(func(ctx context.Context) error {
+			e, ok, err := r.store.Get(ctx, r.sectionKey(hash))
+			if err != nil {
+				return errors.Wrapf(err, "read section %s", hash)
+			}
+			if !ok {
+				return errors.Wrapf(ErrMissing, "version %d: %s", h.Version, hash)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			sections[hash] = e.Value
+			return nil
+		})
+	}
+	if err := p.Wait(); err != nil {
+		return nil, err
+	}
+	return assemble(h, sections)
+}
+
+// pick returns the sections of the head that the snapshot has, and the others.
+func (s *Snapshot) pick(h Head) (have map[Hash][]byte, missing []Hash) {
+	have = make(map[Hash][]byte, len(h.Sections))
+	for _, hash := range h.Sections {
+		if s != nil && s.sections[hash] != nil {
+			have[hash] = s.sections[hash]
+			continue
+		}
+		missing = append(missing, hash)
+	}
+	return have, missing
+}
+
+// Audit returns the newest entries, at most limit, newest first.
+func (r *Repository) Audit(ctx context.Context, limit int) ([]AuditEntry, error) {
+	h, _, err := r.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	found := make([]*AuditEntry, min(int64(limit), h.Version))
+	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError().WithMaxGoroutines(readers)
+	for i := range found {
+		p.Go(func(ctx context.Context) error {
+			e, ok, err := r.AuditEntry(ctx, h.Version-int64(i))
+			if ok {
+				found[i] = &e
+			}
+			return err
+		})
+	}
+	if err := p.Wait(); err != nil {
+		return nil, err
+	}
+	out := make([]AuditEntry, 0, len(found))
+	for _, e := range found {
+		if e != nil {
+			out = append(out, *e)
+		}
+	}
+	return out, nil
+}
+
+// AuditEntry returns the entry of a version, or false if there is none.
+func (r *Repository) AuditEntry(ctx context.Context, version int64) (AuditEntry, bool, error) {
+	e, ok, err := r.store.Get(ctx, r.auditKey(version))
+	if err != nil || !ok {
+		return AuditEntry{}, false, errors.Wrapf(err, "read audit entry %d", version)
+	}
+	var a AuditEntry
+	if err := decoding.Unmarshal(e.Value, &a); err != nil {
+		return AuditEntry{}, false, errors.Wrapf(err, "audit entry %d", version)
+	}
+	return a, true, nil
+}
+
+// WithRetryPause returns the repository with another first pause between
+// repeated calls of the store; the default is 50 ms.
+func (r *Repository) WithRetryPause(d time.Duration) *Repository {
+	out := *r
+	out.pause = d
+	return &out
+}
--- /dev/null
+++ b/pkg/gooseconfig/snapshot.go
@@ -0,0 +1,300 @@
+package gooseconfig
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/binary"
+	"encoding/hex"
+	"slices"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+// Snapshot is one version of the configuration with its indexes. It is
+// immutable and implements goose.Catalogue.
+type Snapshot struct {
+	head   Head
+	config *goose.Configuration
+	// sections are the encoded parts, kept for peers; nil for a configuration
+	// that was not read from the store or a peer.
+	sections   map[Hash][]byte
+	services   map[goose.ServiceName]goose.ServiceSpec
+	workspaces map[goose.WorkspaceName]*workspace
+	// keys is indexed by the first 8 bytes of the key hash.
+	keys      map[uint64][]keyEntry
+	centres   map[goose.DataCentre]goose.DataCentreSpec
+	instances map[goose.InstanceID]goose.State
+	servers   map[goose.ReplicaID]goose.BackendServer
+	pools     map[goose.Pool][]goose.BackendServer
+	byCentre  map[goose.DataCentre][]goose.Pool
+}
+
+type workspace struct {
+	spec  goose.WorkspaceSpec
+	reach reach
+}
+
+type keyEntry struct {
+	hash      [sha256.Size]byte
+	workspace *workspace
+}
+
+var _ goose.Catalogue = (*Snapshot)(nil)
+
+// NewSnapshot indexes a validated configuration as a version. The caller must
+// not change the configuration afterwards.
+func NewSnapshot(version int64, c *goose.Configuration) *Snapshot {
+	return newSnapshot(Head{Version: version}, c)
+}
+
+func newSnapshot(h Head, c *goose.Configuration) *Snapshot {
+	s := &Snapshot{
+		head: h, config: c,
+		services:   make(map[goose.ServiceName]goose.ServiceSpec, len(c.Services)),
+		workspaces: make(map[goose.WorkspaceName]*workspace, len(c.Workspaces)),
+		keys:       make(map[uint64][]keyEntry, len(c.Workspaces)),
+		centres:    make(map[goose.DataCentre]goose.DataCentreSpec, len(c.DataCentres)),
+		instances:  make(map[goose.InstanceID]goose.State, len(c.Instances)),
+		servers:    make(map[goose.ReplicaID]goose.BackendServer, len(c.BackendServers)),
+		pools:      map[goose.Pool][]goose.BackendServer{},
+		byCentre:   map[goose.DataCentre][]goose.Pool{},
+	}
+	for _, spec := range c.Services {
+		s.services[spec.Name] = spec
+	}
+	for _, dc := range c.DataCentres {
+		s.centres[dc.Name] = dc
+	}
+	for _, i := range c.Instances {
+		s.instances[i.Name] = i.State
+	}
+	s.addServers(c.BackendServers)
+	s.addWorkspaces(c.Workspaces)
+	return s
+}
+
+func (s *Snapshot) addServers(servers []goose.BackendServer) {
+	for _, b := range servers {
+		s.servers[b.Name] = b
+		p := goose.Pool{DataCentre: b.DataCentre, Service: b.Service}
+		if len(s.pools[p]) == 0 {
+			s.byCentre[p.DataCentre] = append(s.byCentre[p.DataCentre], p)
+		}
+		s.pools[p] = append(s.pools[p], b)
+	}
+}
+
+func (s *Snapshot) addWorkspaces(specs []goose.WorkspaceSpec) {
+	x := newReachIndex(s)
+	for _, spec := range specs {
+		w := &workspace{spec: spec, reach: x.of(spec.Labels)}
+		s.workspaces[spec.Name] = w
+		for _, h := range spec.KeyHashes {
+			var e keyEntry
+			if _, err := hex.Decode(e.hash[:], []byte(h)); err != nil {
+				continue // refused by Validate
+			}
+			e.workspace = w
+			k := binary.BigEndian.Uint64(e.hash[:])
+			s.keys[k] = append(s.keys[k], e)
+		}
+	}
+}
+
+// Version is the version of the snapshot; zero means none.
+func (s *Snapshot) Version() int64 { return s.head.Version }
+
+// Head tells who published the version, when, and from which sections.
+func (s *Snapshot) Head() Head { return s.head }
+
+// Configuration returns the whole configuration.
+func (s *Snapshot) Configuration() *goose.Configuration { return s.config }
+
+// Service returns a service by name.
+func (s *Snapshot) Service(n goose.ServiceName) (goose.ServiceSpec, bool) {
+	spec, ok := s.services[n]
+	return spec, ok
+}
+
+// Workspace returns a workspace by name.
+func (s *Snapshot) Workspace(n goose.WorkspaceName) (goose.WorkspaceSpec, bool) {
+	w, ok := s.workspaces[n]
+	if !ok {
+		return goose.WorkspaceSpec{}, false
+	}
+	return w.spec, true
+}
+
+// WorkspaceByKey returns the workspace that holds the key. The whole hash is
+// compared in constant time.
+func (s *Snapshot) WorkspaceByKey(key string) (goose.WorkspaceSpec, bool) {
+	sum := sha256.Sum256([]byte(key))
+	for _, e := range s.keys[binary.BigEndian.Uint64(sum[:])] {
+		if subtle.ConstantTimeCompare(e.hash[:], sum[:]) == 1 {
+			return e.workspace.spec, true
+		}
+	}
+	return goose.WorkspaceSpec{}, false
+}
+
+// DataCentre returns a data centre by name.
+func (s *Snapshot) DataCentre(n goose.DataCentre) (goose.DataCentreSpec, bool) {
+	dc, ok := s.centres[n]
+	return dc, ok
+}
+
+// InstanceState returns goose.StateActive for instances that are not named.
+func (s *Snapshot) InstanceState(n goose.InstanceID) goose.State {
+	if state, ok := s.instances[n]; ok {
+		return state
+	}
+	return goose.StateActive
+}
+
+// BackendServer returns a backend server by name.
+func (s *Snapshot) BackendServer(id goose.ReplicaID) (goose.BackendServer, bool) {
+	b, ok := s.servers[id]
+	return b, ok
+}
+
+// Pool returns the backend servers of a pool, leaving ones included.
+func (s *Snapshot) Pool(p goose.Pool) []goose.BackendServer { return s.pools[p] }
+
+// Pools returns the pools of a data centre.
+func (s *Snapshot) Pools(dc goose.DataCentre) []goose.Pool { return s.byCentre[dc] }
+
+// Allowed returns the backend servers of a pool that the workspace may use now.
+func (s *Snapshot) Allowed(n goose.WorkspaceName, p goose.Pool) []goose.BackendServer {
+	w, ok := s.workspaces[n]
+	if !ok {
+		return nil
+	}
+	if a := w.reach[p.Service]; a != nil {
+		return a.pools[p.DataCentre]
+	}
+	return nil
+}
+
+// DataCentresFor returns the data centres in which the workspace may use the
+// service now, in the order of the configuration.
+func (s *Snapshot) DataCentresFor(n goose.WorkspaceName, service goose.ServiceName) []goose.DataCentre {
+	w, ok := s.workspaces[n]
+	if !ok {
+		return nil
+	}
+	if a := w.reach[service]; a != nil {
+		return a.centres
+	}
+	return nil
+}
+
+// reach holds what one workspace may use, by service.
+type reach map[goose.ServiceName]*access
+
+// access is what a workspace may use of one service.
+type access struct {
+	pools   map[goose.DataCentre][]goose.BackendServer
+	centres []goose.DataCentre
+}
+
+// reachIndex computes reaches once per set of matching selectors, so that the
+// many workspaces with equal rights share one.
+type reachIndex struct {
+	snapshot *Snapshot
+	// restricted lists, by service, the selectors that match the service.
+	restricted map[goose.ServiceName][]int
+	byMatch    map[string]reach
+	byAccess   map[string]*access
+}
+
+func newReachIndex(s *Snapshot) *reachIndex {
+	x := &reachIndex{
+		snapshot: s, restricted: map[goose.ServiceName][]int{},
+		byMatch: map[string]reach{}, byAccess: map[string]*access{},
+	}
+	for _, spec := range s.config.Services {
+		for i, sel := range s.config.Selectors {
+			if spec.Labels.Match(sel.Services) {
+				x.restricted[spec.Name] = append(x.restricted[spec.Name], i)
+			}
+		}
+	}
+	return x
+}
+
+func (x *reachIndex) of(l goose.Labels) reach {
+	matching := make([]bool, len(x.snapshot.config.Selectors))
+	for i, sel := range x.snapshot.config.Selectors {
+		matching[i] = l.Match(sel.Workspaces)
+	}
+	key := bits(matching, nil)
+	if r, ok := x.byMatch[key]; ok {
+		return r
+	}
+	r := make(reach, len(x.snapshot.config.Services))
+	for _, spec := range x.snapshot.config.Services {
+		r[spec.Name] = x.access(spec.Name, matching)
+	}
+	x.byMatch[key] = r
+	return r
+}
+
+// access returns what the matching selectors open of a service. A service
+// that no selector matches is open to all.
+func (x *reachIndex) access(service goose.ServiceName, matching []bool) *access {
+	relevant := x.restricted[service]
+	key := string(service) + "/" + bits(matching, relevant)
+	if len(relevant) == 0 {
+		key = string(service)
+	}
+	if a, ok := x.byAccess[key]; ok {
+		return a
+	}
+	open := slices.DeleteFunc(slices.Clone(relevant), func(i int) bool { return !matching[i] })
+	a := &access{pools: map[goose.DataCentre][]goose.BackendServer{}}
+	for _, dc := range x.snapshot.config.DataCentres {
+		if dc.State == goose.StateLeaving {
+			continue
+		}
+		if servers := x.servers(service, dc, open, len(relevant) == 0); len(servers) > 0 {
+			a.pools[dc.Name] = servers
+			a.centres = append(a.centres, dc.Name)
+		}
+	}
+	x.byAccess[key] = a
+	return a
+}
+
+func (x *reachIndex) servers(service goose.ServiceName, dc goose.DataCentreSpec, open []int, all bool) []goose.BackendServer {
+	var out []goose.BackendServer
+	for _, b := range x.snapshot.pools[goose.Pool{DataCentre: dc.Name, Service: service}] {
+		if b.State == goose.StateLeaving {
+			continue
+		}
+		matches := func(i int) bool {
+			sel := x.snapshot.config.Selectors[i]
+			return b.Labels.Match(sel.BackendServers) && dc.Labels.Match(sel.DataCentres)
+		}
+		if all || slices.ContainsFunc(open, matches) {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// bits packs the chosen elements of set, or all for a nil choice, into a key.
+func bits(set []bool, choice []int) string {
+	if choice == nil {
+		choice = make([]int, len(set))
+		for i := range choice {
+			choice[i] = i
+		}
+	}
+	out := make([]byte, (len(choice)+7)/8)
+	for i, c := range choice {
+		if set[c] {
+			out[i/8] |= 1 << (i % 8)
+		}
+	}
+	return string(out)
+}
--- /dev/null
+++ b/pkg/goosedispatch/abandon_test.go
@@ -0,0 +1,52 @@
+package goosedispatch
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+// Guards against calls that a frozen plain service runs together when it goes on,
+// beyond its cold limit, because their callers gave up meanwhile; and against
+// their capacity being lost for good.
+func TestAbandonedCalls(t *testing.T) {
+	const deadline = 30 * time.Second // of the service in the rig
+	freeze := func(e *fakeEngine) { e.frozen = true }
+	thaw := func(e *fakeEngine) { e.frozen = false }
+	tests := map[string]struct {
+		kind    goose.Kind
+		outcome goose.Outcome
+		process string // after the freeze
+		after   time.Duration
+		want    int
+	}{
+		"call may still run":   {goose.KindPlain, goose.OutcomeCancelled, "p1", deadline - 2*time.Second, 0},
+		"call must have ended": {goose.KindPlain, goose.OutcomeCancelled, "p1", deadline + 3*time.Second, 1},
+		"process replaced":     {goose.KindPlain, goose.OutcomeCancelled, "p2", 3 * time.Second, 1},
+		"call was answered":    {goose.KindPlain, goose.OutcomeFailed, "p1", 3 * time.Second, 1},
+		"engine":               {goose.KindModel, goose.OutcomeCancelled, "p1", 3 * time.Second, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, func(r *rig, _ *Dependencies) { r.source.c.service.Kind = tt.kind }, "a")
+				r.run()
+				if tt.kind == goose.KindPlain {
+					time.Sleep(deadline + goose.PermitLifetime) // quarantine of a plain service
+				}
+				g := r.acquire(request("r1", 100), goose.PermitGranted).Permit
+				r.protocol.set("a:1", freeze)
+				r.pool.Report(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhaseStarted})
+				time.Sleep(10 * time.Second)
+				r.pool.Report(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhaseReleased, Outcome: tt.outcome, Replica: "a", Process: "p1"})
+				r.protocol.set("a:1", func(e *fakeEngine) { e.process = tt.process; thaw(e) })
+				time.Sleep(tt.after)
+				if got := r.grants(); got != tt.want {
+					t.Errorf("grants: got %d, want %d", got, tt.want)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/pkg/goosedispatch/authority_test.go
@@ -0,0 +1,160 @@
+package goosedispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooselimit"
+)
+
+// Guards against a dispatcher that grants without authority, or stops although
+// it may go on.
+func TestDecide(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ids := []goose.InstanceID{"i1", "i2", "i3"}
+	promised := func(age time.Duration, from ...goose.InstanceID) map[goose.InstanceID]time.Time {
+		out := map[goose.InstanceID]time.Time{}
+		for _, i := range from {
+			out[i] = now.Add(-age)
+		}
+		return out
+	}
+	ahead, past := now.Add(time.Millisecond), now.Add(-time.Millisecond)
+	tests := map[string]struct {
+		evidence Evidence
+		want     goose.DispatchMode
+	}{
+		"lease valid":                  {Evidence{Deadline: ahead, Store: StoreConfirms}, goose.ModeLeased},
+		"lease valid, store silent":    {Evidence{Deadline: ahead, Store: StoreSilent}, goose.ModeLeased},
+		"lease lost":                   {Evidence{Deadline: ahead, Store: StoreDenies}, goose.ModeStopped},
+		"lost, all promised":           {Evidence{Deadline: past, Store: StoreDenies, Promises: promised(0, ids...)}, goose.ModeStopped},
+		"all promised":                 {Evidence{Deadline: past, Store: StoreSilent, Promises: promised(1999*time.Millisecond, "i2", "i3")}, goose.ModeConsented},
+		"at the deadline":              {Evidence{Deadline: now, Store: StoreSilent, Promises: promised(0, "i2", "i3")}, goose.ModeConsented},
+		"one promise too old":          {Evidence{Deadline: past, Store: StoreSilent, Promises: promised(2*time.Second, "i2", "i3")}, goose.ModeDegraded},
+		"one did not promise":          {Evidence{Deadline: past, Store: StoreSilent, Promises: promised(0, "i2")}, goose.ModeDegraded},
+		"no promises":                  {Evidence{Deadline: past, Store: StoreSilent}, goose.ModeDegraded},
+		"caretaker with all promises":  {Evidence{Store: StoreSilent, Promises: promised(0, "i2", "i3")}, goose.ModeDegraded},
+		"promise of an unknown member": {Evidence{Deadline: past, Store: StoreSilent, Promises: promised(0, "i2", "i9")}, goose.ModeDegraded},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			tt.evidence.Now, tt.evidence.Self, tt.evidence.Members = now, "i1", ids
+			if got := Decide(tt.evidence).Mode; got != tt.want {
+				t.Errorf("mode: got %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against two parts of a split data centre that both grant a replica.
+func TestPartsAreDisjoint(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var members []goose.InstanceID
+		part := map[goose.InstanceID]int{}
+		for i := range rapid.IntRange(1, 9).Draw(t, "members") {
+			id := goose.InstanceID(fmt.Sprint("i", i))
+			members = append(members, id)
+			part[id] = rapid.IntRange(0, 2).Draw(t, "part")
+		}
+		for i := range 20 {
+			owners := map[int]bool{}
+			for _, self := range members {
+				reachable := map[goose.InstanceID]bool{}
+				for _, m := range members {
+					reachable[m] = part[m] == part[self]
+				}
+				a := Decide(Evidence{Self: self, Store: StoreSilent, Members: members, Reachable: reachable})
+				alone := true
+				for _, m := range members {
+					alone = alone && reachable[m]
+				}
+				if a.Whole != alone {
+					t.Fatalf("whole: got %t with the members %v heard", a.Whole, reachable)
+				}
+				if a.Owns(goose.ReplicaID(fmt.Sprint("r", i))) {
+					owners[part[self]] = true
+				}
+			}
+			if len(owners) != 1 {
+				t.Fatalf("parts that own a replica: got %d, want 1", len(owners))
+			}
+		}
+	})
+}
+
+// Guards against a replica of which a dispatcher with the lease uses the whole
+// while a degraded one in another part of the data centre uses some of it.
+func TestLeaseSharesWithSilentParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var members []goose.InstanceID
+		reached := map[bool]map[goose.InstanceID]bool{true: {}, false: {}}
+		for i := range rapid.IntRange(2, 9).Draw(t, "members") {
+			id := goose.InstanceID(fmt.Sprint("i", i))
+			members = append(members, id)
+			// The first instance holds the lease, the second is in the other part.
+			with := i == 0 || i > 1 && rapid.Bool().Draw(t, "part")
+			reached[with][id] = true
+		}
+		now := time.Unix(1000, 0)
+		leased := Decide(Evidence{Self: "i0", Now: now, Deadline: now.Add(1), Store: StoreConfirms, Members: members, Reachable: reached[true]})
+		degraded := Decide(Evidence{Self: "i1", Now: now, Store: StoreSilent, Members: members, Reachable: reached[false]})
+		for i := range 20 {
+			r := goose.ReplicaID(fmt.Sprint("r", i))
+			want := gooselimit.ShareWhole
+			if degraded.Owns(r) {
+				want = gooselimit.ShareLarger
+			}
+			if got := leased.Share(r); got != want {
+				t.Fatalf("share of %s: got %q, want %q", r, got, want)
+			}
+			if got := degraded.Share(r); got != gooselimit.ShareSmaller {
+				t.Fatalf("degraded share of %s: got %q, want %q", r, got, gooselimit.ShareSmaller)
+			}
+		}
+	})
+}
+
+// Guards against a lease that uses a part of its replicas only while every
+// member is heard.
+func TestLeaseIsWholeWhenAllAreHeard(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := Decide(Evidence{
+		Self: "i0", Now: now, Deadline: now.Add(1), Members: []goose.InstanceID{"i0", "i1"},
+		Reachable: map[goose.InstanceID]bool{"i0": true, "i1": true},
+	})
+	if a.Share != nil {
+		t.Error("share: got a bound, want none")
+	}
+}
+
+type fakeMembership struct {
+	goose.Membership
+	members []goose.Member
+}
+
+func (f fakeMembership) Members() []goose.Member { return f.members }
+
+// Guards against two degraded dispatchers that both grant in the moment in
+// which their parts of the data centre hear each other again.
+func TestRivalsGrantNothing(t *testing.T) {
+	self := goose.Member{Instance: "i1", DataCentre: testPool.DataCentre, Live: true}
+	rival := goose.Member{Instance: "i2", DataCentre: testPool.DataCentre, Live: true, Pools: []goose.PoolHolding{{Pool: testPool}}}
+	for live, want := range map[bool]bool{true: false, false: true} {
+		rival.Live = live
+		m := &Manager{o: Options{Self: "i1", DataCentre: testPool.DataCentre, Membership: fakeMembership{members: []goose.Member{self, rival}}}}
+		r := &running{manager: m, id: testPool}
+		owns := 0
+		for i := range 50 {
+			if r.authority(time.Unix(1000, 0)).Owns(goose.ReplicaID(fmt.Sprint(i))) {
+				owns++
+			}
+		}
+		if got := owns > 0; got != want {
+			t.Errorf("rival heard %v: got grants %v, want %v", live, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/goosedispatch/failure_test.go
@@ -0,0 +1,378 @@
+package goosedispatch
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/goosetest"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+// Guards against each kind of cold evidence that leaves a replica at its full
+// limits: with it removed, four requests are granted instead of one.
+func TestTurnsCold(t *testing.T) {
+	tests := map[string]func(r *rig, g goose.Permit){
+		"process changed in a poll": func(r *rig, _ goose.Permit) {
+			r.protocol.set("a:1", func(e *fakeEngine) { e.process = "p2" })
+		},
+		"cold poll":       func(r *rig, _ goose.Permit) { r.protocol.set("a:1", func(e *fakeEngine) { e.cold = true }) },
+		"connection lost": func(r *rig, _ goose.Permit) { r.outage("a:1") },
+		"attempt broke off": func(r *rig, g goose.Permit) {
+			r.release(g, func(x *goose.PermitReport) { x.Outcome = goose.OutcomeCrashed })
+		},
+		"cold in a report": func(r *rig, g goose.Permit) {
+			r.release(g, func(x *goose.PermitReport) { x.Cold = true })
+		},
+		"process changed in a report": func(r *rig, g goose.Permit) {
+			r.release(g, func(x *goose.PermitReport) { x.Process = "p2" })
+		},
+		"address changed": func(r *rig, _ goose.Permit) {
+			r.source.change(func(c *fakeCatalogue) { c.servers[0].Address = "b:1" })
+		},
+		"left and came back": func(r *rig, _ goose.Permit) {
+			old := r.source.c.servers
+			r.source.change(func(c *fakeCatalogue) { c.servers = nil })
+			time.Sleep(6 * time.Second)
+			r.source.change(func(c *fakeCatalogue) { c.servers = old })
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, nil, "a")
+				r.run()
+				r.warm()
+				g := r.acquire(request("r1", 100), goose.PermitGranted).Permit
+				change(r, g)
+				r.release(g, nil)
+				time.Sleep(2 * time.Second)
+				if got := r.grants(); got != 1 {
+					t.Errorf("grants afterwards: got %d, want 1", got)
+				}
+			})
+		})
+	}
+}
+
+func (r *rig) outage(address string) {
+	r.protocol.set(address, func(e *fakeEngine) { e.down = true })
+	time.Sleep(time.Second)
+	r.protocol.set(address, func(e *fakeEngine) { e.down = false })
+}
+
+// Guards against retries that are all placed on a dead replica before its next
+// regular load poll: an attempt that did not reach it asks for one at once.
+func TestUnsentAttemptAsksForAPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil, "a")
+		r.run()
+		time.Sleep(50 * time.Millisecond)
+		r.protocol.set("a:1", func(e *fakeEngine) { e.down = true })
+		g := r.acquire(request("r1", 100), goose.PermitGranted).Permit
+		r.release(g, func(x *goose.PermitReport) { x.Outcome = goose.OutcomeNotSent })
+		time.Sleep(200 * time.Millisecond)
+		if got := r.grants(); got != 0 {
+			t.Errorf("grants on a dead replica: got %d, want 0", got)
+		}
+	})
+}
+
+// Guards against a ramp of a replica that calls itself cold in its load reports
+// but not in its answers.
+func TestNoRampWhileReportedCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, func(r *rig, _ *Dependencies) {
+			r.protocol.set("a:1", func(e *fakeEngine) { e.cold = true })
+		}, "a")
+		r.run()
+		for i := range 3 {
+			r.release(r.acquire(request(fmt.Sprint("s", i), 100), goose.PermitGranted).Permit, nil)
+		}
+		if got := r.grants(); got != 1 {
+			t.Errorf("grants after three successes: got %d, want 1", got)
+		}
+	})
+}
+
+// Guards against a successor that uses cold replicas while an instance may
+// still use a permit of the former dispatcher, or beside its streams.
+func TestTakeover(t *testing.T) {
+	held := func() goose.HeldPermit {
+		q := request("old", 100)
+		return goose.HeldPermit{Request: q, Started: true, Permit: goose.Permit{
+			ID: "old", Request: q.Request, Pool: testPool, Replicas: []goose.ReplicaGrant{{Replica: "a", Address: "a:1", Tokens: 100}},
+		}}
+	}
+	tests := map[string]struct {
+		setup func(*rig)
+		// after is when the grants are counted.
+		after time.Duration
+		want  int
+	}{
+		"all answered":                  {func(*rig) {}, time.Second, 1},
+		"one silent":                    {func(r *rig) { r.holders.complete = false }, 3900 * time.Millisecond, 0},
+		"one silent, quarantine over":   {func(r *rig) { r.holders.complete = false }, 5 * time.Second, 1},
+		"permit collected":              {func(r *rig) { r.holders.all = []goose.Collected{{Held: []goose.HeldPermit{held()}}} }, time.Second, 0},
+		"streams not readable":          {func(r *rig) { r.protocol.set("a:1", func(e *fakeEngine) { e.stuck = true }) }, 9 * time.Second, 0},
+		"stream without a permit":       {func(r *rig) { r.protocol.set("a:1", func(e *fakeEngine) { e.streams["x"] = true }) }, 5 * time.Second, 0},
+		"stream cancelled after a time": {func(r *rig) { r.protocol.set("a:1", func(e *fakeEngine) { e.streams["x"] = true }) }, 9 * time.Second, 1},
+		"warm process": {func(r *rig) {
+			r.holders.all = []goose.Collected{{Warm: []goose.Warmth{{Replica: "a", Process: "p1"}}}}
+		}, time.Second, 4},
+		"warm process of before": {func(r *rig) {
+			r.holders.all = []goose.Collected{{Warm: []goose.Warmth{{Replica: "a", Process: "p0"}}}}
+		}, time.Second, 1},
+		"warm long ago": {func(r *rig) {
+			r.holders.all = []goose.Collected{{Warm: []goose.Warmth{{Replica: "a", Process: "p1", Age: time.Minute}}}}
+		}, time.Second, 1},
+		"plain, one silent": {func(r *rig) {
+			r.source.c.service.Kind, r.holders.complete = goose.KindPlain, false
+		}, 30 * time.Second, 0},
+		"plain, deadline over": {func(r *rig) {
+			r.source.c.service.Kind, r.holders.complete = goose.KindPlain, false
+		}, 32 * time.Second, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, func(r *rig, _ *Dependencies) { tt.setup(r) }, "a")
+				r.run()
+				time.Sleep(tt.after - time.Second)
+				if got := r.grants(); got != tt.want {
+					t.Errorf("grants: got %d, want %d", got, tt.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against requests that wait in a pool until their deadline, while another
+// data centre could serve them, because an instance does not answer its new
+// dispatcher: it may be dead and still listed.
+func TestTakeoverBeyondDeadline(t *testing.T) {
+	tests := map[string]struct {
+		complete bool
+		// came and read are when the request came and its answer is read.
+		came, read time.Duration
+		left       time.Duration
+		want       goose.PermitStatus
+	}{
+		"may still answer":     {false, time.Second, 2 * time.Second, 30 * time.Second, goose.PermitWaiting},
+		"waits too long":       {false, time.Second, 5 * time.Second, 30 * time.Second, goose.PermitRefused},
+		"came too early":       {false, 5 * time.Second, 5 * time.Second, 20 * time.Second, goose.PermitRefused},
+		"leaves half the time": {false, 5 * time.Second, 5 * time.Second, time.Minute, goose.PermitWaiting},
+		"nearly over":          {false, 25 * time.Second, 25 * time.Second, 20 * time.Second, goose.PermitWaiting},
+		"all answered":         {true, 5 * time.Second, 5 * time.Second, 20 * time.Second, goose.PermitGranted},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, func(r *rig, _ *Dependencies) {
+					r.source.c.service.Kind, r.holders.complete = goose.KindPlain, tt.complete
+				}, "a")
+				r.run()
+				time.Sleep(tt.came - time.Second)
+				q := request("q", 100)
+				q.TimeLeft = tt.left
+				ch, got, done := r.pool.enter(time.Now(), q)
+				time.Sleep(tt.read - tt.came)
+				if !done {
+					got = r.pool.leave(q.Request, ch)
+				}
+				if got.Status != tt.want {
+					t.Errorf("got %s %v, want %s", got.Status, got.Refusal, tt.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against capacity that is freed while the work may still run, against
+// streams that are cancelled although their holder is only cut off, and against
+// capacity that is never freed after the holder died.
+func TestHolderLost(t *testing.T) {
+	silent := func(r *rig) { r.holders.set(func(f *fakeHolders) { f.silent = time.Now() }) }
+	dropped := func(r *rig) { silent(r); r.holders.set(func(f *fakeHolders) { f.dropped = true }) }
+	plain := func(c *fakeCatalogue) { c.service.Kind = goose.KindPlain }
+	tests := map[string]struct {
+		started bool
+		setup   func(*rig)
+		after   time.Duration
+		want    int
+	}{
+		"live":                    {true, func(*rig) {}, 50 * time.Second, 0},
+		"silent for a short time": {true, silent, 5 * time.Second, 0},
+		"restarted":               {true, func(r *rig) { r.holders.set(func(f *fakeHolders) { f.restarts, f.noticed = 1, true }) }, 2 * time.Second, 1},
+		"polls without heartbeats": {true, func(r *rig) {
+			dropped(r)
+			time.AfterFunc(4*time.Second, func() { r.try(request("x", 100)) })
+		}, 8 * time.Second, 0},
+		"silent, dropped":                 {true, dropped, 8 * time.Second, 1},
+		"silent, listed":                  {true, silent, 28 * time.Second, 0},
+		"silent, past the deadline":       {true, silent, 31 * time.Second, 1},
+		"silent, stream ended":            {true, func(r *rig) { silent(r); r.protocol.set("a:1", func(e *fakeEngine) { clear(e.streams) }) }, 8 * time.Second, 1},
+		"silent, confirms":                {true, func(r *rig) { silent(r); r.holders.set(func(f *fakeHolders) { f.confirm = true }) }, 40 * time.Second, 0},
+		"silent, engine unreachable":      {true, func(r *rig) { dropped(r); r.protocol.set("a:1", func(e *fakeEngine) { e.stuck = true }) }, 20 * time.Second, 0},
+		"plain, silent":                   {true, func(r *rig) { silent(r); r.source.change(plain) }, 25 * time.Second, 0},
+		"plain, call may have begun late": {true, func(r *rig) { silent(r); r.source.change(plain) }, 32 * time.Second, 0},
+		"plain, past the deadline":        {true, func(r *rig) { silent(r); r.source.change(plain) }, 35 * time.Second, 1},
+		"answer may be lost":              {false, func(*rig) {}, 3 * time.Second, 0},
+		"answer was lost":                 {false, func(*rig) {}, 6 * time.Second, 1},
+		"plain, answer was lost":          {false, func(r *rig) { r.source.change(plain) }, 6 * time.Second, 1},
+		"plain, holder restarted": {false, func(r *rig) {
+			r.source.change(plain)
+			r.holders.set(func(f *fakeHolders) { f.restarts = 1 })
+		}, 6 * time.Second, 0},
+		"holder confirms":  {false, func(r *rig) { r.holders.set(func(f *fakeHolders) { f.confirm = true }) }, 20 * time.Second, 0},
+		"release was lost": {true, func(*rig) {}, 62 * time.Second, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, nil, "a")
+				r.run()
+				g := r.acquire(request("r1", 100), goose.PermitGranted).Permit
+				r.protocol.set("a:1", func(e *fakeEngine) { e.streams[goose.AttemptID(g.ID)] = true })
+				if tt.started {
+					r.pool.Report(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhaseStarted})
+				}
+				tt.setup(r)
+				time.Sleep(tt.after)
+				if got := r.grants(); got != tt.want {
+					t.Errorf("grants: got %d, want %d", got, tt.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a dispatcher that cancels what another part of the data centre
+// owns, and against one that leaves streams without an owner for ever although
+// every instance says so or their deadline has passed.
+func TestOrphans(t *testing.T) {
+	leased, part := Authority{Mode: goose.ModeLeased}, Authority{Mode: goose.ModeDegraded}
+	whole := Authority{Mode: goose.ModeDegraded, Whole: true}
+	late := func(r *rig) {
+		time.AfterFunc(10*time.Second, func() { r.holders.set(func(f *fakeHolders) { f.complete = true }) })
+	}
+	tests := map[string]struct {
+		authority Authority
+		// complete tells whether every instance answers.
+		complete bool
+		change   func(*rig)
+		after    time.Duration
+		want     int
+	}{
+		"another part":                      {part, true, nil, 20 * time.Second, 1},
+		"another part, past the deadline":   {part, true, nil, 40 * time.Second, 0},
+		"whole":                             {whole, true, nil, 20 * time.Second, 0},
+		"whole, one not yet asked":          {whole, false, nil, 20 * time.Second, 1},
+		"leased":                            {leased, true, nil, 20 * time.Second, 0},
+		"leased, one silent":                {leased, false, nil, 28 * time.Second, 1},
+		"leased, one silent, past deadline": {leased, false, nil, 40 * time.Second, 0},
+		"leased, one answers late":          {leased, false, late, 20 * time.Second, 0},
+		"leased, one holds it": {leased, false, func(r *rig) {
+			late(r)
+			q := request("x", 100)
+			held := goose.HeldPermit{Request: q, Started: true, Permit: goose.Permit{
+				ID: "x", Request: q.Request, Pool: testPool, Replicas: []goose.ReplicaGrant{{Replica: "a", Address: "a:1", Tokens: 100}},
+			}}
+			r.holders.set(func(f *fakeHolders) { f.all = []goose.Collected{{Held: []goose.HeldPermit{held}}} })
+		}, 20 * time.Second, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, func(r *rig, d *Dependencies) {
+					d.Authority = func(time.Time) Authority { return tt.authority }
+					r.holders.complete = tt.complete
+				}, "a")
+				r.run()
+				if tt.change != nil {
+					tt.change(r)
+				}
+				r.protocol.set("a:1", func(e *fakeEngine) { e.streams["x"] = true })
+				time.Sleep(tt.after)
+				r.protocol.set("a:1", func(e *fakeEngine) {
+					if got := len(e.streams); got != tt.want {
+						t.Errorf("streams: got %d, want %d", got, tt.want)
+					}
+				})
+			})
+		})
+	}
+}
+
+// Guards against repeated or foreign reports that free capacity twice.
+func TestReportsAreIdempotent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil, "a")
+		r.run()
+		g := r.acquire(request("r1", 100), goose.PermitGranted).Permit
+		r.release(g, func(x *goose.PermitReport) { x.Instance = "i2" })
+		if got := r.grants(); got != 0 {
+			t.Errorf("after a report of another instance: got %d grants, want 0", got)
+		}
+		r.release(g, func(x *goose.PermitReport) { x.Outcome = goose.OutcomeFailed })
+		r.acquire(request("r2", 100), goose.PermitGranted)
+		r.release(g, nil)
+		if got := r.grants(); got != 0 {
+			t.Errorf("after a repeated release: got %d grants, want 0", got)
+		}
+	})
+}
+
+// Guards against suspects that run beside other work, crash a third replica,
+// or spread over replicas as equal copies, and against one crash that counts
+// twice because two holders report it.
+func TestSuspects(t *testing.T) {
+	for _, process := range []string{"p1", ""} {
+		t.Run("process "+process, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkSuspects(t, process) })
+		})
+	}
+}
+
+func checkSuspects(t *testing.T, process string) {
+	suspects := goosetest.NewSuspects()
+	r := newRig(t, func(r *rig, d *Dependencies) {
+		d.Suspects = suspects
+		for _, a := range []string{"a:1", "b:1", "c:1"} {
+			r.protocol.set(a, func(e *fakeEngine) { e.process = process })
+		}
+	}, "a", "b", "c")
+	r.run()
+	r.warm()
+	bad, twin := request("bad", 100), request("bad", 100)
+	twin.Request = "twin"
+	g := r.acquire(bad, goose.PermitGranted).Permit
+	h := r.acquire(twin, goose.PermitGranted).Permit
+	if g.Replicas[0].Replica != h.Replicas[0].Replica {
+		t.Fatalf("equal requests: got replicas %v and %v, want one", g.Replicas, h.Replicas)
+	}
+	crash := func(x *goose.PermitReport) { x.Outcome, x.Process = goose.OutcomeCrashed, "" }
+	r.release(g, crash)
+	r.release(h, crash)
+	// The holders name the crash in the same way; another name is another crash.
+	if got := suspects.Processes; len(got) == 0 || got[0] != process {
+		t.Errorf("processes of the crash: got %q, want %q", got, process)
+	}
+	bad.Request, twin.Request = "bad2", "twin2"
+	g = r.acquire(bad, goose.PermitGranted).Permit
+	alone := g.Replicas[0].Replica
+	if a := r.try(twin); a.Status != goose.PermitWaiting {
+		t.Fatalf("copy of a running suspect: got %s, want waiting", a.Status)
+	}
+	for i := range 4 {
+		other := r.acquire(request(fmt.Sprint("o", i), 100), goose.PermitGranted).Permit
+		if other.Replicas[0].Replica == alone {
+			t.Fatal("a request was placed beside a suspect")
+		}
+	}
+	r.release(g, crash)
+	if a := r.try(twin); a.Refusal.Code != goose.CodeCrashesBackend || a.Refusal.Run != goose.RunNot {
+		t.Errorf("after the second crash: got %v %s, want crashes-backend not-run", a.Refusal, a.Refusal.Run)
+	}
+}
--- /dev/null
+++ b/pkg/goosedispatch/manager_test.go
@@ -0,0 +1,40 @@
+package goosedispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+type noRouter struct{}
+
+func (noRouter) Handle(string, goose.Handler) {}
+
+// Guards against waits that are made for a lease TTL of 3 s alone: with a longer
+// one a caretaker would act beside a holder whose lease still runs, with a
+// shorter one a handover would be used after another instance held the lease.
+func TestDelaysFollowTheLease(t *testing.T) {
+	tests := map[string]struct{ ttl, lease, caretaker time.Duration }{
+		"default":              {0, 3 * time.Second, 7 * time.Second},
+		"short":                {time.Second, time.Second, 5 * time.Second},
+		"long":                 {20 * time.Second, 20 * time.Second, 24 * time.Second},
+		"rounded by the store": {1500 * time.Millisecond, 2 * time.Second, 6 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			m, err := NewManager(Options{Router: noRouter{}, Policy: "affinity", Discipline: "fair", LongBound: "adaptive", LeaseTTL: tt.ttl})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := m.o.caretakerDelay(); got != tt.caretaker {
+				t.Errorf("caretaker acts after %s, want %s", got, tt.caretaker)
+			}
+			now := time.Now()
+			s := &poolState{handover: &Handover{Received: now}}
+			if !m.handedOver(s, now.Add(tt.lease-1)) || m.handedOver(s, now.Add(tt.lease)) {
+				t.Errorf("a handover is not used for exactly %s", tt.lease)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/goosedispatch/peers.go
@@ -0,0 +1,262 @@
+package goosedispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+// errNotHolder is answered before the instance runs.
+var errNotHolder = errors.New("instance is starting")
+
+// register adds the handlers of peer calls.
+func (m *Manager) register() {
+	r := m.o.Router
+	r.Handle(KindAcquire, m.handleAcquire)
+	r.Handle(KindAbandon, m.handleAbandon)
+	r.Handle(KindReport, m.handleReport)
+	r.Handle(KindCollect, m.handleCollect)
+	r.Handle(KindHeld, m.handleHeld)
+	r.Handle(KindHandover, m.handleHandover)
+	r.Handle(KindConsent, m.handleConsent)
+	r.Handle(KindCommand, m.handleCommand)
+	r.Handle(KindStatus, m.handleStatus)
+}
+
+func (m *Manager) handleAcquire(ctx context.Context, from goose.InstanceID, decode func(any) error) (any, error) {
+	var r goose.PermitRequest
+	if err := decode(&r); err != nil {
+		return nil, err
+	}
+	if r.Instance != from {
+		return nil, errors.Errorf("permit request of %s sent by %s", r.Instance, from)
+	}
+	d, ok := m.Dispatcher(r.Pool)
+	if !ok {
+		return goose.PermitAnswer{Status: goose.PermitElsewhere}, nil
+	}
+	return d.Acquire(ctx, r), nil
+}
+
+func (m *Manager) handleAbandon(_ context.Context, _ goose.InstanceID, decode func(any) error) (any, error) {
+	var r AbandonRequest
+	if err := decode(&r); err != nil {
+		return nil, err
+	}
+	if d, ok := m.Dispatcher(r.Pool); ok {
+		d.Abandon(r.Request)
+	}
+	return struct{}{}, nil
+}
+
+func (m *Manager) handleReport(_ context.Context, from goose.InstanceID, decode func(any) error) (any, error) {
+	var r ReportRequest
+	if err := decode(&r); err != nil {
+		return nil, err
+	}
+	d, ok := m.Pool(r.Pool)
+	for _, report := range r.Reports {
+		ok = ok && (report.Instance != from || d.Apply(report))
+	}
+	return ReportReply{Accepted: ok}, nil
+}
+
+func (m *Manager) localHolder() (Holder, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.holder == nil {
+		return nil, errNotHolder
+	}
+	return m.holder, nil
+}
+
+func (m *Manager) handleCollect(_ context.Context, _ goose.InstanceID, decode func(any) error) (any, error) {
+	var r CollectRequest
+	if err := decode(&r); err != nil {
+		return nil, err
+	}
+	return m.collectLocal(r)
+}
+
+// collectLocal answers a new dispatcher. A dispatcher of an older epoch that
+// runs here is stopped first: it must not grant what the answer leaves out.
+func (m *Manager) collectLocal(r CollectRequest) (goose.Collected, error) {
+	h, err := m.localHolder()
+	if err != nil {
+		return goose.Collected{}, err
+	}
+	m.mu.Lock()
+	m.epochs[r.Pool] = max(m.epochs[r.Pool], r.Epoch)
+	if s := m.states[r.Pool]; s != nil && s.running != nil && s.running.epoch < r.Epoch {
+		m.stop(s)
+	}
+	m.mu.Unlock()
+	h.Fence(r.Pool, r.Epoch)
+	return h.Collect(r.Pool), nil
+}
+
+func (m *Manager) handleHeld(_ context.Context, _ goose.InstanceID, decode func(any) error) (any, error) {
+	var r HeldRequest
+	if err := decode(&r); err != nil {
+		return nil, err
+	}
+	h, err := m.localHolder()
+	if err != nil {
+		return nil, err
+	}
+	return m.held(h, r), nil
+}
+
+func (m *Manager) held(h Holder, r HeldRequest) HeldReply {
+	return HeldReply{Permits: h.Held(r.Pool, r.Permits), Incarnation: m.o.Incarnation}
+}
+
+func (m *Manager) handleHandover(_ context.Context, _ goose.InstanceID, decode func(any) error) (any, error) {
+	var h Handover
+	if err := decode(&h); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.states[h.Pool]
+	if m.closing || s == nil || s.running != nil || h.Epoch < m.epochs[h.Pool] {
+		return HandoverReply{}, nil
+	}
+	h.Received = m.o.Clock.Now()
+	s.handover = &h
+	return HandoverReply{Accepted: true}, nil
+}
+
+// handleConsent promises not to take the pool for a while. A campaign that is
+// under way is ended first; while it has not ended there is no promise.
+func (m *Manager) handleConsent(ctx context.Context, _ goose.InstanceID, decode func(any) error) (any, error) {
+	var r ConsentRequest
+	if err := decode(&r); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	s := m.states[r.Pool]
+	if s == nil {
+		s = &poolState{pool: r.Pool}
+		m.states[r.Pool] = s
+	}
+	if s.running != nil || r.Epoch < m.epochs[r.Pool] {
+		m.mu.Unlock()
+		return ConsentReply{}, nil
+	}
+	c := s.campaign
+	s.promised = m.o.Clock.Now().Add(PromiseValidity + promiseMargin)
+	m.mu.Unlock()
+	if c != nil {
+		c.cancel()
+		select {
+		case <-c.done:
+		case <-ctx.Done():
+			return ConsentReply{}, nil
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s.running != nil {
+		return ConsentReply{}, nil
+	}
+	s.promised = m.o.Clock.Now().Add(PromiseValidity + promiseMargin)
+	return ConsentReply{Promised: true}, nil
+}
+
+// peers implements Holders over the peer link.
+type peers struct{ m *Manager }
+
+// Collect implements Holders. Members that are not heard are asked as well: a
+// frozen or cut off instance of any data centre can hold permits of the pool.
+// Their answers are not waited for before those of the live ones are passed on.
+func (p peers) Collect(ctx context.Context, pool goose.Pool, e goose.Epoch, answered map[goose.InstanceID]bool, got func([]goose.Collected)) bool {
+	var live, silent answers
+	request := CollectRequest{Pool: pool, Epoch: e}
+	for _, member := range p.m.o.Membership.Members() {
+		if answered[member.Instance] {
+			continue
+		}
+		to := &silent
+		if member.Live {
+			to = &live
+		}
+		to.calls.Go(func() {
+			c, err := p.collectOne(ctx, member, request)
+			c.Instance = member.Instance
+			to.add(c, err)
+		})
+	}
+	for _, a := range []*answers{&live, &silent} {
+		a.calls.Wait()
+		got(a.all)
+	}
+	return !live.missing && !silent.missing
+}
+
+// answers are those of some instances to a new dispatcher.
+type answers struct {
+	calls conc.WaitGroup
+
+	mu  sync.Mutex
+	all []goose.Collected
+	// missing is set if an instance did not answer.
+	missing bool
+}
+
+func (a *answers) add(c goose.Collected, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
+		a.missing = true
+		return
+	}
+	a.all = append(a.all, c)
+}
+
+func (p peers) collectOne(ctx context.Context, member goose.Member, r CollectRequest) (goose.Collected, error) {
+	if member.Instance == p.m.o.Self {
+		return p.m.collectLocal(r)
+	}
+	var c goose.Collected
+	err := p.m.o.Caller.Call(ctx, member.Address, KindCollect, r, &c)
+	return c, err
+}
+
+// Held implements Holders.
+func (p peers) Held(ctx context.Context, i goose.InstanceID, pool goose.Pool, ids []goose.PermitID) (HeldReply, error) {
+	request := HeldRequest{Pool: pool, Permits: ids}
+	if i == p.m.o.Self {
+		h, err := p.m.localHolder()
+		if err != nil {
+			return HeldReply{}, err
+		}
+		return p.m.held(h, request), nil
+	}
+	for _, member := range p.m.o.Membership.Members() {
+		if member.Instance == i {
+			var reply HeldReply
+			err := p.m.o.Caller.Call(ctx, member.Address, KindHeld, request, &reply)
+			return reply, err
+		}
+	}
+	return HeldReply{}, errors.Errorf("instance %s is not a member", i)
+}
+
+// Alive implements Holders.
+func (p peers) Alive(i goose.InstanceID) (int64, time.Time, bool) {
+	if i == p.m.o.Self {
+		return p.m.o.Incarnation, p.m.o.Clock.Now(), true
+	}
+	for _, member := range p.m.o.Membership.Members() {
+		if member.Instance == i {
+			return member.Incarnation, member.Heard, true
+		}
+	}
+	return 0, time.Time{}, false
+}
--- /dev/null
+++ b/pkg/goosedispatch/pool_test.go
@@ -0,0 +1,89 @@
+package goosedispatch
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooselimit"
+)
+
+// Guards against a cold replica getting more than its cold limit, and against
+// capacity that is not handed to a waiting request when it is released.
+func TestColdReplicaTakesOneRequestAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil, "a")
+		r.run()
+		first := r.acquire(request("r1", 100), goose.PermitGranted)
+		got := make(chan goose.PermitAnswer)
+		go func() { got <- r.pool.Acquire(t.Context(), request("r2", 100)) }()
+		synctest.Wait()
+		select {
+		case a := <-got:
+			t.Fatalf("second request on a cold replica: got %s, want none yet", a.Status)
+		default:
+		}
+		r.release(first.Permit, nil)
+		if a := <-got; a.Status != goose.PermitGranted {
+			t.Fatalf("after the release: got %s, want granted", a.Status)
+		}
+	})
+}
+
+// Guards against two permits for one request when an answer was lost.
+func TestRepeatedPollGetsTheSamePermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil, "a")
+		r.run()
+		first := r.acquire(request("r1", 100), goose.PermitGranted)
+		second := r.acquire(request("r1", 100), goose.PermitGranted)
+		if first.Permit.ID != second.Permit.ID {
+			t.Errorf("second poll: got permit %s, want %s", second.Permit.ID, first.Permit.ID)
+		}
+	})
+}
+
+// Guards against polls that wait longer than PollWait.
+func TestPollEndsWithWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil, "a")
+		r.run()
+		r.acquire(request("r1", 100), goose.PermitGranted)
+		start := time.Now()
+		r.acquire(request("r2", 100), goose.PermitWaiting)
+		if got := time.Since(start); got != goose.PollWait {
+			t.Errorf("poll waited %v, want %v", got, goose.PollWait)
+		}
+	})
+}
+
+// Guards against a dispatcher that grants more than its share of a warm replica,
+// one that keeps to the share when it has the whole again, and one that keeps a
+// request waiting that its share can never hold.
+func TestShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var a atomic.Pointer[Authority]
+		a.Store(&Authority{Mode: goose.ModeLeased})
+		r := newRig(t, func(_ *rig, d *Dependencies) { d.Authority = func(time.Time) Authority { return *a.Load() } }, "a")
+		r.run()
+		r.warm()
+		a.Store(&Authority{
+			Mode:  goose.ModeDegraded,
+			Share: func(goose.ReplicaID) gooselimit.Share { return gooselimit.ShareSmaller },
+		})
+		if got := r.try(request("large", 60_000)); got.Status != goose.PermitRefused || got.Refusal.Code != goose.CodeOverloaded {
+			t.Errorf("request above the share: got %s %v, want it refused", got.Status, got.Refusal)
+		}
+		if got := r.grants(); got != 2 {
+			t.Errorf("half: got %d grants, want 2", got)
+		}
+		a.Store(&Authority{Mode: goose.ModeLeased})
+		// After degraded mode a replica must tell first whether a command runs.
+		time.Sleep(2 * pollInterval)
+		if got := r.try(request("whole", 60_000)); got.Status != goose.PermitGranted {
+			t.Errorf("whole: got %s, want granted", got.Status)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/goosedispatch/schedule_test.go
@@ -0,0 +1,353 @@
+package goosedispatch
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+// Guards against giants that hold part of their replicas while they wait for
+// the rest, that block each other, or whose shares do not add up.
+func TestGiantsReserveInOneDecision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil, "a", "b", "c", "d")
+		r.run()
+		r.warm()
+		giant := func(id string) goose.PermitRequest {
+			q := request(id, 250_000)
+			q.OutputTokens = 1000
+			return q
+		}
+		long := r.acquire(request("l1", 70_000), goose.PermitGranted).Permit
+		if a := r.try(giant("g0")); a.Status != goose.PermitWaiting {
+			t.Errorf("giant on three of four replicas beside a long prefill: got %s, want waiting", a.Status)
+		}
+		r.release(long, nil)
+		first := r.acquire(giant("g1"), goose.PermitGranted).Permit
+		sum, counted := 0, 0
+		for _, s := range first.Replicas {
+			sum += s.Tokens
+			counted += r.pool.replicas[s.Replica].limits.Tokens()
+		}
+		if len(first.Replicas) != 3 || sum != 250_000 || counted != 251_000 {
+			t.Errorf("giant: got %d replicas for %d tokens, %d counted; want 3 for 250000, 251000", len(first.Replicas), sum, counted)
+		}
+		if a := r.try(giant("g2")); a.Status != goose.PermitWaiting {
+			t.Errorf("second giant: got %s, want waiting", a.Status)
+		}
+		r.acquire(request("s", 100), goose.PermitGranted)
+		r.release(first, nil)
+		r.acquire(giant("g3"), goose.PermitGranted)
+		if a := r.try(request("huge", 400_001)); a.Refusal.Code != goose.CodePromptTooLong {
+			t.Errorf("more than the pool holds: got %v, want prompt-too-long", a.Refusal)
+		}
+	})
+}
+
+// Guards against a large request that waits until its deadline because small
+// ones take each piece of capacity first.
+func TestLargeRequestIsNotStarved(t *testing.T) {
+	for name, tokens := range map[string]int{"long": 99_000, "giant": 150_000} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, nil, "a", "b")
+				r.run()
+				r.warm()
+				ctx, cancel := context.WithCancel(t.Context())
+				for w := range 20 {
+					go func() {
+						for i := 0; ctx.Err() == nil; i++ {
+							if a := r.pool.Acquire(ctx, request(fmt.Sprint(w, "-", i), 7000)); a.Status == goose.PermitGranted {
+								time.Sleep(time.Duration(50+w) * time.Millisecond)
+								r.release(a.Permit, nil)
+							}
+						}
+					}()
+				}
+				time.Sleep(time.Second)
+				start := time.Now()
+				q := request("large", tokens)
+				for r.pool.Acquire(ctx, q).Status == goose.PermitWaiting && time.Since(start) < 20*time.Second {
+				}
+				if got := time.Since(start); got > 4*time.Second {
+					t.Errorf("wait of the large request: got %v, want under 4s", got)
+				}
+				cancel()
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// Guards against long prefills on more than half of the replicas.
+func TestLongPrefillsLeaveHalfOfThePool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil, "a", "b", "c", "d")
+		r.run()
+		r.warm()
+		first := r.acquire(request("l1", 70_000), goose.PermitGranted).Permit
+		r.acquire(request("l2", 70_000), goose.PermitGranted)
+		if a := r.try(request("l3", 70_000)); a.Status != goose.PermitWaiting {
+			t.Errorf("third long prefill on four replicas: got %s, want waiting", a.Status)
+		}
+		r.pool.Report(goose.PermitReport{Permit: first.ID, Instance: "i1", Phase: goose.PhasePrefilled})
+		r.acquire(request("l4", 70_000), goose.PermitGranted)
+	})
+}
+
+// recorder notes what a bound on long prefills is told.
+type recorder struct {
+	limit int
+	seen  []goose.FirstToken
+}
+
+func (r *recorder) Limit(int) int { return r.limit }
+
+func (r *recorder) Observe(o goose.FirstToken) bool {
+	r.seen = append(r.seen, o)
+	return true
+}
+
+// Guards against a bound on long prefills that is not obeyed, and against one
+// that learns from long or unfinished requests, or takes a request beside a
+// long prefill for one without.
+func TestLongBoundObservesShortRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bound := &recorder{limit: 2}
+		r := newRig(t, func(_ *rig, d *Dependencies) { d.LongBound = bound }, "a", "b")
+		r.run()
+		r.warm()
+		apart := r.acquire(request("s1", 1000), goose.PermitGranted).Permit
+		long := r.acquire(request("l1", 70_000), goose.PermitGranted).Permit
+		r.acquire(request("l2", 70_000), goose.PermitGranted)
+		bound.limit = 1
+		if a := r.try(request("l3", 70_000)); a.Status != goose.PermitWaiting {
+			t.Errorf("long prefill beyond the bound: got %s, want waiting", a.Status)
+		}
+		beside := r.acquire(request("s2", 2000), goose.PermitGranted).Permit
+		failed := r.acquire(request("s3", 3000), goose.PermitGranted).Permit
+		r.release(apart, func(p *goose.PermitReport) { p.First = time.Second })
+		r.release(beside, func(p *goose.PermitReport) { p.First = 2 * time.Second })
+		r.release(failed, func(p *goose.PermitReport) { p.Outcome = goose.OutcomeFailed })
+		r.release(long, nil)
+		want := []goose.FirstToken{
+			{PromptTokens: 1000, Wait: time.Second},
+			{Beside: true, PromptTokens: 2000, Wait: 2 * time.Second},
+		}
+		if !slices.Equal(bound.seen, want) {
+			t.Errorf("observed: got %+v, want %+v", bound.seen, want)
+		}
+	})
+}
+
+// fillQueue teaches the pool a rate of 100,000 tokens per second (one second per
+// request, room for four) and leaves twenty requests, five seconds, in its queue.
+func (r *rig) fillQueue() {
+	for i := range 8 {
+		g := r.acquire(request(fmt.Sprint("w", i), 25_000), goose.PermitGranted).Permit
+		time.Sleep(time.Second)
+		r.release(g, nil)
+	}
+	for i := range 24 {
+		go r.pool.Acquire(r.t.Context(), request(fmt.Sprint("q", i), 25_000))
+	}
+	synctest.Wait()
+}
+
+// Guards against requests that wait for a deadline they cannot meet, and
+// against refusals without advice when to come back.
+func TestAdmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil, "a")
+		r.run()
+		r.warm()
+		r.fillQueue()
+		q := request("late", 25_000)
+		q.TimeLeft = 5 * time.Second
+		a := r.try(q)
+		if a.Refusal.Code != goose.CodeOverloaded || a.Refusal.Run != goose.RunNot {
+			t.Fatalf("five seconds of queue, one of work, five left: got %s %v, want overloaded", a.Status, a.Refusal)
+		}
+		if got := a.Refusal.RetryAfter; got < time.Second/2 || got > 2*time.Second {
+			t.Errorf("retry after: got %v, want about 1s", got)
+		}
+		q.TimeLeft = 8 * time.Second
+		if a := r.try(q); a.Status != goose.PermitWaiting {
+			t.Errorf("with eight seconds left: got %s, want waiting", a.Status)
+		}
+		time.Sleep(goose.PollWait + 2*time.Second)
+		r.pool.mu.Lock()
+		defer r.pool.mu.Unlock()
+		if got := r.pool.d.Discipline.Len(); got != 0 {
+			t.Errorf("queue after the polls stopped: got %d, want 0", got)
+		}
+	})
+}
+
+// Guards against requests that wait for replicas that are all unreachable, or
+// cold in degraded mode: another data centre could serve them.
+func TestNoUsableReplica(t *testing.T) {
+	tests := map[string]func(*rig){
+		"unreachable":    func(r *rig) { r.protocol.set("a:1", func(e *fakeEngine) { e.down = true }) },
+		"cold, degraded": func(r *rig) { r.mode = goose.ModeDegraded },
+	}
+	for name, setup := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, func(r *rig, _ *Dependencies) { setup(r) }, "a")
+				r.run()
+				time.Sleep(4 * time.Second)
+				if a := r.try(request("r1", 100)); a.Refusal.Code != goose.CodeOverloaded || a.Refusal.RetryAfter == 0 {
+					t.Errorf("got %s %v, want overloaded with a time to come back", a.Status, a.Refusal)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a waiting request that outlives its deadline, and against a
+// refusal without advice when to come back.
+func TestDeadlineInTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil, "a")
+		r.run()
+		r.acquire(request("r1", 100), goose.PermitGranted)
+		q := request("r2", 100)
+		q.TimeLeft = 1500 * time.Millisecond
+		a := r.acquire(q, goose.PermitRefused)
+		if a.Refusal.Code != goose.CodeDeadline || a.Refusal.Run != goose.RunNot {
+			t.Errorf("got %v %s, want deadline not-run", a.Refusal, a.Refusal.Run)
+		}
+		if got, want := a.Refusal.RetryAfter, goose.RetryAfterDefault; got != want {
+			t.Errorf("retry after, before any release: got %v, want %v", got, want)
+		}
+	})
+}
+
+// Guards against refusals of expired requests whose advice ignores the queue.
+func TestRetryAfterTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil, "a")
+		r.run()
+		r.warm()
+		r.fillQueue()
+		q := request("over", 25_000)
+		q.TimeLeft = 0
+		a := r.try(q)
+		if a.Refusal.Code != goose.CodeDeadline || a.Refusal.Run != goose.RunNot {
+			t.Fatalf("no time left: got %s %v, want deadline not-run", a.Status, a.Refusal)
+		}
+		if got := a.Refusal.RetryAfter; got < 5*time.Second || got > 7*time.Second {
+			t.Errorf("no time left: got retry after %v, want five seconds of queue and one of work", got)
+		}
+	})
+}
+
+// Guards against new work on leaving or removed replicas, and against added
+// ones that stay unused or start at full limits.
+func TestConfigurationChanges(t *testing.T) {
+	tests := map[string]struct {
+		change func(*fakeCatalogue)
+		want   int
+		code   goose.Code
+	}{
+		"unchanged":      {func(*fakeCatalogue) {}, 4, ""},
+		"server leaves":  {func(c *fakeCatalogue) { c.servers[0].State = goose.StateLeaving }, 0, goose.CodeLeaving},
+		"centre leaves":  {func(c *fakeCatalogue) { c.leaving = true }, 0, goose.CodeLeaving},
+		"server removed": {func(c *fakeCatalogue) { c.servers = nil }, 0, goose.CodeNoRoute},
+		"server added":   {func(c *fakeCatalogue) { c.servers = append(c.servers, server("b")) }, 5, ""},
+		"fewer slots":    {func(c *fakeCatalogue) { c.servers[0].Concurrency = 2 }, 2, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, nil, "a")
+				r.run()
+				r.warm()
+				wait := make(chan goose.PermitAnswer, 1)
+				full := request("full", 100_000)
+				g := r.acquire(full, goose.PermitGranted).Permit
+				go func() { wait <- r.pool.Acquire(t.Context(), request("waiting", 100_000)) }()
+				synctest.Wait()
+				r.source.change(tt.change)
+				time.Sleep(1500 * time.Millisecond)
+				if a := <-wait; a.Refusal.Code != tt.code {
+					t.Errorf("waiting request: got %v, want %q", a.Refusal, tt.code)
+				} else if leaving := tt.code == goose.CodeLeaving; leaving != (a.Refusal.RetryAfter == goose.RetryAfterLeaving) {
+					t.Errorf("waiting request: got retry after %v with code %q", a.Refusal.RetryAfter, tt.code)
+				}
+				r.pool.Abandon("waiting")
+				r.release(g, func(x *goose.PermitReport) { x.Outcome = goose.OutcomeCancelled })
+				if got := r.grants(); got != tt.want {
+					t.Errorf("grants afterwards: got %d, want %d", got, tt.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against cold replicas used in degraded mode, replicas of other parts,
+// and grants without authority.
+func TestModes(t *testing.T) {
+	tests := map[string]struct {
+		authority Authority
+		warm      bool
+		want      int
+	}{
+		"leased, warm":              {Authority{Mode: goose.ModeLeased}, true, 4},
+		"consented, cold":           {Authority{Mode: goose.ModeConsented}, false, 1},
+		"degraded, cold":            {Authority{Mode: goose.ModeDegraded}, false, 0},
+		"degraded, warm":            {Authority{Mode: goose.ModeDegraded}, true, 4},
+		"degraded, of another part": {Authority{Mode: goose.ModeDegraded, Owns: func(goose.ReplicaID) bool { return false }}, true, 0},
+		"stopped":                   {Authority{Mode: goose.ModeStopped}, true, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, func(_ *rig, d *Dependencies) {
+					d.Authority = func(time.Time) Authority { return tt.authority }
+				}, "a")
+				r.run()
+				if tt.warm {
+					r.warm()
+				}
+				if got := r.grants(); got != tt.want {
+					t.Errorf("grants: got %d, want %d", got, tt.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a planned stop after which the successor starts cold, grants
+// twice, or loses the count of running permits.
+func TestHandoverKeepsState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil, "a", "b")
+		r.run()
+		r.warm()
+		r.pool.mu.Lock()
+		r.pool.turnCold(r.pool.replicas["b"], "test")
+		r.pool.mu.Unlock()
+		g := r.acquire(request("r1", 100), goose.PermitGranted).Permit
+		h := r.pool.Resign()
+		if a := r.try(request("r2", 100)); a.Status != goose.PermitElsewhere {
+			t.Errorf("after the resign: got %s, want elsewhere", a.Status)
+		}
+		if r.pool.Apply(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhaseReleased}) {
+			t.Error("report after the resign: got accepted, want it for the successor")
+		}
+		next := newRig(t, func(n *rig, d *Dependencies) {
+			d.Handover, n.protocol, n.holders.complete = &h, r.protocol, false
+		}, "a", "b")
+		next.run()
+		if got := next.grants(); got != 4 {
+			t.Errorf("grants beside the inherited permit, one warm and one cold replica: got %d, want 4", got)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/goosedispatch/status.go
@@ -0,0 +1,83 @@
+package goosedispatch
+
+import (
+	"sort"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+// Status is what operators see of a pool's dispatcher.
+type Status struct {
+	Pool     goose.Pool         `cbor:"1,keyasint" json:"pool"`
+	Epoch    goose.Epoch        `cbor:"2,keyasint" json:"epoch"`
+	Mode     goose.DispatchMode `cbor:"3,keyasint" json:"mode"`
+	Waiting  int                `cbor:"4,keyasint" json:"waiting"`
+	Permits  int                `cbor:"5,keyasint" json:"permits"`
+	Replicas []ReplicaStatus    `cbor:"6,keyasint" json:"replicas"`
+}
+
+// ReplicaStatus is what operators see of a replica.
+type ReplicaStatus struct {
+	Replica   goose.ReplicaID `cbor:"1,keyasint" json:"replica"`
+	Process   string          `cbor:"2,keyasint" json:"process"`
+	Reachable bool            `cbor:"3,keyasint" json:"reachable"`
+	Cold      bool            `cbor:"4,keyasint" json:"cold"`
+	// Concurrency and TokenLimit are the present limits.
+	Concurrency int `cbor:"5,keyasint" json:"concurrency"`
+	TokenLimit  int `cbor:"6,keyasint" json:"token-limit"`
+	// Requests and Tokens are in flight.
+	Requests int `cbor:"7,keyasint" json:"requests"`
+	Tokens   int `cbor:"8,keyasint" json:"tokens"`
+	// Load is the command in progress; empty if there is none.
+	Load string `cbor:"10,keyasint" json:"load,omitempty"`
+	// Orphans are streams without an owner.
+	Orphans int `cbor:"9,keyasint" json:"orphans"`
+}
+
+// Status returns a snapshot of the dispatcher.
+func (p *Pool) Status() Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := Status{
+		Pool: p.d.Pool, Epoch: p.d.Epoch, Mode: p.authority(p.d.Clock.Now()).Mode,
+		Waiting: len(p.waiting), Permits: len(p.permits),
+	}
+	for _, r := range p.order {
+		load := ""
+		if r.load != nil {
+			load = r.load.command.String()
+		}
+		s.Replicas = append(s.Replicas, ReplicaStatus{
+			Load:    load,
+			Replica: r.id, Process: r.process, Reachable: r.reachable, Cold: r.limits.Cold(),
+			Concurrency: r.limits.Concurrency(), TokenLimit: r.limits.TokenLimit(),
+			Requests: r.limits.Requests(), Tokens: r.limits.Tokens(), Orphans: len(r.orphans),
+		})
+	}
+	return s
+}
+
+// Idle reports whether no request waits or runs.
+func (p *Pool) Idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiting) == 0 && len(p.permits) == 0
+}
+
+// Status returns the pools that this instance dispatches, ordered by name.
+func (m *Manager) Status() []Status {
+	m.mu.Lock()
+	var pools []*Pool
+	for _, s := range m.states {
+		if s.running != nil {
+			pools = append(pools, s.running.pool)
+		}
+	}
+	m.mu.Unlock()
+	out := make([]Status, 0, len(pools))
+	for _, p := range pools {
+		out = append(out, p.Status())
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Pool.String() < out[j].Pool.String() })
+	return out
+}
--- /dev/null
+++ b/pkg/goosedispatch/wire.go
@@ -0,0 +1,79 @@
+package goosedispatch
+
+import "github.com/gooseberryhold/gooseberryhold/pkg/goose"
+
+// Kinds of peer calls.
+const (
+	// KindAcquire takes a goose.PermitRequest and answers a goose.PermitAnswer.
+	KindAcquire = "permit-acquire"
+	// KindAbandon takes an AbandonRequest.
+	KindAbandon = "permit-abandon"
+	// KindReport takes a ReportRequest and answers a ReportReply.
+	KindReport = "permit-report"
+	// KindCollect takes a CollectRequest and answers a goose.Collected.
+	KindCollect = "permit-collect"
+	// KindHeld takes a HeldRequest and answers a HeldReply.
+	KindHeld = "permit-held"
+	// KindHandover takes a Handover and answers a HandoverReply.
+	KindHandover = "pool-handover"
+	// KindConsent takes a ConsentRequest and answers a ConsentReply.
+	KindConsent = "pool-consent"
+	// KindCommand takes a CommandCall and answers a goose.CommandResult.
+	KindCommand = "pool-command"
+	// KindStatus takes a StatusCall and answers a StatusReply.
+	KindStatus = "pool-status"
+)
+
+// AbandonRequest removes a waiting request from the queue of a pool.
+type AbandonRequest struct {
+	Pool    goose.Pool      `cbor:"1,keyasint"`
+	Request goose.RequestID `cbor:"2,keyasint"`
+}
+
+// ReportRequest carries reports on permits of one pool.
+type ReportRequest struct {
+	Pool    goose.Pool           `cbor:"1,keyasint"`
+	Reports []goose.PermitReport `cbor:"2,keyasint"`
+}
+
+// ReportReply acknowledges reports. Accepted is false if the instance does not
+// dispatch the pool; the reports must be sent to its successor.
+type ReportReply struct {
+	Accepted bool `cbor:"1,keyasint"`
+}
+
+// CollectRequest asks for the permits held for a pool. The holder drops grants
+// of epochs before Epoch from then on.
+type CollectRequest struct {
+	Pool  goose.Pool  `cbor:"1,keyasint"`
+	Epoch goose.Epoch `cbor:"2,keyasint"`
+}
+
+// HeldRequest asks which of some permits the instance still holds.
+type HeldRequest struct {
+	Pool    goose.Pool       `cbor:"1,keyasint"`
+	Permits []goose.PermitID `cbor:"2,keyasint"`
+}
+
+// HeldReply lists the permits that are still held. Incarnation is that of the
+// instance: a restarted one does not know what its former process left running.
+type HeldReply struct {
+	Permits     []goose.PermitID `cbor:"1,keyasint"`
+	Incarnation int64            `cbor:"2,keyasint"`
+}
+
+// HandoverReply tells whether the successor will use the state.
+type HandoverReply struct {
+	Accepted bool `cbor:"1,keyasint"`
+}
+
+// ConsentRequest asks for the promise not to take a pool.
+type ConsentRequest struct {
+	Pool  goose.Pool  `cbor:"1,keyasint"`
+	Epoch goose.Epoch `cbor:"2,keyasint"`
+}
+
+// ConsentReply is the promise, valid for PromiseValidity from when it was asked.
+type ConsentReply struct {
+	Promised bool `cbor:"1,keyasint"`
+}
