--- /dev/null
+++ b/pkg/gooselimit/limit_test.go
@@ -0,0 +1,246 @@
+package gooselimit
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/gooseberryhold/gooseberryhold/internal/gooserapid"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+func spec(concurrency, cold int) goose.BackendServer {
+	return goose.BackendServer{MemoryTokens: 1000 * concurrency, Concurrency: concurrency, ColdConcurrency: cold, ColdTokens: 1000 * cold}
+}
+
+// Guards against any sequence of events that lets a replica have more in
+// flight than its cold limit plus the successes granted since it turned cold.
+func TestColdBoundHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		concurrency := rapid.IntRange(1, 12).Draw(t, "concurrency")
+		cold := rapid.IntRange(1, concurrency).Draw(t, "cold")
+		s := spec(concurrency, cold)
+		r := New(s)
+		var ids []goose.PermitID
+		granted, generation, successes := map[goose.PermitID]int{}, 0, 0
+		tokens := map[goose.PermitID]int{}
+		grant := func() {
+			d := Demand{Tokens: rapid.IntRange(1, 2000).Draw(t, "tokens"), Long: rapid.IntRange(0, 9).Draw(t, "long") == 0}
+			if !r.Fits(d) {
+				return
+			}
+			id := goose.PermitID(fmt.Sprint(len(granted)))
+			r.Add(id, d)
+			ids, granted[id], tokens[id] = append(ids, id), generation, d.Tokens
+			sum, allowed := 0, s.ColdTokens*(cold+successes)/cold
+			for _, id := range ids {
+				sum += tokens[id]
+			}
+			if got, want := len(ids), min(concurrency, cold+successes); got > want {
+				t.Fatalf("requests after a grant: got %d, want at most %d", got, want)
+			}
+			if want := min(s.MemoryTokens, allowed); sum > want {
+				t.Fatalf("tokens after a grant: got %d, want at most %d", sum, want)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"grant": func(*rapid.T) { grant() },
+			"grant some": func(*rapid.T) {
+				for range 4 {
+					grant()
+				}
+			},
+			"release": func(t *rapid.T) {
+				if len(ids) == 0 {
+					return
+				}
+				k := rapid.IntRange(0, len(ids)-1).Draw(t, "permit")
+				good := rapid.IntRange(0, 3).Draw(t, "good") > 0
+				if good && granted[ids[k]] == generation {
+					successes++
+				}
+				r.Remove(ids[k], good)
+				r.Remove(ids[k], good)
+				ids = append(ids[:k], ids[k+1:]...)
+			},
+			"turn cold": func(*rapid.T) {
+				r.TurnCold()
+				generation++
+				successes = 0
+			},
+			"prefill done": func(*rapid.T) {
+				if len(ids) > 0 {
+					r.PrefillDone(ids[0])
+				}
+			},
+		})
+	})
+}
+
+// Guards against a replica that never reaches its full limits, and against
+// counts that do not return to zero.
+func TestRampReachesFullLimits(t *testing.T) {
+	r := New(spec(32, 2))
+	for i := range 62 {
+		if !r.Cold() {
+			t.Fatalf("warm after %d successes, want 62 or fewer only at the end", i)
+		}
+		id := goose.PermitID(fmt.Sprint(i))
+		r.Add(id, Demand{Tokens: 10})
+		r.Remove(id, true)
+		if i == 29 && r.Concurrency() != 32 {
+			t.Errorf("concurrency after 30 successes: got %d, want 32", r.Concurrency())
+		}
+		if r.Concurrency() == 32 && r.TokenLimit() == 32_000 {
+			break
+		}
+	}
+	if r.Cold() || r.Tokens() != 0 || r.Requests() != 0 {
+		t.Errorf("at the end: cold %v, tokens %d, requests %d; want warm and nothing in flight", r.Cold(), r.Tokens(), r.Requests())
+	}
+}
+
+// Guards against demands that run beside a suspect or beside a long prefill.
+func TestFits(t *testing.T) {
+	tests := map[string]struct {
+		running Demand
+		next    Demand
+		want    bool
+	}{
+		"beside a request":             {Demand{Tokens: 1}, Demand{Tokens: 1}, true},
+		"beside a suspect":             {Demand{Tokens: 1, Exclusive: true}, Demand{Tokens: 1}, false},
+		"suspect beside a request":     {Demand{Tokens: 1}, Demand{Tokens: 1, Exclusive: true}, false},
+		"second long prefill":          {Demand{Tokens: 1, Long: true}, Demand{Tokens: 1, Long: true}, false},
+		"short beside a long prefill":  {Demand{Tokens: 1, Long: true}, Demand{Tokens: 1}, true},
+		"more memory than there is":    {Demand{Tokens: 3000}, Demand{Tokens: 1001}, false},
+		"exactly the memory there is":  {Demand{Tokens: 3000}, Demand{Tokens: 1000}, true},
+		"alone, beyond the cold limit": {Demand{}, Demand{Tokens: 4001}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := New(spec(4, 4))
+			r.Add("a", tt.running)
+			if got := r.Fits(tt.next); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+			r.PrefillDone("a")
+			if got := r.Fits(tt.next); tt.running.Long && !got {
+				t.Errorf("after the prefill: got %v, want true", got)
+			}
+		})
+	}
+}
+
+// Guards against two dispatchers that, with a half each, together grant more
+// than a warm replica bears, whatever they see of each other's work, and against
+// work of the other one that takes the own half.
+func TestSharesStayWithinTheLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := spec(rapid.IntRange(1, 9).Draw(t, "concurrency"), 1)
+		larger, smaller := New(s), New(s)
+		sides := []*Replica{larger, smaller}
+		larger.SetShare(ShareLarger)
+		smaller.SetShare(ShareSmaller)
+		type grant struct {
+			side   int
+			tokens int
+		}
+		running := map[goose.PermitID]grant{}
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			for _, r := range sides {
+				r.Restore(0)
+			}
+			id := goose.PermitID(fmt.Sprint(i))
+			g := grant{rapid.IntRange(0, 1).Draw(t, "side"), rapid.IntRange(1, 1500).Draw(t, "tokens")}
+			if sides[g.side].Fits(Demand{Tokens: g.tokens}) {
+				sides[g.side].Add(id, Demand{Tokens: g.tokens})
+				running[id] = g
+				if rapid.Bool().Draw(t, "seen") {
+					sides[1-g.side].Add(id, Demand{Tokens: g.tokens, Foreign: true})
+				}
+			} else if len(running) > 0 && rapid.Bool().Draw(t, "ends") {
+				for id := range running {
+					larger.Remove(id, true)
+					smaller.Remove(id, true)
+					delete(running, id)
+					break
+				}
+			}
+			tokens := 0
+			for _, g := range running {
+				tokens += g.tokens
+			}
+			if len(running) > s.Concurrency || tokens > s.MemoryTokens {
+				t.Fatalf("got %d requests with %d tokens, want at most %d with %d", len(running), tokens, s.Concurrency, s.MemoryTokens)
+			}
+		}
+	})
+}
+
+// Guards against a share that shrinks because the other dispatcher uses its own.
+func TestForeignWorkLeavesTheShare(t *testing.T) {
+	r := New(spec(4, 1))
+	r.Restore(0)
+	r.SetShare(ShareSmaller)
+	r.Add("a", Demand{Tokens: 1000, Foreign: true})
+	r.Add("b", Demand{Tokens: 1000, Foreign: true})
+	for i := range 3 {
+		got, want := r.Fits(Demand{Tokens: 1000}), i < 2
+		if got != want {
+			t.Errorf("own request %d: got %v, want %v", i, got, want)
+		}
+		if got {
+			r.Add(goose.PermitID(fmt.Sprint(i)), Demand{Tokens: 1000})
+		}
+	}
+	r.SetShare(ShareWhole)
+	if r.Fits(Demand{Tokens: 1}) {
+		t.Error("full replica: got room for one more request")
+	}
+}
+
+// Guards against prompt tokens that count as not computed for ever, or count
+// twice, after any order of first tokens and releases.
+func TestPrefillsAreThoseWithoutFirstToken(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New(spec(12, 1))
+		open := map[goose.PermitID]Demand{}
+		id := func() goose.PermitID { return goose.PermitID(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "permit"))) }
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				id, d := id(), Demand{
+					Tokens: 9, Long: rapid.Bool().Draw(t, "long"),
+					Prefill: rapid.IntRange(0, 5000).Draw(t, "prefill"), Priority: rapid.IntRange(0, Priorities-1).Draw(t, "priority"),
+				}
+				if !r.Has(id) {
+					open[id] = d
+				}
+				r.Add(id, d)
+			},
+			"first token": func(*rapid.T) {
+				id := id()
+				r.PrefillDone(id)
+				delete(open, id)
+			},
+			"release": func(*rapid.T) {
+				id := id()
+				r.Remove(id, rapid.Bool().Draw(t, "good"))
+				delete(open, id)
+			},
+			"": func(t *rapid.T) {
+				for p := range Priorities {
+					want := 0
+					for _, d := range open {
+						if d.Priority <= p {
+							want += d.Prefill
+						}
+					}
+					if got := r.Prefills(p); got != want {
+						t.Fatalf("prompt tokens up to priority %d: got %d, want %d", p, got, want)
+					}
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/pkg/gooseload/log.go
@@ -0,0 +1,284 @@
+// Package gooseload records commands to backend servers in the platform's store
+// and shares the rate of the weight store between the dispatchers of a fleet.
+package gooseload
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+const (
+	// SendWithin is how long after its first call to the store a command may be
+	// sent. A place in the rate stays taken this much longer than the period, so
+	// that a late load and the next one are still a period apart.
+	SendWithin = 3 * time.Second
+	// slotMargin covers the way of the command to the backend server and of that
+	// server's call to the weight store.
+	slotMargin = time.Second
+	// tries bounds how often a place is looked for again when another dispatcher
+	// took it first.
+	tries = 3
+	// retention is how long records of commands are kept.
+	retention = 90 * 24 * time.Hour
+	// leaseUse is how long one retention lease takes new records.
+	leaseUse = 24 * time.Hour
+)
+
+// Errors of Begin. Nothing may be sent after any of them.
+var (
+	// ErrNoRate means that operators have not stated the rate of the weight store.
+	ErrNoRate = errors.New("the configuration has no weight-store rate")
+	// ErrRate means that the fleet has used up the rate of the weight store.
+	ErrRate = errors.New("the rate of the weight store is used up")
+	// ErrStore means that the store did not answer.
+	ErrStore = errors.New("the platform's store does not answer")
+)
+
+// NoOutcome is the reason in a record until the outcome is written.
+const NoOutcome = "no outcome was recorded"
+
+// Options are what a Log works with. Clock may be nil.
+type Options struct {
+	Store goose.Store
+	Fleet string
+	// Rate returns the rate in force; nil if operators state none.
+	Rate  func() *goose.WeightStore
+	Clock goose.Clock
+}
+
+// Entry is the record of one command.
+type Entry struct {
+	ID      string          `cbor:"1,keyasint"`
+	Author  string          `cbor:"2,keyasint"`
+	Time    time.Time       `cbor:"3,keyasint"`
+	Replica goose.ReplicaID `cbor:"4,keyasint"`
+	Command goose.Command   `cbor:"5,keyasint"`
+	Force   bool            `cbor:"6,keyasint"`
+	// Result is unknown until the dispatcher has written the outcome.
+	Result goose.CommandResult `cbor:"7,keyasint"`
+}
+
+// Log implements goose.CommandLog. It is safe for concurrent use.
+type Log struct {
+	o      Options
+	prefix string
+
+	mu sync.Mutex
+	// keep is the store lease that deletes old records, granted at keepSince.
+	keep      goose.LeaseID
+	keepSince time.Time
+}
+
+var _ goose.CommandLog = (*Log)(nil)
+
+// New returns the log of a fleet.
+func New(o Options) *Log {
+	if o.Clock == nil {
+		o.Clock = goose.SystemClock{}
+	}
+	return &Log{o: o, prefix: "/gooseberryhold/" + o.Fleet + "/commands/"}
+}
+
+func (l *Log) slotPrefix() string   { return l.prefix + "slots/" }
+func (l *Log) slotKey(i int) string { return fmt.Sprintf("%s%04d", l.slotPrefix(), i) }
+func (l *Log) recordPrefix() string { return l.prefix + "records/" }
+func (l *Log) recordKey(e Entry) string {
+	// Newer records sort first, so that the newest can be listed alone.
+	return fmt.Sprintf("%s%019d-%s", l.recordPrefix(), math.MaxInt64-e.Time.UnixNano(), e.ID)
+}
+
+// ticket implements goose.CommandTicket.
+type ticket struct {
+	log   *Log
+	entry Entry
+	lease goose.LeaseID
+	until time.Time
+}
+
+// Until implements goose.CommandTicket.
+func (t *ticket) Until() time.Time { return t.until }
+
+// End implements goose.CommandTicket.
+func (t *ticket) End(ctx context.Context, r goose.CommandResult) error {
+	t.entry.Result = r
+	op, err := t.log.put(t.entry, t.lease)
+	if err != nil {
+		return err
+	}
+	_, err = t.log.o.Store.Commit(ctx, goose.Txn{Then: []goose.Op{op}})
+	return errors.Wrap(err, "record the outcome of a command")
+}
+
+func (l *Log) put(e Entry, lease goose.LeaseID) (goose.Op, error) {
+	value, err := cbor.Marshal(e)
+	if err != nil {
+		return goose.Op{}, errors.Wrap(err, "encode the record of a command")
+	}
+	return goose.Put(l.recordKey(e), value).WithLease(lease), nil
+}
+
+// Begin implements goose.CommandLog. Errors: ErrNoRate, ErrRate, ErrStore. A
+// place whose claim was lost frees itself after the period.
+func (l *Log) Begin(ctx context.Context, q goose.CommandRequest) (goose.CommandTicket, error) {
+	started := l.o.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, SendWithin)
+	defer cancel()
+	t := &ticket{log: l, until: started.Add(SendWithin), entry: Entry{
+		ID: q.ID, Author: q.Author, Time: started.UTC(), Replica: q.Replica, Command: q.Command, Force: q.Force,
+		Result: goose.CommandResult{Outcome: goose.CommandUnknown, Reason: NoOutcome},
+	}}
+	err := l.begin(ctx, t)
+	if errors.Is(err, goose.ErrLeaseGone) {
+		l.forget(t.lease)
+	}
+	if errors.Is(err, goose.ErrUnavailable) || errors.Is(err, goose.ErrUncertain) || errors.Is(err, goose.ErrLeaseGone) || ctx.Err() != nil {
+		return nil, fmt.Errorf("%w: %w", ErrStore, err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+func (l *Log) begin(ctx context.Context, t *ticket) error {
+	rate := l.o.Rate()
+	if t.entry.Command.Loads() && rate == nil {
+		return ErrNoRate
+	}
+	var err error
+	if t.lease, err = l.retain(ctx); err != nil {
+		return err
+	}
+	record, err := l.put(t.entry, t.lease)
+	if err != nil {
+		return err
+	}
+	if t.entry.Command.Loads() {
+		return l.claim(ctx, t, *rate, record)
+	}
+	_, err = l.o.Store.Commit(ctx, goose.Txn{If: []goose.Compare{{Key: record.Key}}, Then: []goose.Op{record}})
+	return l.settled(ctx, err, record.Key, t.entry.ID)
+}
+
+// claim takes one of the places in the rate, together with the record. A place
+// is a key with a lease, so that the store's clock alone counts the period.
+func (l *Log) claim(ctx context.Context, t *ticket, rate goose.WeightStore, record goose.Op) error {
+	var lease goose.LeaseID
+	for range tries {
+		free, err := l.freeSlots(ctx, rate.Loads)
+		if err != nil {
+			return err
+		}
+		if len(free) == 0 {
+			return fmt.Errorf("%w: %d loads within %s", ErrRate, rate.Loads, rate.Period)
+		}
+		if lease == 0 {
+			// Granted after the ticket's time began, so that it outlasts the ticket
+			// by the whole period.
+			if lease, err = l.o.Store.Grant(ctx, wholeSeconds(rate.Period+SendWithin+slotMargin)); err != nil {
+				return err
+			}
+		}
+		key := l.slotKey(free[rand.IntN(len(free))])
+		result, err := l.o.Store.Commit(ctx, goose.Txn{
+			If:   []goose.Compare{{Key: key}, {Key: record.Key}},
+			Then: []goose.Op{goose.Put(key, []byte(t.entry.ID)).WithLease(lease), record},
+		})
+		if err != nil {
+			return l.settled(ctx, err, record.Key, t.entry.ID)
+		}
+		if result.Succeeded {
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: other loads were first", ErrRate)
+}
+
+// settled finds out whether a write took effect whose answer was lost: the
+// record is written by it alone.
+func (l *Log) settled(ctx context.Context, err error, key, id string) error {
+	if !errors.Is(err, goose.ErrUncertain) {
+		return err
+	}
+	if _, ok, readErr := l.o.Store.Get(ctx, key); readErr == nil && ok {
+		return nil
+	}
+	return errors.Wrapf(err, "record of %s", id)
+}
+
+// freeSlots returns the places that no load holds.
+func (l *Log) freeSlots(ctx context.Context, loads int) ([]int, error) {
+	taken, _, err := l.o.Store.List(ctx, l.slotPrefix(), 0)
+	if err != nil || len(taken) >= loads {
+		// More are taken than there are after operators lowered the rate.
+		return nil, err
+	}
+	held := make(map[string]bool, len(taken))
+	for _, e := range taken {
+		held[e.Key] = true
+	}
+	var free []int
+	for i := range loads {
+		if !held[l.slotKey(i)] {
+			free = append(free, i)
+		}
+	}
+	return free, nil
+}
+
+// retain returns the store lease that deletes records after the retention
+// period: one per instance and day.
+func (l *Log) retain(ctx context.Context) (goose.LeaseID, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.o.Clock.Now()
+	if l.keep != 0 && now.Sub(l.keepSince) < leaseUse {
+		return l.keep, nil
+	}
+	id, err := l.o.Store.Grant(ctx, retention+leaseUse)
+	if err != nil {
+		return 0, errors.Wrap(err, "retention lease")
+	}
+	l.keep, l.keepSince = id, now
+	return id, nil
+}
+
+// forget drops a retention lease that the store does not know.
+func (l *Log) forget(id goose.LeaseID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.keep == id {
+		l.keep = 0
+	}
+}
+
+func wholeSeconds(d time.Duration) time.Duration {
+	return (d + time.Second - 1).Truncate(time.Second)
+}
+
+// Entries returns the newest records, at most limit, newest first.
+func (l *Log) Entries(ctx context.Context, limit int) ([]Entry, error) {
+	all, _, err := l.o.Store.List(ctx, l.recordPrefix(), limit)
+	if err != nil {
+		return nil, errors.Wrap(err, "records of commands")
+	}
+	out := make([]Entry, 0, len(all))
+	for _, e := range all {
+		var entry Entry
+		if err := cbor.Unmarshal(e.Value, &entry); err != nil {
+			return nil, errors.Wrapf(err, "record %s", strings.TrimPrefix(e.Key, l.recordPrefix()))
+		}
+		out = append(out, entry)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/pkg/gooseload/log_test.go
@@ -0,0 +1,234 @@
+package gooseload
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosestore"
+)
+
+func newLog(store goose.Store, rate *goose.WeightStore) *Log {
+	return New(Options{Store: store, Fleet: "test", Rate: func() *goose.WeightStore { return rate }})
+}
+
+func loadModel(id string) goose.CommandRequest {
+	return goose.CommandRequest{
+		ID: id, Author: "ada", Replica: "leith-engine-1", Command: goose.Command{Kind: goose.CommandLoadModel, Name: "wording-8"},
+	}
+}
+
+// Guards against more loads within a period than the weight store bears, while
+// several dispatchers send each load as late as they may and answers of the
+// store are lost.
+func TestRateOverTheFleet(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runFleet(t, seed) })
+		})
+	}
+}
+
+func runFleet(t *testing.T, seed uint64) {
+	const dispatchers, duration = 5, 5 * time.Minute
+	random := rand.New(rand.NewPCG(seed, 1))
+	var mu sync.Mutex
+	draw := func(n int64) time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return time.Duration(random.Int64N(n))
+	}
+	store := goosestore.NewMemory(goose.SystemClock{})
+	losses := []goosestore.Loss{goosestore.LossAnswer, goosestore.LossRequest, goosestore.LossLate}
+	store.SetFaults(goosestore.Faults{Slow: 200 * time.Millisecond, Late: time.Second, Lose: func(goosestore.Call) goosestore.Loss {
+		if i := int(draw(20)); i < len(losses) {
+			return losses[i]
+		}
+		return goosestore.LossNone
+	}})
+	rate := goose.WeightStore{Loads: 1 + int(seed%3), Period: 10 * time.Second}
+	var sent []time.Time
+	var all sync.WaitGroup
+	for d := range dispatchers {
+		l := newLog(store, &rate)
+		all.Go(func() {
+			for i, start := 0, time.Now(); time.Since(start) < duration; i++ {
+				k, err := l.Begin(context.Background(), loadModel(fmt.Sprintf("%d-%d", d, i)))
+				if err != nil {
+					time.Sleep(draw(int64(2 * time.Second)))
+					continue
+				}
+				time.Sleep(draw(int64(time.Until(k.Until()) + time.Second)))
+				if now := time.Now(); now.Before(k.Until()) {
+					mu.Lock()
+					sent = append(sent, now)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	all.Wait()
+	if len(sent) < 3*rate.Loads {
+		t.Fatalf("loads sent: got %d, want more", len(sent))
+	}
+	slices.SortFunc(sent, time.Time.Compare)
+	for i := range len(sent) - rate.Loads {
+		if got := sent[i+rate.Loads].Sub(sent[i]); got < rate.Period {
+			t.Errorf("%d loads within %s, want at most %d within %s", rate.Loads+1, got, rate.Loads, rate.Period)
+		}
+	}
+}
+
+// Guards against a command that is sent although no place was taken for it or
+// no record of it was written, and against a lost answer that costs a command.
+func TestBegin(t *testing.T) {
+	rate := &goose.WeightStore{Loads: 1, Period: time.Minute}
+	role := loadModel("r")
+	role.Command = goose.Command{Kind: goose.CommandSetRole, Name: "prefill"}
+	lose := func(c goosestore.Call, l goosestore.Loss) goosestore.Faults {
+		return goosestore.Faults{Lose: func(got goosestore.Call) goosestore.Loss {
+			if got == c {
+				return l
+			}
+			return goosestore.LossNone
+		}}
+	}
+	tests := map[string]struct {
+		rate   *goose.WeightStore
+		q      goose.CommandRequest
+		faults goosestore.Faults
+		before int
+		want   error
+	}{
+		"load":                    {rate, loadModel("l"), goosestore.Faults{}, 0, nil},
+		"load without a rate":     {nil, loadModel("l"), goosestore.Faults{}, 0, ErrNoRate},
+		"load beyond the rate":    {rate, loadModel("l"), goosestore.Faults{}, 1, ErrRate},
+		"role without a rate":     {nil, role, goosestore.Faults{}, 0, nil},
+		"role beyond the rate":    {rate, role, goosestore.Faults{}, 1, nil},
+		"store down":              {rate, loadModel("l"), goosestore.Faults{Down: true}, 0, ErrStore},
+		"role with store down":    {rate, role, goosestore.Faults{Down: true}, 0, ErrStore},
+		"store slower than that":  {rate, loadModel("l"), goosestore.Faults{Slow: SendWithin}, 0, ErrStore},
+		"answer of claim lost":    {rate, loadModel("l"), lose(goosestore.CallTxn, goosestore.LossAnswer), 0, nil},
+		"claim lost":              {rate, loadModel("l"), lose(goosestore.CallTxn, goosestore.LossRequest), 0, ErrStore},
+		"reads lost":              {rate, loadModel("l"), lose(goosestore.CallRange, goosestore.LossRequest), 0, ErrStore},
+		"answer of a role lost":   {rate, role, lose(goosestore.CallTxn, goosestore.LossAnswer), 0, nil},
+		"record of a role lost":   {rate, role, lose(goosestore.CallTxn, goosestore.LossRequest), 0, ErrStore},
+		"retention lease refused": {rate, loadModel("l"), lose(goosestore.CallLease, goosestore.LossRequest), 0, ErrStore},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := goosestore.NewMemory(goose.SystemClock{})
+				// Operators may have lowered the rate since, so that higher places are taken.
+				higher := newLog(store, &goose.WeightStore{Loads: 99, Period: time.Minute})
+				for i := range tt.before {
+					if _, err := higher.Begin(t.Context(), loadModel(fmt.Sprint("before-", i))); err != nil {
+						t.Fatal(err)
+					}
+					time.Sleep(time.Second)
+				}
+				store.SetFaults(tt.faults)
+				l := newLog(store, tt.rate)
+				k, err := l.Begin(t.Context(), tt.q)
+				if !errors.Is(err, tt.want) || (err == nil) != (tt.want == nil) {
+					t.Fatalf("got %v, want %v", err, tt.want)
+				}
+				store.SetFaults(goosestore.Faults{})
+				if err != nil {
+					return
+				}
+				if left := time.Until(k.Until()); left > SendWithin {
+					t.Errorf("may be sent for %s, want at most %s", left, SendWithin)
+				}
+				e, err := l.Entries(t.Context(), 1)
+				if err != nil || len(e) != 1 || e[0].ID != tt.q.ID || e[0].Result.Outcome != goose.CommandUnknown {
+					t.Errorf("record before the outcome: got %v, %v; want %s as unknown", e, err, tt.q.ID)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a trail that loses the outcome, lists old commands first, or
+// stops for good once its retention lease is gone.
+func TestEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := goosestore.NewMemory(goose.SystemClock{})
+		l := newLog(store, &goose.WeightStore{Loads: 9, Period: time.Second})
+		for i, r := range []goose.CommandResult{{Outcome: goose.CommandAccepted}, goose.RefusedCommand("old epoch")} {
+			time.Sleep(time.Second)
+			k, err := l.Begin(t.Context(), loadModel(fmt.Sprint(i)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := k.End(t.Context(), r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var got []string
+		e, err := l.Entries(t.Context(), 10)
+		for _, x := range e {
+			got = append(got, x.ID+" "+x.Author+" "+x.Result.String())
+		}
+		if want := []string{"1 ada refused: old epoch", "0 ada accepted"}; err != nil || !slices.Equal(got, want) {
+			t.Errorf("got %q, %v; want %q", got, err, want)
+		}
+		if err := store.Revoke(t.Context(), l.keep); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := l.Begin(t.Context(), loadModel("2")); !errors.Is(err, ErrStore) {
+			t.Errorf("with the lease gone: got %v, want %v", err, ErrStore)
+		}
+		if _, err := l.Begin(t.Context(), loadModel("3")); err != nil {
+			t.Errorf("with a new lease: got %v, want none", err)
+		}
+	})
+}
+
+// Guards against commands that cost the platform's store more calls than
+// docs/CAPACITY.md says.
+func TestWritesOfACommand(t *testing.T) {
+	role := loadModel("role")
+	role.Command.Kind = goose.CommandSetRole
+	tests := map[string]struct {
+		q    goose.CommandRequest
+		want goosestore.Counts
+	}{
+		"load": {loadModel("load"), goosestore.Counts{goosestore.CallRange: 1, goosestore.CallLease: 1, goosestore.CallTxn: 2}},
+		"role": {role, goosestore.Counts{goosestore.CallTxn: 2}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := goosestore.NewMemory(goose.SystemClock{})
+				l := newLog(store, &goose.WeightStore{Loads: 9, Period: time.Second})
+				run := func(q goose.CommandRequest) {
+					k, err := l.Begin(t.Context(), q)
+					if err != nil {
+						t.Fatal(err)
+					}
+					if err := k.End(t.Context(), goose.CommandResult{Outcome: goose.CommandAccepted}); err != nil {
+						t.Fatal(err)
+					}
+				}
+				run(loadModel("first of the day"))
+				before := store.Counts()
+				time.Sleep(time.Second)
+				run(tt.q)
+				for call, n := range store.Counts() {
+					if got := n - before[call]; got != tt.want[call] {
+						t.Errorf("%s calls: got %d, want %d", call, got, tt.want[call])
+					}
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/pkg/goosepermit/bench_test.go
@@ -0,0 +1,25 @@
+package goosepermit
+
+import (
+	"testing"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+// BenchmarkAcquireRelease measures the holder's own work for one permit of a
+// local dispatcher that answers at once.
+func BenchmarkAcquireRelease(b *testing.B) {
+	h := New(Options{Self: "i0", Membership: noMembers{}, Local: &lateDispatcher{
+		answer: goose.PermitAnswer{Status: goose.PermitGranted, Permit: goose.Permit{Pool: testPool}},
+	}})
+	defer h.Close(b.Context())
+	q := request()
+	b.ReportAllocs()
+	for b.Loop() {
+		p, _ := h.Acquire(b.Context(), q)
+		h.Release(goose.PermitReport{Permit: p.ID, Outcome: goose.OutcomeFinished})
+		h.mu.Lock()
+		clear(h.released)
+		h.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/pkg/goosepermit/holder_test.go
@@ -0,0 +1,449 @@
+package goosepermit
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosedispatch"
+)
+
+// inCluster runs f in a settled data centre.
+func inCluster(t *testing.T, instances, replicas int, f func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, instances, replicas)
+		time.Sleep(3 * time.Second)
+		f(t, c)
+	})
+}
+
+// dispatcher returns the node that dispatches the pool, and the other nodes.
+func (c *cluster) dispatcher() (*node, []*node) {
+	c.t.Helper()
+	var holder *node
+	var others []*node
+	for _, n := range c.nodes {
+		if _, ok := n.manager.Pool(testPool); ok && !c.dead[n.id] {
+			if holder != nil {
+				c.t.Fatalf("dispatchers: got %s and %s, want one", holder.id, n.id)
+			}
+			holder = n
+			continue
+		}
+		if !c.dead[n.id] {
+			others = append(others, n)
+		}
+	}
+	if holder == nil {
+		c.t.Fatal("no dispatcher")
+	}
+	return holder, others
+}
+
+func (n *node) mode() goose.DispatchMode {
+	p, ok := n.manager.Pool(testPool)
+	if !ok {
+		return goose.ModeStopped
+	}
+	return p.Mode()
+}
+
+// replicas returns the replicas that a node gets permits for.
+func (n *node) replicas() map[goose.ReplicaID]bool {
+	out := map[goose.ReplicaID]bool{}
+	for range 12 {
+		q := request()
+		q.TimeLeft = time.Second
+		if p, _ := n.holder.Acquire(context.Background(), q); p != nil {
+			out[p.Replicas[0].Replica] = true
+			n.finish(*p)
+		}
+	}
+	return out
+}
+
+func (c *cluster) set(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+}
+
+// Guards against instances that cannot use each other's dispatcher, and
+// against releases that free no capacity.
+func TestPermitsFromEveryInstance(t *testing.T) {
+	inCluster(t, 3, 1, func(_ *testing.T, c *cluster) {
+		for range 3 {
+			for _, n := range c.nodes {
+				n.finish(n.acquire())
+			}
+		}
+	})
+}
+
+// Guards against a release that is lost with the connection: its capacity
+// would stay counted.
+func TestReportsAreRepeated(t *testing.T) {
+	inCluster(t, 2, 1, func(_ *testing.T, c *cluster) {
+		dispatcher, others := c.dispatcher()
+		p := others[0].acquire()
+		time.Sleep(time.Second)
+		c.set(func() { c.callsFail = true })
+		others[0].finish(p)
+		time.Sleep(time.Second)
+		c.set(func() { c.callsFail = false })
+		start := time.Now()
+		dispatcher.acquire()
+		if got := time.Since(start); got > time.Second {
+			c.t.Errorf("wait for the released capacity: got %v, want under 1s", got)
+		}
+	})
+}
+
+// Guards against a retry that gets the permit of the failed attempt, because
+// its release has not reached the dispatcher.
+func TestRetryGetsNewPermit(t *testing.T) {
+	inCluster(t, 2, 2, func(t *testing.T, c *cluster) {
+		_, others := c.dispatcher()
+		q := request()
+		for range 2 {
+			p, _ := others[0].holder.Acquire(t.Context(), q)
+			c.set(func() { c.slowReports = true })
+			others[0].holder.Release(goose.PermitReport{Permit: p.ID, Outcome: goose.OutcomeFailed})
+			again, refusal := others[0].holder.Acquire(t.Context(), q)
+			if again == nil || again.ID == p.ID {
+				t.Fatalf("retry: got permit %v, %v, want a new one", again, refusal)
+			}
+			others[0].finish(*again)
+		}
+	})
+}
+
+// Guards against a pool that stays without a dispatcher after its death,
+// against permits that the successor does not count, and against reports that
+// do not reach it.
+func TestSuccessorCountsHeldPermits(t *testing.T) {
+	inCluster(t, 3, 1, func(t *testing.T, c *cluster) {
+		dispatcher, others := c.dispatcher()
+		p := others[0].acquire()
+		others[0].holder.Started(p)
+		c.kill(dispatcher.id)
+		got := make(chan *goose.Permit)
+		go func() {
+			p, _ := others[1].holder.Acquire(t.Context(), request())
+			got <- p
+		}()
+		time.Sleep(12 * time.Second)
+		select {
+		case p := <-got:
+			t.Fatalf("cold replica with a held permit: got %v, want no grant", p)
+		default:
+		}
+		others[0].finish(p)
+		if p := <-got; p == nil {
+			t.Fatal("after the release at the successor: got no permit, want one")
+		}
+	})
+}
+
+// Guards against a planned stop that interrupts the pool: the successor must
+// grant within a second, although an instance does not answer it, and know the
+// running permits.
+func TestPlannedStopHandsOver(t *testing.T) {
+	inCluster(t, 4, 2, func(t *testing.T, c *cluster) {
+		_, others := c.dispatcher()
+		c.kill(others[2].id)
+		dispatcher, others := c.dispatcher()
+		p := others[0].acquire()
+		dispatcher.manager.Shutdown(t.Context())
+		start := time.Now()
+		q := others[1].acquire()
+		if got := time.Since(start); got > time.Second {
+			t.Errorf("time to the first permit of the successor: got %v, want under 1s", got)
+		}
+		if p.Replicas[0].Replica == q.Replicas[0].Replica {
+			t.Errorf("second permit on cold replica %s, want the other replica", q.Replicas[0].Replica)
+		}
+	})
+}
+
+// Guards against a leaving instance that keeps a pool, and against the lease of
+// a pool that left the configuration.
+func TestPoolIsGivenUp(t *testing.T) {
+	inCluster(t, 3, 1, func(t *testing.T, c *cluster) {
+		first, _ := c.dispatcher()
+		c.set(func() { c.leaving, c.version = first.id, 2 })
+		time.Sleep(2 * time.Second)
+		second, _ := c.dispatcher()
+		if first == second {
+			t.Errorf("dispatcher while %s leaves: got %s, want another", first.id, second.id)
+		}
+		c.set(func() { c.pools, c.version = nil, 3 })
+		time.Sleep(2 * time.Second)
+		c.set(func() {
+			if got := len(c.keys); got != 0 {
+				t.Errorf("leases without a pool: got %d, want 0", got)
+			}
+		})
+	})
+}
+
+// Guards against one instance that dispatches all pools: each pool has its own
+// preferred instance.
+func TestPoolsAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, 1)
+		c.set(func() {
+			for i := range 16 {
+				c.pools = append(c.pools, goose.Pool{DataCentre: testPool.DataCentre, Service: goose.ServiceName(fmt.Sprint("s", i))})
+			}
+		})
+		time.Sleep(6 * time.Second)
+		ids := []goose.InstanceID{"i0", "i1", "i2", "i3"}
+		sum := 0
+		for id, n := range c.nodes {
+			for _, h := range n.manager.Holdings() {
+				sum++
+				if want, _ := goosedispatch.Owner(goose.ReplicaID(h.Pool.String()), ids); id != want {
+					t.Errorf("dispatcher of %s: got %s, want %s", h.Pool, id, want)
+				}
+			}
+		}
+		if sum != 17 {
+			t.Errorf("pools with a dispatcher: got %d, want 17", sum)
+		}
+	})
+}
+
+// Guards against an outage of the store that stops the pool although all
+// instances reach each other, and against one that lets two instances dispatch.
+func TestStoreOutage(t *testing.T) {
+	inCluster(t, 3, 1, func(t *testing.T, c *cluster) {
+		dispatcher, others := c.dispatcher()
+		c.set(func() { c.storeDown = true })
+		time.Sleep(20 * time.Second)
+		if got := dispatcher.mode(); got != goose.ModeConsented {
+			t.Errorf("mode during the outage: got %s, want consented", got)
+		}
+		others[0].finish(others[0].acquire())
+		// One member that is silent but still listed withdraws the consent.
+		c.set(func() { c.cut[[2]goose.InstanceID{dispatcher.id, others[0].id}] = true })
+		time.Sleep(3 * time.Second)
+		if got := dispatcher.mode(); got != goose.ModeDegraded {
+			t.Errorf("mode without one consent: got %s, want degraded", got)
+		}
+	})
+}
+
+// Guards against a promise that is broken by an instance that reaches the
+// store, also after a restart that forgets the promise: two instances would
+// dispatch the pool.
+func TestPromiseKeepsOthersFromTheLease(t *testing.T) {
+	for name, restart := range map[string]bool{"running": false, "restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, 3, 1, func(t *testing.T, c *cluster) { checkPromise(t, c, restart) })
+		})
+	}
+}
+
+func checkPromise(t *testing.T, c *cluster, restart bool) {
+	dispatcher, others := c.dispatcher()
+	c.set(func() { c.cutFromStore = dispatcher.id })
+	time.Sleep(20 * time.Second)
+	if got := dispatcher.mode(); got != goose.ModeConsented {
+		t.Errorf("mode of a holder that alone is cut off from the store: got %s, want consented", got)
+	}
+	c.set(func() {
+		for _, o := range others {
+			c.cut[[2]goose.InstanceID{dispatcher.id, o.id}] = true
+		}
+	})
+	if restart {
+		for _, o := range others {
+			c.kill(o.id)
+			c.set(func() { c.dead[o.id] = false })
+			c.add(o.id)
+		}
+	}
+	for range 500 {
+		time.Sleep(10 * time.Millisecond)
+		for _, o := range others {
+			if n := c.nodes[o.id]; dispatcher.mode() == goose.ModeConsented && n.mode() != goose.ModeStopped {
+				t.Fatalf("%s dispatches while the former holder stays by consent", n.id)
+			}
+		}
+	}
+	if _, ok := c.nodes[others[0].id].Dispatcher(testPool); !ok {
+		t.Error("after the promises ended: got no dispatcher, want one")
+	}
+}
+
+// Guards against a former dispatcher that goes on after its successor has
+// collected, and against holders that still take its grants.
+func TestCollectFencesFormerDispatcher(t *testing.T) {
+	inCluster(t, 2, 1, func(t *testing.T, c *cluster) {
+		dispatcher, others := c.dispatcher()
+		var reply goose.Collected
+		request := goosedispatch.CollectRequest{Pool: testPool, Epoch: 9999}
+		if err := others[0].Call(t.Context(), string(dispatcher.id), goosedispatch.KindCollect, request, &reply); err != nil {
+			t.Fatal(err)
+		}
+		if got := dispatcher.mode(); got != goose.ModeStopped {
+			t.Errorf("mode after a collect of a newer epoch: got %s, want stopped", got)
+		}
+		if got := dispatcher.holder.fence[testPool]; got != 9999 {
+			t.Errorf("oldest epoch that the holder takes grants of: got %d, want 9999", got)
+		}
+	})
+}
+
+// Guards against a part of a split data centre that is not served, and against
+// two dispatchers that grant one replica.
+func TestCaretaker(t *testing.T) {
+	inCluster(t, 3, 6, func(t *testing.T, c *cluster) {
+		dispatcher, others := c.dispatcher()
+		for range 60 {
+			for _, n := range others {
+				n.finish(n.acquire())
+			}
+		}
+		dispatcher.finish(dispatcher.acquire())
+		c.set(func() {
+			c.storeDown = true
+			for _, o := range others {
+				c.cut[[2]goose.InstanceID{dispatcher.id, o.id}] = true
+			}
+		})
+		time.Sleep(15 * time.Second)
+		lowest := others[0]
+		if others[1].id < lowest.id {
+			lowest = others[1]
+		}
+		if got := lowest.mode(); got != goose.ModeDegraded {
+			t.Fatalf("mode of the lowest-named instance of the other part: got %s, want degraded", got)
+		}
+		if got := dispatcher.mode(); got != goose.ModeDegraded {
+			t.Fatalf("mode of the old holder: got %s, want degraded", got)
+		}
+		mine, theirs := dispatcher.replicas(), lowest.replicas()
+		for id := range mine {
+			if theirs[id] {
+				t.Errorf("replica %s: got grants in both parts, want one", id)
+			}
+		}
+		if got := len(mine) + len(theirs); got != 6 {
+			t.Errorf("warm replicas in use in both parts: got %d, want 6", got)
+		}
+		c.set(func() { c.cut = map[[2]goose.InstanceID]bool{} })
+		time.Sleep(5 * time.Second)
+		if got, _ := c.dispatcher(); got != dispatcher {
+			t.Errorf("dispatcher of the joined parts: got %s, want the old holder %s", got.id, dispatcher.id)
+		}
+		c.set(func() { c.storeDown = false })
+		time.Sleep(10 * time.Second)
+		c.dispatcher()
+	})
+}
+
+// lateDispatcher answers polls after a delay.
+type lateDispatcher struct {
+	delay  time.Duration
+	answer goose.PermitAnswer
+	polls  int
+}
+
+func (d *lateDispatcher) Dispatcher(goose.Pool) (goose.Dispatcher, bool) {
+	return d, d.answer.Status != ""
+}
+func (d *lateDispatcher) Abandon(goose.RequestID)   {}
+func (d *lateDispatcher) Report(goose.PermitReport) {}
+func (d *lateDispatcher) Acquire(context.Context, goose.PermitRequest) goose.PermitAnswer {
+	time.Sleep(d.delay)
+	d.polls++
+	return d.answer
+}
+
+// Guards against permits used after their lifetime, grants of a former
+// dispatcher after its successor collected, and waits without end.
+func TestAcquire(t *testing.T) {
+	granted := goose.PermitAnswer{Status: goose.PermitGranted, Permit: goose.Permit{ID: "p", Epoch: 5, Pool: testPool}}
+	tests := map[string]struct {
+		local lateDispatcher
+		fence goose.Epoch
+		left  time.Duration
+		want  goose.Code
+		after time.Duration
+	}{
+		"granted":                 {lateDispatcher{time.Second, granted, 0}, 5, 30 * time.Second, "", time.Second},
+		"answer after the expiry": {lateDispatcher{3 * time.Second, granted, 0}, 0, 10 * time.Second, goose.CodeDeadline, 0},
+		"former epoch":            {lateDispatcher{0, granted, 0}, 6, 10 * time.Second, goose.CodeDeadline, 10 * time.Second},
+		"no dispatcher":           {lateDispatcher{}, 0, time.Minute, goose.CodeNotReady, dispatcherWait},
+		"no dispatcher, no time":  {lateDispatcher{}, 0, time.Second, goose.CodeDeadline, time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := New(Options{Self: "i0", Membership: noMembers{}, Local: &tt.local})
+				defer h.Close(t.Context())
+				h.Fence(testPool, tt.fence)
+				q := request()
+				q.TimeLeft = tt.left
+				start := time.Now()
+				p, refusal := h.Acquire(t.Context(), q)
+				switch {
+				case tt.want == "" && (p == nil || !p.Expires.Equal(start.Add(goose.PermitLifetime))):
+					t.Errorf("permit: got %v, want one that expires %v after the poll was sent", p, goose.PermitLifetime)
+				case tt.want != "" && (refusal == nil || refusal.Code != tt.want || refusal.Run != goose.RunNot):
+					t.Errorf("refusal: got %v, want %s not-run", refusal, tt.want)
+				case tt.want != "" && refusal.RetryAfter <= 0:
+					t.Errorf("refusal %v: got no advice when to come back", refusal)
+				}
+				if got := time.Since(start); tt.after > 0 && (got < tt.after || got > tt.after+100*time.Millisecond) {
+					t.Errorf("time to the answer: got %v, want %v", got, tt.after)
+				}
+			})
+		})
+	}
+}
+
+type noMembers struct{ goose.Membership }
+
+func (noMembers) Dispatcher(goose.Pool) (goose.Member, bool) { return goose.Member{}, false }
+
+// Guards against evidence of warmth from cold replicas, failures or permits
+// that were granted below full limits: a successor would skip the ramp.
+func TestWarmthEvidence(t *testing.T) {
+	tests := map[string]struct {
+		warm   bool
+		report goose.PermitReport
+		want   int
+	}{
+		"finished at full limits": {true, goose.PermitReport{Outcome: goose.OutcomeFinished, Process: "p1"}, 1},
+		"finished in the ramp":    {false, goose.PermitReport{Outcome: goose.OutcomeFinished, Process: "p1"}, 0},
+		"cold":                    {true, goose.PermitReport{Outcome: goose.OutcomeFinished, Process: "p1", Cold: true}, 0},
+		"failed":                  {true, goose.PermitReport{Outcome: goose.OutcomeFailed, Process: "p1"}, 0},
+		"process unknown":         {true, goose.PermitReport{Outcome: goose.OutcomeFinished}, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			granted := goose.PermitAnswer{Status: goose.PermitGranted, Permit: goose.Permit{
+				ID: "p", Pool: testPool, Replicas: []goose.ReplicaGrant{{Replica: "r", Warm: tt.warm}},
+			}}
+			h := New(Options{Self: "i0", Membership: noMembers{}, Local: &lateDispatcher{answer: granted}})
+			defer h.Close(t.Context())
+			p, _ := h.Acquire(t.Context(), request())
+			if got := h.Collect(testPool); len(got.Held) != 1 {
+				t.Errorf("held: got %d, want 1", len(got.Held))
+			}
+			tt.report.Permit = p.ID
+			h.Release(tt.report)
+			if got := h.Collect(testPool); len(got.Warm) != tt.want || len(got.Held) != 0 {
+				t.Errorf("after the release: got %d warm, %d held; want %d and 0", len(got.Warm), len(got.Held), tt.want)
+			}
+		})
+	}
+}
+
+var _ goosedispatch.Holder = (*Holder)(nil)
--- /dev/null
+++ b/pkg/goosequeue/fifo.go
@@ -0,0 +1,77 @@
+package goosequeue
+
+import (
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+func init() {
+	goose.RegisterDiscipline("fair", func() goose.Discipline { return NewFair() })
+	goose.RegisterDiscipline("fifo", func() goose.Discipline { return NewFIFO() })
+}
+
+// FIFO serves requests in order of arrival. It is the baseline to compare with.
+type FIFO struct {
+	items []goose.QueueItem
+	cost  int
+}
+
+// NewFIFO returns an empty queue.
+func NewFIFO() *FIFO { return &FIFO{} }
+
+// Push adds an item at the end.
+func (f *FIFO) Push(i goose.QueueItem) {
+	f.items = append(f.items, i)
+	f.cost += i.Request.Cost()
+}
+
+// Remove drops the item of a request.
+func (f *FIFO) Remove(id goose.RequestID) bool {
+	for k := range f.items {
+		if f.items[k].Request.Request == id {
+			f.take(k)
+			return true
+		}
+	}
+	return false
+}
+
+func (f *FIFO) take(k int) goose.QueueItem {
+	i := f.items[k]
+	f.items = append(f.items[:k], f.items[k+1:]...)
+	f.cost -= i.Request.Cost()
+	return i
+}
+
+// Pop removes and returns the first item that fits.
+func (f *FIFO) Pop(fits func(goose.QueueItem) bool) (goose.QueueItem, bool) {
+	for k := range f.items {
+		if fits(f.items[k]) {
+			return f.take(k), true
+		}
+	}
+	return goose.QueueItem{}, false
+}
+
+// Expire removes and returns the items whose deadline is not after now.
+func (f *FIFO) Expire(now time.Time) []goose.QueueItem {
+	var out []goose.QueueItem
+	for k := 0; k < len(f.items); {
+		if f.items[k].Deadline.After(now) {
+			k++
+			continue
+		}
+		out = append(out, f.take(k))
+	}
+	return out
+}
+
+// Ahead returns the cost of all waiting items.
+func (f *FIFO) Ahead(goose.Class, goose.WorkspaceName) int { return f.cost }
+
+// Len returns the number of waiting items.
+func (f *FIFO) Len() int { return len(f.items) }
+
+// Priority returns the same priority for all classes.
+func (f *FIFO) Priority(goose.Class) int { return 0 }
--- /dev/null
+++ b/pkg/gooseroute/affinity.go
@@ -0,0 +1,197 @@
+package gooseroute
+
+import (
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+const (
+	// loadBound is the load of a replica, relative to the mean, above which its
+	// cached prefixes no longer attract requests.
+	loadBound = 1.25
+	// blocksPerReplica bounds the index: 1,400 replicas take about 100 MB at
+	// most over the fleet's dispatchers, one pool of 27 about 2 MB.
+	blocksPerReplica = 1024
+	// entryLifetime bounds how long an entry is believed without a new placement
+	// or event, because eviction events can be lost.
+	entryLifetime = 10 * time.Minute
+	// gapLifetime replaces it for entries older than a gap in the events.
+	gapLifetime = time.Minute
+)
+
+// cache is what is known about one replica's prefix cache.
+type cache struct {
+	blocks   *simplelru.LRU[uint64, time.Time]
+	sequence int64
+	gapAt    time.Time
+}
+
+// Affinity chooses the replica that holds the longest prefix of the request,
+// unless its load exceeds the bound; then the least loaded one.
+type Affinity struct {
+	clock  goose.Clock
+	caches map[goose.ReplicaID]*cache
+	// holders is the inverse of caches.
+	holders map[uint64]map[goose.ReplicaID]struct{}
+	mean    float64
+	meanSet bool
+	matches map[goose.ReplicaID]int
+}
+
+// NewAffinity returns a policy that knows nothing yet.
+func NewAffinity(c goose.Clock) *Affinity {
+	return &Affinity{
+		clock:   c,
+		caches:  map[goose.ReplicaID]*cache{},
+		holders: map[uint64]map[goose.ReplicaID]struct{}{},
+		matches: map[goose.ReplicaID]int{},
+	}
+}
+
+// SetMeanTokens tells the mean of outstanding tokens over the usable replicas
+// of the pool. Without it the mean over the candidates is used, which leaves
+// out the replicas that are full.
+func (a *Affinity) SetMeanTokens(mean float64) { a.mean, a.meanSet = mean, true }
+
+// Choose implements goose.Policy.
+func (a *Affinity) Choose(r goose.PermitRequest, cs []goose.Candidate) int {
+	a.match(r.Prefix)
+	bound := loadBound * a.meanOf(cs)
+	best, least := -1, 0
+	for i := range cs {
+		if share(cs[i].Tokens, cs[i]) < share(cs[least].Tokens, cs[least]) {
+			least = i
+		}
+		m := a.matches[cs[i].Replica]
+		if m == 0 || float64(cs[i].Tokens) > bound {
+			continue
+		}
+		if best < 0 || m > a.matches[cs[best].Replica] ||
+			m == a.matches[cs[best].Replica] && cs[i].Tokens < cs[best].Tokens {
+			best = i
+		}
+	}
+	if best < 0 {
+		return least
+	}
+	return best
+}
+
+func (a *Affinity) meanOf(cs []goose.Candidate) float64 {
+	if a.meanSet {
+		return a.mean
+	}
+	sum := 0
+	for i := range cs {
+		sum += cs[i].Tokens
+	}
+	return float64(sum) / float64(len(cs))
+}
+
+// match fills matches with the number of leading blocks each replica holds.
+func (a *Affinity) match(prefix []uint64) {
+	clear(a.matches)
+	if len(prefix) == 0 {
+		return
+	}
+	now := a.clock.Now()
+	for id := range a.holders[prefix[0]] {
+		n := 0
+		for _, b := range prefix {
+			if !a.holds(id, b, now) {
+				break
+			}
+			n++
+		}
+		if n > 0 {
+			a.matches[id] = n
+		}
+	}
+}
+
+func (a *Affinity) holds(id goose.ReplicaID, block uint64, now time.Time) bool {
+	c := a.caches[id]
+	if c == nil {
+		return false
+	}
+	at, ok := c.blocks.Peek(block)
+	if !ok {
+		return false
+	}
+	if now.Sub(at) > entryLifetime || at.Before(c.gapAt) && now.Sub(c.gapAt) > gapLifetime {
+		c.blocks.Remove(block)
+		return false
+	}
+	return true
+}
+
+func (a *Affinity) cache(id goose.ReplicaID) *cache {
+	if c, ok := a.caches[id]; ok {
+		return c
+	}
+	evicted := func(block uint64, _ time.Time) {
+		delete(a.holders[block], id)
+		if len(a.holders[block]) == 0 {
+			delete(a.holders, block)
+		}
+	}
+	// The size is positive, the only condition for an error.
+	blocks, _ := simplelru.NewLRU(blocksPerReplica, evicted)
+	c := &cache{blocks: blocks}
+	a.caches[id] = c
+	return c
+}
+
+func (a *Affinity) add(id goose.ReplicaID, block uint64, at time.Time) {
+	a.cache(id).blocks.Add(block, at)
+	h := a.holders[block]
+	if h == nil {
+		h = map[goose.ReplicaID]struct{}{}
+		a.holders[block] = h
+	}
+	h[id] = struct{}{}
+}
+
+// Placed implements goose.Policy. The blocks are added from the last to the
+// first, so that the index drops the end of a prefix before its start.
+func (a *Affinity) Placed(r goose.PermitRequest, id goose.ReplicaID) {
+	now := a.clock.Now()
+	for i := len(r.Prefix) - 1; i >= 0; i-- {
+		a.add(id, r.Prefix[i], now)
+	}
+}
+
+// Observe implements goose.Policy. An eviction that happened before the block
+// was last placed is ignored, and a repeated or older event as well.
+func (a *Affinity) Observe(id goose.ReplicaID, e goose.CacheEvent) {
+	c := a.cache(id)
+	if c.sequence > 0 && e.Sequence <= c.sequence {
+		return
+	}
+	if c.sequence > 0 && e.Sequence > c.sequence+1 {
+		c.gapAt = a.clock.Now()
+	}
+	c.sequence = e.Sequence
+	if !e.Evicted {
+		at := e.Time
+		if now := a.clock.Now(); at.After(now) {
+			at = now
+		}
+		a.add(id, e.Block, at)
+		return
+	}
+	if at, ok := c.blocks.Peek(e.Block); ok && !at.After(e.Time) {
+		c.blocks.Remove(e.Block)
+	}
+}
+
+// Forget implements goose.Policy.
+func (a *Affinity) Forget(id goose.ReplicaID) {
+	if c, ok := a.caches[id]; ok {
+		c.blocks.Purge()
+		delete(a.caches, id)
+	}
+}
--- /dev/null
+++ b/pkg/goosesettings/settings.go
@@ -0,0 +1,127 @@
+// Package goosesettings reads the settings file of one instance, with
+// overrides from the environment.
+package goosesettings
+
+import (
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseyaml"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+
+	"github.com/pkg/errors"
+)
+
+// Prefix begins the names of environment overrides.
+const Prefix = "GOOSEBERRYHOLD_"
+
+// Defaults of settings.
+const (
+	DefaultMaxBodyBytes            = 8 << 20
+	DefaultBodyBytesInFlight       = 256 << 20
+	DefaultQueueDiscipline         = "fair"
+	DefaultRoutingPolicy           = "affinity"
+	DefaultLongPrefillBound        = "adaptive"
+	DefaultLeaseTTL                = 3 * time.Second
+	DefaultDrainDelay              = 5 * time.Second
+	DefaultDrainTimeout            = 10 * time.Minute
+	DefaultOrderRetention          = 24 * time.Hour
+	DefaultLogLevel                = "info"
+	maxBodyBytes             int64 = 1 << 30
+)
+
+// Store tells where the platform's key-value service is.
+type Store struct {
+	// Kind is a registered store, such as etcd.
+	Kind string `yaml:"kind"`
+	// Address is what the store of that kind expects; host:port for etcd.
+	Address string `yaml:"address"`
+}
+
+// Settings are those of one instance.
+type Settings struct {
+	Instance   goose.InstanceID `yaml:"instance"`
+	DataCentre goose.DataCentre `yaml:"data-centre"`
+	// Fleet separates the keys of several fleets in one store.
+	Fleet string `yaml:"fleet"`
+	// Listen, OperatorListen (TCP) and PeerListen (UDP) are an IP address and port.
+	Listen         string `yaml:"listen"`
+	OperatorListen string `yaml:"operator-listen"`
+	PeerListen     string `yaml:"peer-listen"`
+	// PeerAdvertise is the IP address and port that other instances dial; empty
+	// is the address listened on.
+	PeerAdvertise string `yaml:"peer-advertise"`
+	Store         Store  `yaml:"store"`
+	// InstanceList is the URL of the platform's list of instances.
+	InstanceList string `yaml:"instance-list"`
+	// Peers are peer-link addresses that are used when the list is down.
+	Peers []string `yaml:"peers"`
+	// Certificate, Key and Authority are PEM files.
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	Authority   string `yaml:"authority"`
+	// OperatorTokenHash is the SHA-256 sum of the operator token, in hexadecimal.
+	OperatorTokenHash string `yaml:"operator-token-hash"`
+	MaxBodyBytes      int64  `yaml:"max-body-bytes"`
+	BodyBytesInFlight int64  `yaml:"body-bytes-in-flight"`
+	QueueDiscipline   string `yaml:"queue-discipline"`
+	RoutingPolicy     string `yaml:"routing-policy"`
+	LongPrefillBound  string `yaml:"long-prefill-bound"`
+	// LeaseTTL is that of the pool leases.
+	LeaseTTL time.Duration `yaml:"lease-ttl"`
+	// DrainDelay is how long a stopping instance still serves new requests while
+	// the balancer learns from /readyz that it is leaving.
+	DrainDelay time.Duration `yaml:"drain-delay"`
+	// DrainTimeout bounds a graceful shutdown.
+	DrainTimeout   time.Duration `yaml:"drain-timeout"`
+	OrderRetention time.Duration `yaml:"order-retention"`
+	LogLevel       string        `yaml:"log-level"`
+}
+
+// Level returns the log level; info for an unknown name.
+func (s Settings) Level() slog.Level {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		return slog.LevelInfo
+	}
+	return l
+}
+
+// Load reads the file and applies overrides from the environment, given as
+// os.Environ returns it. An empty name means that there is no file. The error
+// is a gooseyaml.InvalidError with every problem found, or that of reading
+// the file.
+func Load(file string, environ []string) (Settings, error) {
+	var data []byte
+	if file != "" {
+		var err error
+		if data, err = os.ReadFile(file); err != nil {
+			return Settings{}, errors.Wrap(err, "settings")
+		}
+	}
+	return Parse(file, data, environ)
+}
+
+// Parse is Load for a file that was already read.
+func Parse(file string, data []byte, environ []string) (Settings, error) {
+	s := defaults()
+	d := gooseyaml.Decode(file, data, &s)
+	o := override(d, &s, environ)
+	v := validator{doc: d, overridden: o}
+	v.settings(s)
+	if err := d.Err(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+func defaults() Settings {
+	return Settings{
+		MaxBodyBytes: DefaultMaxBodyBytes, BodyBytesInFlight: DefaultBodyBytesInFlight,
+		QueueDiscipline: DefaultQueueDiscipline, RoutingPolicy: DefaultRoutingPolicy,
+		LongPrefillBound: DefaultLongPrefillBound,
+		LeaseTTL:         DefaultLeaseTTL, DrainDelay: DefaultDrainDelay, DrainTimeout: DefaultDrainTimeout,
+		OrderRetention: DefaultOrderRetention, LogLevel: DefaultLogLevel,
+	}
+}
--- /dev/null
+++ b/pkg/goosestore/etcd_test.go
@@ -0,0 +1,207 @@
+package goosestore
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+// calls are all calls of an Etcd.
+var calls = map[string]func(ctx context.Context, e *Etcd) error{
+	"get":    func(ctx context.Context, e *Etcd) error { _, _, err := e.Get(ctx, "k"); return err },
+	"list":   func(ctx context.Context, e *Etcd) error { _, _, err := e.List(ctx, "k", 0); return err },
+	"commit": func(ctx context.Context, e *Etcd) error { _, err := e.Commit(ctx, goose.Txn{}); return err },
+	"commit all": func(ctx context.Context, e *Etcd) error {
+		_, err := e.CommitAll(ctx, make([]goose.Txn, 2))
+		return err
+	},
+	"grant":      func(ctx context.Context, e *Etcd) error { _, err := e.Grant(ctx, time.Second); return err },
+	"keep-alive": func(ctx context.Context, e *Etcd) error { _, err := e.KeepAlive(ctx, 1); return err },
+	"revoke":     func(ctx context.Context, e *Etcd) error { return e.Revoke(ctx, 1) },
+	"watch": func(ctx context.Context, e *Etcd) error {
+		w, err := e.Watch(ctx, "k", 1)
+		if err == nil {
+			w.Close()
+		}
+		return err
+	},
+}
+
+// answerTimeout bounds calls that get an answer; noAnswerTimeout ends those that
+// get none.
+const (
+	answerTimeout   = time.Minute
+	noAnswerTimeout = 2 * time.Second
+)
+
+func serve(t *testing.T, timeout time.Duration, h http.HandlerFunc) *Etcd {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	e, err := NewEtcd(s.URL, Options{CallTimeout: timeout})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = e.Close() })
+	return e
+}
+
+// Guards against a call that is sent again by itself or taken for one without
+// effect, when its answer is lost, broken, or does not come in time.
+func TestNoAnswer(t *testing.T) {
+	t.Parallel()
+	answers := map[string]http.HandlerFunc{
+		"connection closed": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"no answer":         func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"broken answer":     func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"header":`) },
+		"cut answer": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "1000")
+			_, _ = io.WriteString(w, "{")
+		},
+		"empty answer":     func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{}`) },
+		"internal error":   func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+		"proposal timeout": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+	}
+	for name, answer := range answers {
+		for call, do := range calls {
+			t.Run(name+"/"+call, func(t *testing.T) {
+				t.Parallel()
+				timeout := answerTimeout
+				if name == "no answer" {
+					timeout = noAnswerTimeout
+				}
+				var seen atomic.Int64
+				e := serve(t, timeout, func(w http.ResponseWriter, r *http.Request) {
+					seen.Add(1)
+					_, _ = io.Copy(io.Discard, r.Body)
+					answer(w, r)
+				})
+				err := do(t.Context(), e)
+				noContent := name == "empty answer" && (call == "revoke")
+				if !noContent && (err == nil || errors.Is(err, goose.ErrUnavailable) && call != "watch") {
+					t.Errorf("got %v, want an uncertain outcome", err)
+				}
+				if got := seen.Load(); got != 1 {
+					t.Errorf("got %d requests, want 1", got)
+				}
+			})
+		}
+	}
+}
+
+// Guards against calls that have no effect but look uncertain, so that claims
+// are settled for nothing, and against the reverse.
+func TestErrorKinds(t *testing.T) {
+	t.Parallel()
+	answers := map[string]struct {
+		status int
+		body   string
+		want   error
+	}{
+		"too many requests": {http.StatusTooManyRequests, `{"code":8,"message":"etcdserver: too many requests"}`, goose.ErrUnavailable},
+		"no leader":         {http.StatusServiceUnavailable, `{"code":14,"message":"etcdserver: no leader"}`, goose.ErrUncertain},
+		"lease not found":   {http.StatusNotFound, `{"code":5,"message":"etcdserver: requested lease not found"}`, goose.ErrLeaseGone},
+		"wrong path":        {http.StatusNotFound, `404 page not found`, nil},
+		"bad request":       {http.StatusBadRequest, `{"code":3,"message":"etcdserver: key is not provided"}`, nil},
+	}
+	for name, tt := range answers {
+		for call, do := range calls {
+			t.Run(name+"/"+call, func(t *testing.T) {
+				t.Parallel()
+				e := serve(t, answerTimeout, func(w http.ResponseWriter, _ *http.Request) {
+					w.WriteHeader(tt.status)
+					_, _ = io.WriteString(w, tt.body)
+				})
+				err := do(t.Context(), e)
+				for _, kind := range []error{goose.ErrUnavailable, goose.ErrUncertain, goose.ErrLeaseGone} {
+					if got, want := errors.Is(err, kind), errors.Is(tt.want, kind); got != want || err == nil {
+						t.Errorf("got %v, want %v", err, tt.want)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against a refused connection or an ended context that looks like a
+// lost answer.
+func TestNotSent(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused, err := NewEtcd(l.Addr().String(), Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	var seen atomic.Int64
+	e := serve(t, answerTimeout, func(http.ResponseWriter, *http.Request) { seen.Add(1) })
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	for call, do := range calls {
+		if err := do(t.Context(), refused); !errors.Is(err, goose.ErrUnavailable) {
+			t.Errorf("%s, connection refused: got %v, want ErrUnavailable", call, err)
+		}
+		if err := do(ended, e); !errors.Is(err, goose.ErrUnavailable) {
+			t.Errorf("%s, context ended: got %v, want ErrUnavailable", call, err)
+		}
+	}
+	if got := seen.Load(); got != 0 {
+		t.Errorf("got %d requests, want none", got)
+	}
+	if _, err := NewEtcd("no-port", Options{}); err == nil {
+		t.Error("got no error for an address without port")
+	}
+}
+
+// Guards against a watch that hangs after its stream broke or its context or
+// client ended.
+func TestWatchEnds(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		end  func(e *Etcd, cancel, broken func())
+		want error
+	}{
+		"stream broke":  {func(_ *Etcd, _, broken func()) { broken() }, goose.ErrUnavailable},
+		"context ended": {func(_ *Etcd, cancel, _ func()) { cancel() }, nil},
+		"store closed":  {func(e *Etcd, _, _ func()) { _ = e.Close() }, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			stop := make(chan struct{})
+			e := serve(t, answerTimeout, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.WriteString(w, `{"result":{"created":true}}`+"\n")
+				_ = http.NewResponseController(w).Flush()
+				select {
+				case <-stop:
+				case <-r.Context().Done():
+				}
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			w, err := e.Watch(ctx, "k", 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			tt.end(e, cancel, func() { close(stop) })
+			for range w.Events() {
+				t.Error("got a change")
+			}
+			if err := w.Err(); !errors.Is(err, tt.want) || tt.want == nil && err != nil {
+				t.Errorf("got %v, want %v", err, tt.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/goosestore/memory_lease.go
@@ -0,0 +1,129 @@
+package goosestore
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+// minRearm bounds how often the expiry timer fires when the injected clock
+// does not move with the machine's.
+const minRearm = 10 * time.Millisecond
+
+// Grant implements goose.Store. The TTL is rounded up to whole seconds.
+func (m *Memory) Grant(ctx context.Context, ttl time.Duration) (goose.LeaseID, error) {
+	if ttl <= 0 {
+		return 0, errors.Errorf("lease TTL %s is not positive", ttl)
+	}
+	var id goose.LeaseID
+	err := m.serve(ctx, CallLease, func() error {
+		m.lastID++
+		id = m.lastID
+		whole := time.Duration(seconds(ttl)) * time.Second
+		m.leases[id] = &memoryLease{ttl: whole, deadline: m.clock.Now().Add(whole), keys: map[string]struct{}{}}
+		m.arm()
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return id, nil
+}
+
+// KeepAlive implements goose.Store.
+func (m *Memory) KeepAlive(ctx context.Context, id goose.LeaseID) (time.Duration, error) {
+	var ttl time.Duration
+	err := m.serve(ctx, CallLease, func() error {
+		l := m.leases[id]
+		if l == nil {
+			return errors.Wrapf(goose.ErrLeaseGone, "keep lease %d alive", id)
+		}
+		l.deadline = m.clock.Now().Add(l.ttl)
+		ttl = l.ttl
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return ttl, nil
+}
+
+// Revoke implements goose.Store. It returns ErrLeaseGone if the lease does not
+// exist.
+func (m *Memory) Revoke(ctx context.Context, id goose.LeaseID) error {
+	return m.serve(ctx, CallLease, func() error {
+		if m.leases[id] == nil {
+			return errors.Wrapf(goose.ErrLeaseGone, "revoke lease %d", id)
+		}
+		m.drop(id)
+		return nil
+	})
+}
+
+// Expire ends every lease whose time has passed by the store's clock. The
+// store does so itself before each call and by a timer.
+func (m *Memory) Expire() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+}
+
+func (m *Memory) expire() {
+	now := m.clock.Now()
+	if now.Before(m.nextExpiry) {
+		return
+	}
+	var gone []goose.LeaseID
+	for id, l := range m.leases {
+		if !now.Before(l.deadline) {
+			gone = append(gone, id)
+		}
+	}
+	sort.Slice(gone, func(i, j int) bool { return gone[i] < gone[j] })
+	for _, id := range gone {
+		m.drop(id)
+	}
+}
+
+func (m *Memory) drop(id goose.LeaseID) {
+	l := m.leases[id]
+	ops := make([]goose.Op, 0, len(l.keys))
+	for k := range l.keys {
+		ops = append(ops, goose.Delete(k))
+	}
+	sort.Slice(ops, func(i, j int) bool { return ops[i].Key < ops[j].Key })
+	m.write(ops)
+	delete(m.leases, id)
+}
+
+// arm sets the timer to the earliest deadline, so that watches see an expiry
+// without a call.
+func (m *Memory) arm() {
+	if m.closed || len(m.leases) == 0 {
+		return
+	}
+	var next time.Time
+	for _, l := range m.leases {
+		if next.IsZero() || l.deadline.Before(next) {
+			next = l.deadline
+		}
+	}
+	m.nextExpiry = next
+	wait := max(next.Sub(m.clock.Now()), minRearm)
+	if m.timer != nil {
+		m.timer.Stop()
+	}
+	m.timer = time.AfterFunc(wait, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.expire()
+		m.arm()
+	})
+}
+
+// seconds rounds up: a lease must not be shorter than was asked for.
+func seconds(d time.Duration) int64 { return int64((d + time.Second - 1) / time.Second) }
--- /dev/null
+++ b/pkg/goosesuspect/peers_test.go
@@ -0,0 +1,163 @@
+package goosesuspect
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/goosepeertest"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+// fleet is a peer link in process between instances named a, b, c.
+type fleet struct {
+	*goosepeertest.Network
+	mu sync.Mutex
+	// unreached instances get no calls.
+	unreached map[string]bool
+	// members replace the instances a, b and c of one data centre.
+	members []goose.Member
+	// cut pairs of caller and called do not reach each other.
+	cut map[[2]string]bool
+	// unanswering instances die before they answer a call or make one.
+	unanswering map[string]bool
+	// calls counts the calls that were tried, by caller.
+	calls map[string]int
+}
+
+func newFleet(members []goose.Member) *fleet {
+	f := &fleet{members: members, unreached: map[string]bool{}, unanswering: map[string]bool{}, cut: map[[2]string]bool{}, calls: map[string]int{}}
+	f.Network = goosepeertest.New(func(c goosepeertest.Call) goosepeertest.Fault {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		switch {
+		case f.unreached[c.To] || f.cut[[2]string{c.From, c.To}] || f.unanswering[c.From]:
+			return goosepeertest.FaultSilent
+		case f.unanswering[c.To]:
+			return goosepeertest.FaultNoAnswer
+		}
+		return goosepeertest.FaultNone
+	})
+	return f
+}
+
+// node is one instance's view of the fleet.
+type node struct {
+	*goosepeertest.Link
+	f    *fleet
+	name string
+}
+
+// join adds an instance.
+func (f *fleet) join(name string) *Peers {
+	n := node{f.Join(name), f, name}
+	p := NewPeers(goose.SystemClock{}, n, n)
+	p.Register(n)
+	return p
+}
+
+func (n node) Self() goose.Member {
+	for _, m := range n.f.members {
+		if m.Address == n.name {
+			return m
+		}
+	}
+	return goose.Member{Instance: goose.InstanceID(n.name)}
+}
+
+func (n node) Members() []goose.Member {
+	if n.f.members != nil {
+		return n.f.members
+	}
+	var all []goose.Member
+	for _, i := range []string{"a", "b", "c"} {
+		all = append(all, goose.Member{Instance: goose.InstanceID(i), Address: i, Live: true})
+	}
+	return append(all, goose.Member{Instance: "gone", Address: "gone"})
+}
+
+func (n node) Dispatcher(goose.Pool) (goose.Member, bool) { return goose.Member{}, false }
+
+func (n node) Call(ctx context.Context, address, kind string, request, reply any) error {
+	if address == "gone" {
+		panic("call to an instance that is not live: " + address)
+	}
+	n.f.mu.Lock()
+	n.f.calls[n.name]++
+	n.f.mu.Unlock()
+	return n.Link.Call(ctx, address, kind, request, reply)
+}
+
+// Guards against marks that reach other instances late or never, also when one
+// of them does not answer at first, and against a silent one that holds up the
+// others.
+func TestSpread(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(nil)
+		f.unreached["b"] = true
+		peers := map[string]*Peers{}
+		for _, i := range []string{"a", "b", "c"} {
+			peers[i] = f.join(i)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for _, p := range peers {
+			wg.Go(func() { p.Run(ctx) })
+		}
+		time.Sleep(5 * time.Second)
+		check := func(when string, want map[string]goose.Suspicion) {
+			synctest.Wait()
+			for i, w := range want {
+				if got := peers[i].Table().Grade(1); got != w {
+					t.Errorf("%s: got %s on %s, want %s", when, got, i, w)
+				}
+			}
+		}
+		peers["a"].Table().Crashed("r1", "p1", []goose.Fingerprint{1})
+		check("at once", map[string]goose.Suspicion{"a": goose.SuspicionSuspect, "b": goose.SuspicionNone, "c": goose.SuspicionSuspect})
+		peers["a"].Table().Crashed("r2", "p2", []goose.Fingerprint{1})
+		check("at once", map[string]goose.Suspicion{"a": goose.SuspicionCondemned, "b": goose.SuspicionNone, "c": goose.SuspicionCondemned})
+		f.mu.Lock()
+		f.unreached = nil
+		f.mu.Unlock()
+		time.Sleep(PullInterval + callTimeout)
+		check("after a pull", map[string]goose.Suspicion{"b": goose.SuspicionCondemned})
+		cancel()
+		wg.Wait()
+	})
+}
+
+// BenchmarkGrade measures what each request pays.
+func BenchmarkGrade(b *testing.B) {
+	t := New(goose.SystemClock{}, nil)
+	all := make([]goose.Fingerprint, MaxMarks)
+	for i := range all {
+		all[i] = goose.Fingerprint(i)
+	}
+	t.Crashed("r", "p", all)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for f := goose.Fingerprint(0); pb.Next(); f++ {
+			_ = t.Grade(f)
+		}
+	})
+}
+
+// BenchmarkCrashed measures a crash with 32 requests in flight on a full table.
+func BenchmarkCrashed(b *testing.B) {
+	t := New(goose.SystemClock{}, nil)
+	all := make([]goose.Fingerprint, MaxMarks)
+	for i := range all {
+		all[i] = goose.Fingerprint(i)
+	}
+	t.Crashed("r", "p", all)
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		n++
+		t.Crashed("r", time.Duration(n).String(), all[n%4000:n%4000+32])
+	}
+}
--- /dev/null
+++ b/pkg/goosesuspect/table_test.go
@@ -0,0 +1,290 @@
+package goosesuspect
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/gooseberryhold/gooseberryhold/internal/gooserapid"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+// fakeClock moves only by hand.
+type fakeClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func newFakeClock() *fakeClock { return &fakeClock{now: time.Unix(1_700_000_000, 0)} }
+
+func (c *fakeClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *fakeClock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+type print = goose.Fingerprint
+
+// Guards against a request that crashes a third backend server, and against
+// innocent requests that are refused.
+func TestGrades(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		do   func(t *Table, c *fakeClock)
+		want map[print]goose.Suspicion
+	}{
+		"first crash marks all": {
+			func(t *Table, _ *fakeClock) { t.Crashed("r1", "p1", []print{1, 2}) },
+			map[print]goose.Suspicion{1: goose.SuspicionSuspect, 2: goose.SuspicionSuspect, 3: goose.SuspicionNone},
+		},
+		"crash alone condemns a suspect": {
+			func(t *Table, c *fakeClock) {
+				t.Crashed("r1", "p1", []print{1, 2})
+				c.advance(time.Second)
+				t.Crashed("r2", "p2", []print{1, 1})
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionCondemned, 2: goose.SuspicionSuspect},
+		},
+		"crash in company condemns nobody": {
+			func(t *Table, _ *fakeClock) {
+				t.Crashed("r1", "p1", []print{1, 2})
+				t.Crashed("r2", "p2", []print{1, 2})
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionSuspect, 2: goose.SuspicionSuspect},
+		},
+		"first crash alone only marks": {
+			func(t *Table, _ *fakeClock) { t.Crashed("r1", "p1", []print{1}) },
+			map[print]goose.Suspicion{1: goose.SuspicionSuspect},
+		},
+		"same process twice": {
+			func(t *Table, _ *fakeClock) {
+				t.Crashed("r1", "p1", []print{1})
+				t.Crashed("r1", "p1", []print{1})
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionSuspect},
+		},
+		"same crash without process id twice": {
+			func(t *Table, c *fakeClock) {
+				t.Crashed("r1", "", []print{1})
+				c.advance(namelessWindow / 2)
+				t.Crashed("r1", "", []print{1})
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionSuspect},
+		},
+		"same crash, the process known to one": {
+			func(t *Table, c *fakeClock) {
+				t.Crashed("r1", "", []print{1})
+				t.Crashed("r1", "p1", []print{1})
+				t.Crashed("r1", "p2", []print{2})
+				c.advance(namelessWindow / 2)
+				t.Crashed("r1", "", []print{2})
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionSuspect, 2: goose.SuspicionSuspect},
+		},
+		"same crash by two peers, the process known to one": {
+			func(t *Table, c *fakeClock) {
+				for i, process := range []string{"", "p1"} {
+					t.Merge([]Mark{{1, goose.SuspicionSuspect, c.Now().UnixNano() + int64(i), Crash{"r1", process}}})
+				}
+				t.Crashed("r1", "p1", []print{1})
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionSuspect},
+		},
+		"second crash, the process known then": {
+			func(t *Table, c *fakeClock) {
+				t.Crashed("r1", "", []print{1})
+				c.advance(namelessWindow)
+				t.Crashed("r1", "p1", []print{1})
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionCondemned},
+		},
+		"second crash without process id": {
+			func(t *Table, c *fakeClock) {
+				t.Crashed("r1", "", []print{1})
+				c.advance(namelessWindow)
+				t.Crashed("r1", "", []print{1})
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionCondemned},
+		},
+		"cleared": {
+			func(t *Table, _ *fakeClock) {
+				t.Crashed("r1", "p1", []print{1, 2})
+				t.Cleared(1)
+				t.Cleared(9)
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionNone, 2: goose.SuspicionSuspect, 9: goose.SuspicionNone},
+		},
+		"cleared then crashes alone is a suspect again": {
+			func(t *Table, c *fakeClock) {
+				t.Crashed("r1", "p1", []print{1})
+				t.Cleared(1)
+				c.advance(time.Second)
+				t.Crashed("r2", "p2", []print{1})
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionSuspect},
+		},
+		"condemned is not cleared": {
+			func(t *Table, c *fakeClock) {
+				t.Crashed("r1", "p1", []print{1})
+				t.Crashed("r2", "p2", []print{1})
+				c.advance(time.Second)
+				t.Cleared(1)
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionCondemned},
+		},
+		"crash known from a peer counts once": {
+			func(t *Table, c *fakeClock) {
+				t.Merge([]Mark{{1, goose.SuspicionSuspect, c.Now().UnixNano(), Crash{"r1", "p1"}}})
+				t.Crashed("r1", "p1", []print{1})
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionSuspect},
+		},
+		"crash known from two peers counts once": {
+			func(t *Table, c *fakeClock) {
+				for i := range int64(2) {
+					t.Merge([]Mark{{1, goose.SuspicionSuspect, c.Now().UnixNano() - i, Crash{"r1", "p1"}}})
+				}
+				t.Crashed("r1", "p1", []print{1})
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionSuspect},
+		},
+		"second crash known from a peer that missed the first": {
+			func(t *Table, c *fakeClock) {
+				t.Crashed("r1", "p1", []print{1, 2})
+				c.advance(time.Second)
+				t.Merge([]Mark{{1, goose.SuspicionSuspect, c.Now().UnixNano(), Crash{"r2", "p2"}}})
+				t.Crashed("r2", "p2", []print{1})
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionCondemned, 2: goose.SuspicionSuspect},
+		},
+		"just before expiry": {
+			func(t *Table, c *fakeClock) {
+				t.Crashed("r1", "p1", []print{1})
+				c.advance(Lifetime - 1)
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionSuspect},
+		},
+		"expired": {
+			func(t *Table, c *fakeClock) {
+				t.Crashed("r1", "p1", []print{1})
+				t.Crashed("r2", "p2", []print{1})
+				c.advance(Lifetime)
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionNone},
+		},
+		"expired suspect is not condemned": {
+			func(t *Table, c *fakeClock) {
+				t.Crashed("r1", "p1", []print{1})
+				c.advance(Lifetime)
+				t.Crashed("r2", "p2", []print{1})
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionSuspect},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			clock := newFakeClock()
+			table := New(clock, nil)
+			tt.do(table, clock)
+			for f, want := range tt.want {
+				if got := table.Grade(f); got != want {
+					t.Errorf("request %d: got %s, want %s", f, got, want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a peer's clock that makes a mark last longer, and against
+// malformed marks.
+func TestMergeIgnoresBadMarks(t *testing.T) {
+	t.Parallel()
+	clock := newFakeClock()
+	table := New(clock, nil)
+	now := clock.Now()
+	table.Merge([]Mark{
+		{Fingerprint: 1, Grade: goose.SuspicionSuspect, Time: now.Add(time.Hour).UnixNano()},
+		{Fingerprint: 2, Grade: "guilty", Time: now.UnixNano()},
+		{Fingerprint: 3, Grade: goose.SuspicionCondemned, Time: now.Add(-Lifetime).UnixNano()},
+		{Fingerprint: 4, Grade: goose.SuspicionCondemned},
+	})
+	if got := table.Marks(); len(got) != 1 || got[0].Fingerprint != 1 {
+		t.Errorf("got %+v, want the mark of request 1", got)
+	}
+	clock.advance(Lifetime)
+	if got := table.Grade(1); got != goose.SuspicionNone {
+		t.Errorf("got %s after the lifetime, want none", got)
+	}
+}
+
+// Guards against memory that grows with crashes, and against condemned requests
+// that are forgotten before suspects.
+func TestBoundedMemory(t *testing.T) {
+	t.Parallel()
+	clock := newFakeClock()
+	table := New(clock, nil)
+	table.Crashed("r", "first", []print{1})
+	table.Crashed("r", "second", []print{1})
+	for i := range 2 * maxCrashes {
+		clock.advance(time.Millisecond)
+		table.Crashed("r", time.Duration(i).String(), nil)
+	}
+	for i := range 2 * MaxMarks / 1000 {
+		all := make([]print, 1000)
+		for j := range all {
+			all[j] = print(10 + 1000*i + j)
+		}
+		table.Crashed("s", time.Duration(i).String(), all)
+	}
+	if got := len(table.Marks()); got != MaxMarks {
+		t.Errorf("got %d marks, want %d", got, MaxMarks)
+	}
+	if got := len(table.crashes); got > maxCrashes {
+		t.Errorf("got %d crashes, want at most %d", got, maxCrashes)
+	}
+	if got := table.Grade(1); got != goose.SuspicionCondemned {
+		t.Errorf("got %s, want condemned", got)
+	}
+}
+
+func drawMark(t *rapid.T) Mark {
+	return Mark{
+		Fingerprint: print(rapid.IntRange(1, 3).Draw(t, "fingerprint")),
+		Grade:       rapid.SampledFrom([]goose.Suspicion{goose.SuspicionNone, goose.SuspicionSuspect, goose.SuspicionCondemned}).Draw(t, "grade"),
+		Time:        1_700_000_000e9 - rapid.Int64Range(0, 3).Draw(t, "age"),
+		Crash:       Crash{goose.ReplicaID(rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "replica")), rapid.SampledFrom([]string{"", "p", "q"}).Draw(t, "process")},
+	}
+}
+
+// Guards against instances that disagree for good because marks reached them in
+// another order or more than once.
+func TestMergeConverges(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		marks := rapid.SliceOfN(rapid.Custom(drawMark), 1, 12).Draw(t, "marks")
+		clock := newFakeClock()
+		a, b := New(clock, nil), New(clock, nil)
+		a.Merge(marks)
+		for _, m := range rapid.Permutation(append(marks, marks...)).Draw(t, "order") {
+			b.Merge([]Mark{m})
+		}
+		got, want := b.Marks(), a.Marks()
+		if len(got) != len(want) {
+			t.Fatalf("got %+v, want %+v", got, want)
+		}
+		for i := range got {
+			if got[i] != want[i] {
+				t.Fatalf("got %+v, want %+v", got[i], want[i])
+			}
+		}
+	})
+}
