--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,9 +1,23 @@
-#!/bin/sh
-# Runs all tests with the race detector. Tests listed in KNOWN-RED.txt are left
-# out of the verdict; the target known-red prints them.
-set -eu
-skip=$(sed -n 's/^test: *\(Test[A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | sort -u | paste -sd '|' -)
-if [ -n "$skip" ]; then
-	exec go test -race -timeout 20m -skip "^($skip)\$" ./...
+#!/usr/bin/env bash
+# Runs tests with the race detector and prints the name of each failing one last.
+# usage: scripts/test.sh [go test flags] <packages>
+#
+# A binary that hangs is ended after TEST_TIMEOUT with the stacks of its
+# goroutines. Tests listed in KNOWN-RED.txt are left out of the verdict; the
+# target known-red prints them.
+set -euo pipefail
+: "${TEST_TIMEOUT:=120s}"
+known_red=$(sed -n 's/^test: *\(Test[A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | sort -u | paste -sd '|' -)
+skip=()
+if [ -n "$known_red" ]; then
+	skip=(-skip "^($known_red)\$")
 fi
-exec go test -race -timeout 20m ./...
+out=$(mktemp)
+trap 'rm -f "$out"' EXIT
+status=0
+go test -race -timeout "$TEST_TIMEOUT" "${skip[@]}" "$@" 2>&1 | tee "$out" || status=$?
+if [ "$status" -ne 0 ]; then
+	echo "failing tests:"
+	grep -E '^ *--- FAIL|^panic:|^FAIL[[:space:]]|^fatal error:|WARNING: DATA RACE|running tests:|^[[:space:]]+Test[A-Za-z0-9_/,]+ \(' "$out" || true
+fi
+exit "$status"
