Name the operations page OPERATIONS.md

Cause: the users ask for docs/OPERATIONS.md by that name.

The text is unchanged.

Conclusion: no behaviour changes.

--- a/internal/goosecommand/operations_test.go
+++ b/internal/goosecommand/operations_test.go
@@ -14,7 +14,7 @@
 // against one that it describes but no instance writes.
 func TestOperationsPageListsMetrics(t *testing.T) {
 	t.Parallel()
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
