Grant nothing after a pause before the configuration is confirmed

Its log shows the frozen instance resume after 6 s as a degraded dispatcher, a mode that grants its part of the warm replicas at once, in the milliseconds before it got the configuration in which the data centre leaves. The lease does not guard this: degraded mode exists for data centres that are cut off.

Change: the manager notes each of its steps, 250 ms apart. After more than 2 s without one, its dispatchers grant nothing until another instance of the data centre, which did not pause itself, has told its configuration version and that version is in force here; after 2 s without an answer they go on, so that a cut off data centre serves. Versions in heartbeats do not count: they may have waited in the socket.

Ruled out: giving up the pool after a pause. Without the store the data centre would have no dispatcher until a caretaker acts, 7 s later.

--- a/internal/gooseevent/events.go
+++ b/internal/gooseevent/events.go
@@ -11,6 +11,7 @@
 	CertificateRenewed  = define(106, slog.LevelInfo, "certificate renewed", "The certificate files changed; new connections to other instances use the new certificate.")
 	CertificateUnusable = define(107, slog.LevelError, "certificate files unusable", "The certificate files changed, but cannot be used; the certificate read before stays in use.")
 	CertificateExpires  = define(108, slog.LevelWarn, "certificate expires soon", "Less than a tenth of the certificate's life is left; renew the files.")
+	ProcessResumed      = define(109, slog.LevelWarn, "process resumed after a pause", "The process did not run for the time in pause: it was stopped, or its machine was or is overloaded. Its dispatchers grant nothing until the configuration is confirmed.")
 	SettingsInvalid     = define(105, slog.LevelError, "settings invalid", "The settings file has an error; the message names file and setting.")
 )
 
--- a/pkg/goosedispatch/manager.go
+++ b/pkg/goosedispatch/manager.go
@@ -101,6 +101,7 @@
 type Manager struct {
 	o       Options
 	started time.Time
+	pauses  pauses
 
 	mu      sync.Mutex
 	holder  Holder
@@ -217,6 +218,7 @@
 
 // step looks at every pool once.
 func (m *Manager) step(ctx context.Context) {
+	m.notePause(ctx, m.o.Clock.Now())
 	c := m.o.Configuration.Current()
 	if c == nil {
 		return
--- a/pkg/goosedispatch/peers.go
+++ b/pkg/goosedispatch/peers.go
@@ -26,6 +26,7 @@
 	r.Handle(KindConsent, m.handleConsent)
 	r.Handle(KindCommand, m.handleCommand)
 	r.Handle(KindStatus, m.handleStatus)
+	r.Handle(KindVersion, m.handleVersion)
 }
 
 func (m *Manager) handleAcquire(ctx context.Context, from goose.InstanceID, decode func(any) error) (any, error) {
--- a/pkg/goosedispatch/running.go
+++ b/pkg/goosedispatch/running.go
@@ -84,6 +84,9 @@
 	}
 }
 
+// ownsNothing is the part of a dispatcher that may not grant for the moment.
+func ownsNothing(goose.ReplicaID) bool { return false }
+
 // authority decides under which mode the pool is dispatched now.
 func (r *running) authority(now time.Time) Authority {
 	e := Evidence{Now: now, Self: r.manager.o.Self, Store: StoreSilent}
@@ -94,13 +97,16 @@
 		default:
 		}
 		e.Deadline = r.held.Deadline()
-		if now.Before(e.Deadline) {
-			a := Authority{Mode: goose.ModeLeased}
-			if s := r.share.Load(); s != nil {
-				a.Share = *s
-			}
-			return a
+	}
+	if r.manager.pauses.outdated(now) {
+		return Authority{Mode: goose.ModeDegraded, Owns: ownsNothing}
+	}
+	if now.Before(e.Deadline) {
+		a := Authority{Mode: goose.ModeLeased}
+		if s := r.share.Load(); s != nil {
+			a.Share = *s
 		}
+		return a
 	}
 	rival := r.fill(&e)
 	r.mu.Lock()
@@ -113,7 +119,7 @@
 	if a.Mode == goose.ModeDegraded && rival {
 		// Two parts of the data centre hear each other again: neither grants
 		// until one of the dispatchers has stopped.
-		a.Owns, a.Whole = func(goose.ReplicaID) bool { return false }, false
+		a.Owns, a.Whole = ownsNothing, false
 	}
 	return a
 }
--- a/pkg/goosedispatch/wire.go
+++ b/pkg/goosedispatch/wire.go
@@ -22,6 +22,8 @@
 	KindCommand = "pool-command"
 	// KindStatus takes a StatusCall and answers a StatusReply.
 	KindStatus = "pool-status"
+	// KindVersion takes a VersionRequest and answers a VersionReply.
+	KindVersion = "pool-version"
 )
 
 // AbandonRequest removes a waiting request from the queue of a pool.
@@ -77,3 +79,12 @@
 type ConsentReply struct {
 	Promised bool `cbor:"1,keyasint"`
 }
+
+// VersionRequest asks for the configuration version in force at the instance.
+type VersionRequest struct{}
+
+// VersionReply is the version at an instance that has run without a pause since
+// it last confirmed it. Others answer an error.
+type VersionReply struct {
+	Version int64 `cbor:"1,keyasint"`
+}
