Count complete streams of silent instances by their memory alone

Cause: TestLeaveStopsNewWork, "backend server, relay killed", failed with `work after the return: none yet` in a whole run of the proofs. With the dispatcher's status printed, the failing runs show both engines of the data centre cold, with 2 requests and 240,000 tokens against limits of 1 and 120,000, while the engines run nothing and list two complete streams each. They belong to the killed instance, which the platform still lists, so that nobody may cancel them before the deadline of 60 s; each counts as the whole cold limit of its replica.

Change: a stream whose output is complete computes nothing. Without a permit, or with one whose holder has been silent for 6 s, it counts against the replica's memory and no longer against concurrency and the cold limits.

Ruled out: cancelling such streams earlier. Their holder may only be cut off and still read them (TestSplitCutsNoStreams).

--- a/pkg/goosedispatch/failure_test.go
+++ b/pkg/goosedispatch/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -118,6 +119,21 @@
 		"streams not readable":          {func(r *rig) { r.protocol.set("a:1", func(e *fakeEngine) { e.stuck = true }) }, 9 * time.Second, 0},
 		"stream without a permit":       {func(r *rig) { r.protocol.set("a:1", func(e *fakeEngine) { e.streams["x"] = true }) }, 5 * time.Second, 0},
 		"stream cancelled after a time": {func(r *rig) { r.protocol.set("a:1", func(e *fakeEngine) { e.streams["x"] = true }) }, 9 * time.Second, 1},
+		"complete stream of a silent instance": {func(r *rig) {
+			r.holders.complete = false
+			r.protocol.set("a:1", func(e *fakeEngine) { e.streams["x"], e.complete = true, map[goose.AttemptID]bool{"x": true} })
+		}, 7 * time.Second, 1},
+		"running stream of a silent instance": {func(r *rig) {
+			r.holders.complete = false
+			r.protocol.set("a:1", func(e *fakeEngine) { e.streams["x"] = true })
+		}, 7 * time.Second, 0},
+		"stream of a silent instance completes": {func(r *rig) {
+			r.holders.complete = false
+			r.protocol.set("a:1", func(e *fakeEngine) { e.streams["x"] = true })
+			time.AfterFunc(7*time.Second, func() {
+				r.protocol.set("a:1", func(e *fakeEngine) { e.complete = map[goose.AttemptID]bool{"x": true} })
+			})
+		}, 13 * time.Second, 1},
 		"warm process": {func(r *rig) {
 			r.holders.all = []goose.Collected{{Warm: []goose.Warmth{{Replica: "a", Process: "p1"}}}}
 		}, time.Second, 4},
@@ -209,10 +225,14 @@
 			dropped(r)
 			time.AfterFunc(4*time.Second, func() { r.try(request("x", 100)) })
 		}, 8 * time.Second, 0},
-		"silent, dropped":                 {true, dropped, 8 * time.Second, 1},
-		"silent, listed":                  {true, silent, 28 * time.Second, 0},
-		"silent, past the deadline":       {true, silent, 31 * time.Second, 1},
-		"silent, stream ended":            {true, func(r *rig) { silent(r); r.protocol.set("a:1", func(e *fakeEngine) { clear(e.streams) }) }, 8 * time.Second, 1},
+		"silent, dropped":           {true, dropped, 8 * time.Second, 1},
+		"silent, listed":            {true, silent, 28 * time.Second, 0},
+		"silent, past the deadline": {true, silent, 31 * time.Second, 1},
+		"silent, stream ended":      {true, func(r *rig) { silent(r); r.protocol.set("a:1", func(e *fakeEngine) { clear(e.streams) }) }, 8 * time.Second, 1},
+		"silent, stream complete": {true, func(r *rig) {
+			silent(r)
+			r.protocol.set("a:1", func(e *fakeEngine) { e.complete = maps.Clone(e.streams) })
+		}, 8 * time.Second, 1},
 		"silent, confirms":                {true, func(r *rig) { silent(r); r.holders.set(func(f *fakeHolders) { f.confirm = true }) }, 40 * time.Second, 0},
 		"silent, engine unreachable":      {true, func(r *rig) { dropped(r); r.protocol.set("a:1", func(e *fakeEngine) { e.stuck = true }) }, 20 * time.Second, 0},
 		"plain, silent":                   {true, func(r *rig) { silent(r); r.source.change(plain) }, 25 * time.Second, 0},
--- a/pkg/goosedispatch/orphan.go
+++ b/pkg/goosedispatch/orphan.go
@@ -54,17 +54,22 @@
 }
 
 // adopt counts a stream without a permit. Its size is unknown, so that it
-// takes the whole token limit of a cold replica.
+// takes the whole token limit of a cold replica until its output is whole.
 func (p *Pool) adopt(r *replica, s goose.RunningStream, now time.Time) {
 	id := goose.PermitID(s.ID)
-	if _, ok := r.orphans[s.ID]; ok || p.permits[id] != nil {
+	if p.permits[id] != nil {
 		return
 	}
-	if at, ok := p.released.at[id]; ok && now.Sub(at) < goose.HolderTimeout {
-		return
+	if _, ok := r.orphans[s.ID]; !ok {
+		if at, ok := p.released.at[id]; ok && now.Sub(at) < goose.HolderTimeout {
+			return
+		}
+		r.orphans[s.ID] = &orphan{since: now}
+		r.limits.Add(id, gooselimit.Demand{Tokens: max(s.Tokens, r.spec.ColdTokens), Foreign: true})
+	}
+	if s.Done {
+		r.limits.Complete(id)
 	}
-	r.orphans[s.ID] = &orphan{since: now}
-	r.limits.Add(id, gooselimit.Demand{Tokens: max(s.Tokens, r.spec.ColdTokens), Foreign: true})
 }
 
 func (p *Pool) removeOrphan(r *replica, id goose.AttemptID) {
--- a/pkg/goosedispatch/reclaim.go
+++ b/pkg/goosedispatch/reclaim.go
@@ -186,7 +186,8 @@
 }
 
 // lookUp frees the permit of a silent holder if its stream is not in the replica's
-// own list: the release was lost. A giant prompt moves from replica to replica and
+// own list: the release was lost. A stream that has ended but was not read keeps
+// its memory alone. A giant prompt moves from replica to replica and
 // can be in none of their lists for a moment; it is freed at its deadline.
 func (p *Pool) lookUp(ctx context.Context, group *conc.WaitGroup, g *permit, now time.Time) {
 	protocol := p.d.Protocol(p.service.Protocol)
@@ -197,16 +198,31 @@
 	group.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		gone := notListed(ctx, protocol, g.permit.Replicas[0].Address, goose.AttemptID(g.permit.ID))
+		state := lookUpStream(ctx, protocol, g.permit.Replicas[0].Address, goose.AttemptID(g.permit.ID))
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		g.freeing = false
-		if gone && p.permits[g.permit.ID] == g {
-			p.freed(g, p.d.Clock.Now())
+		if p.permits[g.permit.ID] != g {
+			return
+		}
+		switch now := p.d.Clock.Now(); state {
+		case streamGone:
+			p.freed(g, now)
+		case streamComplete:
+			p.completed(g, now)
 		}
 	})
 }
 
+// completed leaves a permit only the memory of its output.
+func (p *Pool) completed(g *permit, now time.Time) {
+	all := p.replicasOf(g)
+	for _, r := range all {
+		r.limits.Complete(g.permit.ID)
+	}
+	p.pumpReplicas(now, all...)
+}
+
 func (p *Pool) freed(g *permit, now time.Time) {
 	gooseevent.PermitFreed.Log(p.d.Log, "pool", p.d.Pool.String(), "permit", g.permit.ID, "instance", g.request.Instance)
 	p.drop(g, noSuccess)
@@ -225,24 +241,38 @@
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := protocol.Cancel(ctx, s.Address, goose.AttemptID(g.ID))
 		if err != nil && !errors.Is(err, goose.ErrStreamGone) {
-			gone = gone && notListed(ctx, protocol, s.Address, goose.AttemptID(g.ID))
+			gone = gone && lookUpStream(ctx, protocol, s.Address, goose.AttemptID(g.ID)) == streamGone
 		}
 		cancel()
 	}
 	return gone
 }
 
-func notListed(ctx context.Context, protocol goose.Protocol, address string, id goose.AttemptID) bool {
+// streamState is what a replica's own list tells about a stream.
+type streamState string
+
+const (
+	streamUnknown  streamState = "unknown"
+	streamGone     streamState = "gone"
+	streamRunning  streamState = "running"
+	streamComplete streamState = "complete"
+)
+
+func lookUpStream(ctx context.Context, protocol goose.Protocol, address string, id goose.AttemptID) streamState {
 	streams, err := protocol.Streams(ctx, address)
 	if err != nil {
-		return false
+		return streamUnknown
 	}
 	for _, s := range streams {
-		if s.ID == id {
-			return false
+		switch {
+		case s.ID != id:
+		case s.Done:
+			return streamComplete
+		default:
+			return streamRunning
 		}
 	}
-	return true
+	return streamGone
 }
 
 // forget drops replicas that left the configuration and run nothing.
--- a/pkg/gooselimit/limit.go
+++ b/pkg/gooselimit/limit.go
@@ -53,6 +53,8 @@
 type entry struct {
 	demand     Demand
 	generation int64
+	// complete is set once nothing is left to compute.
+	complete bool
 }
 
 // Replica keeps the limits of one replica. It is not safe for concurrent use.
@@ -73,6 +75,9 @@
 	// foreign and foreignTokens are the parts of entries and tokens that other
 	// dispatchers may have placed.
 	foreign, foreignTokens int
+	// complete and completeTokens are the parts of entries and tokens that only
+	// occupy memory.
+	complete, completeTokens int
 
 	longs     int
 	exclusive int
@@ -155,19 +160,28 @@
 		return false
 	case d.Long && r.longs > 0:
 		return false
-	case len(r.entries) >= r.concurrency():
+	case r.running() >= r.concurrency():
 		return false
 	}
-	return r.tokens+d.Tokens <= r.tokenLimit() && r.ownFits(d)
+	return d.Tokens <= r.room() && r.ownFits(d)
+}
+
+// running returns the permits that the replica has still to compute for.
+func (r *Replica) running() int { return len(r.entries) - r.complete }
+
+// room returns the tokens that fit beside those in flight. The memory of complete
+// answers is no load, so that a cold replica bears as much beside them.
+func (r *Replica) room() int {
+	return min(r.tokenLimit()-(r.tokens-r.completeTokens), r.spec.MemoryTokens-r.tokens)
 }
 
 // Free returns the tokens that can be granted now; zero if no request fits.
 func (r *Replica) Free() int {
-	if r.exclusive > 0 || len(r.entries) >= r.concurrency() || !r.ownFits(Demand{}) {
+	if r.exclusive > 0 || r.running() >= r.concurrency() || !r.ownFits(Demand{}) {
 		return 0
 	}
 	own := r.share.of(r.spec.MemoryTokens) - (r.tokens - r.foreignTokens)
-	return max(0, min(r.tokenLimit()-r.tokens, own))
+	return max(0, min(r.room(), own))
 }
 
 // Add counts a permit. Adding a known id has no effect. It does not check the
@@ -205,6 +219,21 @@
 	r.entries[id] = e
 }
 
+// Complete notes that the output of a permit is whole and waits in the replica's
+// memory for its reader. It no longer counts against concurrency and the cold
+// limits.
+func (r *Replica) Complete(id goose.PermitID) {
+	r.PrefillDone(id)
+	e, ok := r.entries[id]
+	if !ok || e.complete {
+		return
+	}
+	e.complete = true
+	r.entries[id] = e
+	r.complete++
+	r.completeTokens += e.demand.Tokens
+}
+
 // Prefills returns the prompt tokens that the replica has to compute for
 // permits of the priority or an earlier one.
 func (r *Replica) Prefills(priority int) int {
@@ -229,6 +258,10 @@
 		r.foreign--
 		r.foreignTokens -= e.demand.Tokens
 	}
+	if e.complete {
+		r.complete--
+		r.completeTokens -= e.demand.Tokens
+	}
 	r.prefills[e.demand.Priority] -= e.demand.Prefill
 	if e.demand.Long {
 		r.longs--
