Announce the run of a suspect before it begins

If the instance that sends a suspect also dispatches its pool and dies or freezes while the second engine runs the request, nobody learns that this engine crashed, and the request costs a third one.

Change: a suspect is marked on-trial before its first byte, and the sender waits until the other instances have the mark, 1 s at most. Dispatchers without a permit of their own for it refuse it at once as not run, also where it waits; so they do now for waiting requests that were condemned elsewhere, which stayed in the queue until their deadline before. The dispatcher, the sender, or a dispatcher that frees the permit of a dead sender ends the trial.

Ruled out: an own order of marks by number of trials instead of by time; marks of two crashes have no common count, so that the merge would depend on the order.

A suspect whose sender and dispatcher die together is refused until its mark expires, ten minutes.

--- a/internal/gooseentry/failure_test.go
+++ b/internal/gooseentry/failure_test.go
@@ -74,6 +74,9 @@
 			if got := r.suspects.Clearances; got != 1 {
 				t.Errorf("suspects cleared: got %d, want 1", got)
 			}
+			if got := r.suspects.Trials; got != 1 {
+				t.Errorf("trials of a suspect: got %d, want 1", got)
+			}
 		})
 	}
 }
--- a/internal/gooseentry/job.go
+++ b/internal/gooseentry/job.go
@@ -91,7 +91,7 @@
 
 // attempts obtains permits and makes an attempt with each until the request has
 // a final answer. An order is claimed after its permit was granted.
-func (j *job) attempts(one func(goose.Protocol, *goose.Permit) (res result, again bool)) result {
+func (j *job) attempts(one func(goose.Protocol, *goose.Permit) (result, bool)) result {
 	proto, err := j.e.protocolOf(j.q.service.Protocol)
 	if err != nil {
 		return j.settle(refusal(goose.CodeNotReady, "protocol", err.Error(), time.Second))
@@ -109,12 +109,22 @@
 		if !ok {
 			return res
 		}
-		if res, again := one(proto, p); !again {
+		if res, again := j.tryAlone(proto, p, one); !again {
 			return res
 		}
 	}
 }
 
+// tryAlone makes one attempt. That a suspect runs is announced before: if this
+// instance dies, others must not run it on another backend server, as nobody knows
+// whether it crashed this one.
+func (j *job) tryAlone(proto goose.Protocol, p *goose.Permit, one func(goose.Protocol, *goose.Permit) (result, bool)) (result, bool) {
+	if j.e.suspects.Try(j.ctx, j.q.fingerprint) {
+		defer j.e.suspects.Tried(j.q.fingerprint)
+	}
+	return one(proto, p)
+}
+
 func (j *job) part() {
 	if j.parties.Add(-1) == 0 {
 		j.finish()
--- a/internal/gooseentry/pools.go
+++ b/internal/gooseentry/pools.go
@@ -58,7 +58,7 @@
 	if suspicion == goose.SuspicionCondemned {
 		return nil, crashes()
 	}
-	q.suspect = suspicion == goose.SuspicionSuspect
+	q.suspect = suspicion == goose.SuspicionSuspect || suspicion == goose.SuspicionOnTrial
 	var first *goose.Refusal
 	for _, pool := range e.pools(q) {
 		q.asked++
--- a/internal/goosetest/suspects.go
+++ b/internal/goosetest/suspects.go
@@ -1,6 +1,7 @@
 package goosetest
 
 import (
+	"context"
 	"sync"
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
@@ -12,6 +13,8 @@
 	// Crashes counts the processes that crashed with a request in flight.
 	Crashes map[goose.Fingerprint]int
 	noted   map[string]bool
+	// Trials counts the suspects that were tried.
+	Trials int
 	// Clearances counts the calls of Cleared.
 	Clearances int
 	// Processes are those of the crashes that were noted.
@@ -50,3 +53,17 @@
 	f.Clearances++
 	delete(f.Crashes, fp)
 }
+
+// Try implements goose.Suspects.
+func (f *Suspects) Try(_ context.Context, fp goose.Fingerprint) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.Crashes[fp] != 1 {
+		return false
+	}
+	f.Trials++
+	return true
+}
+
+// Tried implements goose.Suspects.
+func (*Suspects) Tried(goose.Fingerprint) {}
--- a/pkg/goose/permit.go
+++ b/pkg/goose/permit.go
@@ -20,8 +20,10 @@
 
 // Grades of suspicion.
 const (
-	SuspicionNone      Suspicion = "none"
-	SuspicionSuspect   Suspicion = "suspect"
+	SuspicionNone    Suspicion = "none"
+	SuspicionSuspect Suspicion = "suspect"
+	// SuspicionOnTrial is a suspect that runs alone somewhere.
+	SuspicionOnTrial   Suspicion = "on-trial"
 	SuspicionCondemned Suspicion = "condemned"
 )
 
--- a/pkg/goose/roles.go
+++ b/pkg/goose/roles.go
@@ -42,6 +42,12 @@
 	Crashed(id ReplicaID, process string, inFlight []Fingerprint)
 	// Cleared notes that a suspect finished while it ran alone.
 	Cleared(f Fingerprint)
+	// Try notes that a suspect is about to run alone, and returns once the other
+	// instances know or did not answer in time. It returns false for a request
+	// that is no suspect, or is on trial already.
+	Try(ctx context.Context, f Fingerprint) bool
+	// Tried notes that a trial ended without a verdict.
+	Tried(f Fingerprint)
 }
 
 // ClaimStatus is the outcome of an attempt to claim an order.
--- a/pkg/goosedispatch/admission.go
+++ b/pkg/goosedispatch/admission.go
@@ -17,6 +17,8 @@
 	maxRetryAfter = time.Minute
 	// estimateDecay weighs past releases: the last 50 or so count most.
 	estimateDecay = 0.98
+	// retryAfterTrial is about the time that a short request takes alone.
+	retryAfterTrial = 5 * time.Second
 	// takeoverTooLong is the reason of lateAfterTakeover.
 	takeoverTooLong = "takeover lasts too long for the deadline"
 )
@@ -169,8 +171,8 @@
 
 // unroutable refuses requests that no replica of the pool can ever run.
 func (p *Pool) unroutable(r goose.PermitRequest) (goose.Refusal, bool) {
-	if p.grade(r) == goose.SuspicionCondemned {
-		return condemned(r.Fingerprint), true
+	if refusal, refused := suspicious(r.Fingerprint, p.grade(r)); refused {
+		return refusal, true
 	}
 	set := p.eligible(r.Workspace)
 	if len(set.replicas) == 0 {
@@ -201,15 +203,25 @@
 	return goose.NotRun(goose.CodeNoRoute, "no backend server of pool "+p.d.Pool.String()+" is open to the workspace")
 }
 
-func condemned(f goose.Fingerprint) goose.Refusal {
-	return goose.NotRun(goose.CodeCrashesBackend, "request "+f.String()+" crashed the backend servers that ran it")
+// suspicious refuses a request that crashed two backend servers, or that may be
+// crashing the second one now.
+func suspicious(f goose.Fingerprint, g goose.Suspicion) (goose.Refusal, bool) {
+	switch g {
+	case goose.SuspicionCondemned:
+		return goose.NotRun(goose.CodeCrashesBackend, "request "+f.String()+" crashed the backend servers that ran it"), true
+	case goose.SuspicionOnTrial:
+		return goose.NotRun(goose.CodeOverloaded, "request "+f.String()+" crashed a backend server and is tried alone on another one").
+			WithReason("suspect-on-trial").WithRetryAfter(retryAfterTrial), true
+	}
+	return goose.Refusal{}, false
 }
 
-// refuseCondemned refuses waiting requests that were condemned meanwhile.
-func (p *Pool) refuseCondemned() {
+// refuseSuspicious refuses waiting requests that were condemned or put on trial
+// elsewhere meanwhile.
+func (p *Pool) refuseSuspicious() {
 	for _, w := range p.waiting {
-		if p.grade(w.request) == goose.SuspicionCondemned {
-			p.refuseWaiting(w, condemned(w.request.Fingerprint))
+		if refusal, refused := suspicious(w.request.Fingerprint, p.grade(w.request)); refused {
+			p.refuseWaiting(w, refusal)
 		}
 	}
 }
--- a/pkg/goosedispatch/failure_test.go
+++ b/pkg/goosedispatch/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -396,3 +397,83 @@
 		t.Errorf("after the second crash: got %v %s, want crashes-backend not-run", a.Refusal, a.Refusal.Run)
 	}
 }
+
+// trials grades every request as on trial while one is set.
+type trials struct {
+	*goosetest.Suspects
+	set atomic.Bool
+	// ended counts trials without a verdict.
+	ended atomic.Int64
+}
+
+func (s *trials) Grade(goose.Fingerprint) goose.Suspicion {
+	if s.set.Load() {
+		return goose.SuspicionOnTrial
+	}
+	return goose.SuspicionSuspect
+}
+
+func (s *trials) Tried(goose.Fingerprint) {
+	s.set.Store(false)
+	s.ended.Add(1)
+}
+
+// Guards against a suspect that runs while another instance, which may have died,
+// tries it elsewhere, against an equal request that is refused although the trial
+// is this pool's own, and against a trial that never ends.
+func TestSuspectOnTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &trials{Suspects: goosetest.NewSuspects()}
+		r := newRig(t, func(_ *rig, d *Dependencies) { d.Suspects = s }, "a", "b")
+		r.run()
+		r.warm()
+		twin := request("twin", 100)
+		twin.Fingerprint = request("bad", 100).Fingerprint
+		g := r.acquire(request("bad", 100), goose.PermitGranted).Permit
+		s.set.Store(true)
+		if a := r.try(twin); a.Status != goose.PermitWaiting {
+			t.Errorf("beside a trial of this pool: got %s %v, want waiting", a.Status, a.Refusal)
+		}
+		r.release(g, func(x *goose.PermitReport) { x.Outcome = goose.OutcomeCancelled })
+		if s.set.Load() || s.ended.Load() != 1 {
+			t.Errorf("after a cancelled trial: got %d trials ended, want 1", s.ended.Load())
+		}
+		s.set.Store(true)
+		a := r.try(twin)
+		if a.Refusal.Code != goose.CodeOverloaded || a.Refusal.Run != goose.RunNot || a.Refusal.Reason != "suspect-on-trial" || a.Refusal.RetryAfter != retryAfterTrial {
+			t.Errorf("beside a trial elsewhere: got %s %+v, want it refused as not run", a.Status, a.Refusal)
+		}
+		s.set.Store(false)
+		a = r.acquire(twin, goose.PermitGranted)
+		r.release(a.Permit, func(x *goose.PermitReport) { x.Outcome = goose.OutcomeCrashed })
+		if s.ended.Load() != 1 {
+			t.Errorf("after a crash: got %d trials ended without a verdict, want 1", s.ended.Load())
+		}
+	})
+}
+
+// Guards against a request that waits on although it is put on trial elsewhere.
+func TestWaitingSuspectOnTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &trials{Suspects: goosetest.NewSuspects()}
+		r := newRig(t, func(r *rig, d *Dependencies) {
+			d.Suspects = s
+			r.protocol.set("a:1", func(e *fakeEngine) { e.down = true })
+		}, "a")
+		r.run()
+		ch, a, done := r.pool.enter(time.Now(), request("bad", 100))
+		if done {
+			t.Fatalf("got %s %v, want it waiting", a.Status, a.Refusal)
+		}
+		s.set.Store(true)
+		time.Sleep(2 * tickInterval)
+		select {
+		case a = <-ch:
+			if a.Refusal.Reason != "suspect-on-trial" {
+				t.Errorf("got %s %v, want it refused for the trial", a.Status, a.Refusal)
+			}
+		default:
+			t.Error("got no answer, want a refusal at once")
+		}
+	})
+}
--- a/pkg/goosedispatch/grant.go
+++ b/pkg/goosedispatch/grant.go
@@ -235,7 +235,7 @@
 		return false
 	}
 	grade := p.grade(r)
-	if grade == goose.SuspicionCondemned {
+	if grade == goose.SuspicionCondemned || grade == goose.SuspicionOnTrial {
 		return false
 	}
 	if r.Class == goose.ClassGiant && r.Cost() > set.maxMemory {
@@ -337,13 +337,19 @@
 	return nil
 }
 
+// grade returns the graver of what the instance of the request and this one know.
+// Whoever tries a suspect in this pool has a permit: equal requests wait for its
+// end. Without one it runs elsewhere, or its instance has died.
 func (p *Pool) grade(r goose.PermitRequest) goose.Suspicion {
 	g := r.Suspicion
-	if p.d.Suspects == nil || g == goose.SuspicionCondemned {
-		return g
+	if p.d.Suspects != nil && g != goose.SuspicionCondemned {
+		if own := p.d.Suspects.Grade(r.Fingerprint); own == goose.SuspicionCondemned || own == goose.SuspicionOnTrial ||
+			g == "" || g == goose.SuspicionNone {
+			g = own
+		}
 	}
-	if own := p.d.Suspects.Grade(r.Fingerprint); own == goose.SuspicionCondemned || g == "" || g == goose.SuspicionNone {
-		return own
+	if _, here := p.pins[r.Fingerprint]; here && g == goose.SuspicionOnTrial {
+		return goose.SuspicionSuspect
 	}
 	return g
 }
--- a/pkg/goosedispatch/reclaim.go
+++ b/pkg/goosedispatch/reclaim.go
@@ -41,6 +41,7 @@
 			p.answer(w, goose.PermitAnswer{})
 		}
 	}
+	p.refuseSuspicious()
 	p.refuseHopeless(now)
 	p.pump(now)
 	if p.d.Holders == nil || now.Sub(p.watched) < watchInterval {
@@ -229,6 +230,7 @@
 	if !g.denied {
 		p.abandon(g)
 	}
+	p.judgeSuspect(g, goose.OutcomeCancelled)
 	p.pumpReplicas(now, p.replicasOf(g)...)
 }
 
--- a/pkg/goosedispatch/replica.go
+++ b/pkg/goosedispatch/replica.go
@@ -302,5 +302,5 @@
 	}
 	gooseevent.ReplicaCrashed.Log(p.d.Log, "pool", p.d.Pool.String(), "replica", r.id, "process", process, "requests", len(prints))
 	p.d.Suspects.Crashed(r.id, process, prints)
-	p.refuseCondemned()
+	p.refuseSuspicious()
 }
--- a/pkg/goosedispatch/report.go
+++ b/pkg/goosedispatch/report.go
@@ -92,10 +92,8 @@
 		p.firstToken(g, r.First, now)
 		p.load.finished(g, r.First, now)
 		p.observeFirstToken(g, r)
-		if g.exclusive && p.d.Suspects != nil {
-			p.d.Suspects.Cleared(g.request.Fingerprint)
-		}
 	}
+	p.judgeSuspect(g, r.Outcome)
 	if !g.prefilled && r.Outcome == goose.OutcomeCancelled {
 		p.gaveUp(g, now)
 	}
@@ -105,6 +103,20 @@
 	}
 }
 
+// judgeSuspect ends the trial of a suspect that ran alone.
+func (p *Pool) judgeSuspect(g *permit, o goose.Outcome) {
+	if !g.exclusive || p.d.Suspects == nil {
+		return
+	}
+	switch o {
+	case goose.OutcomeFinished:
+		p.d.Suspects.Cleared(g.request.Fingerprint)
+	case goose.OutcomeCrashed:
+	default:
+		p.d.Suspects.Tried(g.request.Fingerprint)
+	}
+}
+
 // observeFirstToken lets the bound on long prefills learn from short requests.
 func (p *Pool) observeFirstToken(g *permit, r goose.PermitReport) {
 	if g.request.Class != goose.ClassShort || g.company == "" || p.service.Kind != goose.KindModel {
--- a/pkg/goosesuspect/mark.go
+++ b/pkg/goosesuspect/mark.go
@@ -60,13 +60,18 @@
 // valid reports whether a mark from a peer can be used.
 func (m Mark) valid() bool {
 	switch m.Grade {
-	case goose.SuspicionNone, goose.SuspicionSuspect, goose.SuspicionCondemned:
+	case goose.SuspicionNone, goose.SuspicionSuspect, goose.SuspicionOnTrial, goose.SuspicionCondemned:
 		return m.Time > 0
 	default:
 		return false
 	}
 }
 
+// suspected reports whether a request with the grade was in flight on one crash.
+func suspected(g goose.Suspicion) bool {
+	return g == goose.SuspicionSuspect || g == goose.SuspicionOnTrial
+}
+
 // merge returns the mark that counts of two for the same request: condemned
 // beats all, then the later one, then the higher grade. The remaining
 // comparisons only make the result independent of the order.
@@ -74,11 +79,16 @@
 	if a.Mark == b.Mark && b.expires.Before(a.expires) || less(a.Mark, b.Mark) {
 		a, b = b, a
 	}
-	bothSuspect := a.Grade == goose.SuspicionSuspect && b.Grade == goose.SuspicionSuspect
+	bothSuspect := suspected(a.Grade) && suspected(b.Grade)
 	a.repeated = a.repeated || bothSuspect && (b.repeated || !a.Crash.same(b.Crash, time.Duration(a.Time-b.Time)))
 	return a
 }
 
+// rank orders the grades of marks of the same time.
+var rank = map[goose.Suspicion]int{
+	goose.SuspicionNone: 0, goose.SuspicionSuspect: 1, goose.SuspicionOnTrial: 2, goose.SuspicionCondemned: 3,
+}
+
 func less(a, b Mark) bool {
 	ca, cb := a.Grade == goose.SuspicionCondemned, b.Grade == goose.SuspicionCondemned
 	switch {
@@ -87,7 +97,7 @@
 	case a.Time != b.Time:
 		return a.Time < b.Time
 	case a.Grade != b.Grade:
-		return a.Grade == goose.SuspicionNone
+		return rank[a.Grade] < rank[b.Grade]
 	case a.Crash.Replica != b.Crash.Replica:
 		return a.Crash.Replica < b.Crash.Replica
 	default:
--- a/pkg/goosesuspect/peers.go
+++ b/pkg/goosesuspect/peers.go
@@ -49,6 +49,7 @@
 func NewPeers(clock goose.Clock, members goose.Membership, caller goose.Caller) *Peers {
 	p := &Peers{members: members, caller: caller, queue: make(chan []Mark, spreadQueue)}
 	p.table = New(clock, p.offer)
+	p.table.announce = p.announce
 	return p
 }
 
@@ -62,6 +63,13 @@
 	}
 }
 
+// announce sends marks at once. A permit is valid for longer than it waits.
+func (p *Peers) announce(ctx context.Context, marks []Mark) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	p.send(ctx, marks)
+}
+
 // Register adds the handlers of both kinds.
 func (p *Peers) Register(r goose.Router) {
 	r.Handle(KindMarks, func(ctx context.Context, from goose.InstanceID, decode func(any) error) (any, error) {
--- a/pkg/goosesuspect/peers_test.go
+++ b/pkg/goosesuspect/peers_test.go
@@ -130,6 +130,41 @@
 	})
 }
 
+// Guards against a suspect that begins to run before the instances that answer
+// know, and against one that waits long for an instance that does not.
+func TestTrialIsAnnounced(t *testing.T) {
+	t.Parallel()
+	for name, silent := range map[string]bool{"all answer": false, "one is silent": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(nil)
+				f.unreached["b"] = silent
+				a, b, c := f.join("a"), f.join("b"), f.join("c")
+				a.Table().Crashed("r1", "p1", []goose.Fingerprint{1})
+				begin := time.Now()
+				if !a.Table().Try(t.Context(), 1) {
+					t.Fatal("got no trial of a suspect")
+				}
+				if got := time.Since(begin); got > callTimeout {
+					t.Errorf("the request waited %s, want at most %s", got, callTimeout)
+				}
+				want := map[*Peers]goose.Suspicion{a: goose.SuspicionOnTrial, b: goose.SuspicionOnTrial, c: goose.SuspicionOnTrial}
+				if silent {
+					want[b] = goose.SuspicionNone
+				}
+				for p, w := range want {
+					if got := p.Table().Grade(1); got != w {
+						t.Errorf("grade: got %s, want %s", got, w)
+					}
+				}
+				if a.Table().Try(t.Context(), 1) {
+					t.Error("got a second trial at the same time")
+				}
+			})
+		})
+	}
+}
+
 // BenchmarkGrade measures what each request pays.
 func BenchmarkGrade(b *testing.B) {
 	t := New(goose.SystemClock{}, nil)
--- a/pkg/goosesuspect/table.go
+++ b/pkg/goosesuspect/table.go
@@ -3,6 +3,7 @@
 package goosesuspect
 
 import (
+	"context"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -27,7 +28,10 @@
 	clock goose.Clock
 	// spread gets marks that were made or changed here; it must not block.
 	spread func([]Mark)
-	marks  atomic.Pointer[map[goose.Fingerprint]held]
+	// announce sends marks to all other instances and returns once they answered
+	// or took too long; nil keeps marks local.
+	announce func(context.Context, []Mark)
+	marks    atomic.Pointer[map[goose.Fingerprint]held]
 
 	mu sync.Mutex
 	// crashes are the crashes noted here, with their time.
@@ -112,7 +116,7 @@
 			ok = false
 		}
 		m := Mark{Fingerprint: f, Grade: goose.SuspicionSuspect, Time: now.UnixNano(), Crash: crash}
-		if ok && old.Grade == goose.SuspicionSuspect && len(inFlight) == 1 && (old.repeated || !same(old.Mark, crash, now)) {
+		if ok && suspected(old.Grade) && len(inFlight) == 1 && (old.repeated || !same(old.Mark, crash, now)) {
 			m.Grade = goose.SuspicionCondemned
 		}
 		made = append(made, m)
@@ -128,17 +132,45 @@
 
 // Cleared implements goose.Suspects. Only a suspect can be cleared.
 func (t *Table) Cleared(f goose.Fingerprint) {
+	if made, ok := t.change(f, goose.SuspicionNone, suspected); ok {
+		t.spread(made)
+	}
+}
+
+// Try implements goose.Suspects. The mark stays if this instance dies: nobody else
+// may know whether the trial crashed its backend server.
+func (t *Table) Try(ctx context.Context, f goose.Fingerprint) bool {
+	made, ok := t.change(f, goose.SuspicionOnTrial, func(g goose.Suspicion) bool { return g == goose.SuspicionSuspect })
+	if ok && t.announce != nil {
+		t.announce(ctx, made)
+	}
+	return ok
+}
+
+// Tried implements goose.Suspects.
+func (t *Table) Tried(f goose.Fingerprint) {
+	made, ok := t.change(f, goose.SuspicionSuspect, func(g goose.Suspicion) bool { return g == goose.SuspicionOnTrial })
+	if ok {
+		t.spread(made)
+	}
+}
+
+// change gives a request another grade if its present one allows it, and returns
+// the new mark.
+func (t *Table) change(f goose.Fingerprint, to goose.Suspicion, from func(goose.Suspicion) bool) ([]Mark, bool) {
 	now := t.clock.Now()
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	old, ok := (*t.marks.Load())[f]
-	if !ok || old.expired(now) || old.Grade != goose.SuspicionSuspect {
-		t.mu.Unlock()
-		return
+	if !ok || old.expired(now) || !from(old.Grade) {
+		return nil, false
 	}
-	made := []Mark{{Fingerprint: f, Grade: goose.SuspicionNone, Time: max(now.UnixNano(), old.Time+1)}}
-	t.apply(made, now)
-	t.mu.Unlock()
-	t.spread(made)
+	m := Mark{Fingerprint: f, Grade: to, Time: max(now.UnixNano(), old.Time+1)}
+	if to != goose.SuspicionNone {
+		m.Crash = old.Crash
+	}
+	t.apply([]Mark{m}, now)
+	return []Mark{m}, true
 }
 
 // Merge adds marks of a peer; marks that are malformed or expired are ignored.
--- a/pkg/goosesuspect/table_test.go
+++ b/pkg/goosesuspect/table_test.go
@@ -1,6 +1,7 @@
 package goosesuspect
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
@@ -53,6 +54,50 @@
 			},
 			map[print]goose.Suspicion{1: goose.SuspicionCondemned, 2: goose.SuspicionSuspect},
 		},
+		"on trial": {
+			func(t *Table, _ *fakeClock) {
+				t.Crashed("r1", "p1", []print{1})
+				t.Try(context.Background(), 1)
+				t.Try(context.Background(), 2)
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionOnTrial, 2: goose.SuspicionNone},
+		},
+		"trial without a verdict": {
+			func(t *Table, _ *fakeClock) {
+				t.Crashed("r1", "p1", []print{1, 2})
+				t.Try(context.Background(), 1)
+				t.Tried(1)
+				t.Tried(2)
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionSuspect, 2: goose.SuspicionSuspect},
+		},
+		"crash on trial": {
+			func(t *Table, _ *fakeClock) {
+				t.Crashed("r1", "p1", []print{1})
+				t.Try(context.Background(), 1)
+				t.Crashed("r2", "p2", []print{1})
+				t.Tried(1)
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionCondemned},
+		},
+		"first crash noted again on trial": {
+			func(t *Table, c *fakeClock) {
+				t.Crashed("r1", "p1", []print{1})
+				c.advance(time.Second)
+				t.Try(context.Background(), 1)
+				t.Merge([]Mark{{1, goose.SuspicionSuspect, c.Now().UnixNano() - 1, Crash{"r1", "p1"}}})
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionOnTrial},
+		},
+		"cleared on trial": {
+			func(t *Table, _ *fakeClock) {
+				t.Crashed("r1", "p1", []print{1})
+				t.Try(context.Background(), 1)
+				t.Cleared(1)
+				t.Tried(1)
+			},
+			map[print]goose.Suspicion{1: goose.SuspicionNone},
+		},
 		"crash in company condemns nobody": {
 			func(t *Table, _ *fakeClock) {
 				t.Crashed("r1", "p1", []print{1, 2})
@@ -259,7 +304,7 @@
 func drawMark(t *rapid.T) Mark {
 	return Mark{
 		Fingerprint: print(rapid.IntRange(1, 3).Draw(t, "fingerprint")),
-		Grade:       rapid.SampledFrom([]goose.Suspicion{goose.SuspicionNone, goose.SuspicionSuspect, goose.SuspicionCondemned}).Draw(t, "grade"),
+		Grade:       rapid.SampledFrom([]goose.Suspicion{goose.SuspicionNone, goose.SuspicionSuspect, goose.SuspicionOnTrial, goose.SuspicionCondemned}).Draw(t, "grade"),
 		Time:        1_700_000_000e9 - rapid.Int64Range(0, 3).Draw(t, "age"),
 		Crash:       Crash{goose.ReplicaID(rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "replica")), rapid.SampledFrom([]string{"", "p", "q"}).Draw(t, "process")},
 	}
