Use goose.Sleep in the confirmation after a pause

Cause: pause.go brought its own sleep beside goose.Sleep.

Change: the confirmation uses goose.Sleep; its two loops read shorter. The log field confirmed is false if the version did not arrive in time, as before.

Conclusion: no behaviour changes.

--- a/pkg/goosedispatch/pause.go
+++ b/pkg/goosedispatch/pause.go
@@ -102,13 +102,13 @@
 func (m *Manager) confirmConfiguration(ctx context.Context, resumed time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, confirmWait)
 	defer cancel()
-	want, from, ok := m.askVersion(ctx)
-	for ok && m.version() < want && ctx.Err() == nil {
-		sleep(ctx, confirmPoll)
+	want, from, confirmed := m.askVersion(ctx)
+	for confirmed && m.version() < want {
+		confirmed = goose.Sleep(ctx, confirmPoll)
 	}
 	m.pauses.confirm(resumed)
 	gooseevent.ConfigurationConfirmed.Log(m.o.Log, "version", m.version(), "peer", string(from), "peer-version", want,
-		"after", m.o.Clock.Now().Sub(resumed).String(), "confirmed", ok && m.version() >= want)
+		"after", m.o.Clock.Now().Sub(resumed).String(), "confirmed", confirmed)
 }
 
 // askVersion returns the first answer of an instance of the data centre, or of
@@ -130,15 +130,14 @@
 	}
 	for _, member := range members {
 		calls.Go(func() {
-			for ctx.Err() == nil {
-				var reply VersionReply
-				// The first call may fail on a connection that the pause has ended.
-				if err := m.o.Caller.Call(ctx, member.Address, KindVersion, VersionRequest{}, &reply); err == nil {
-					answers <- answer{reply.Version, member.Instance}
+			var reply VersionReply
+			// The first call may fail on a connection that the pause has ended.
+			for m.o.Caller.Call(ctx, member.Address, KindVersion, VersionRequest{}, &reply) != nil {
+				if !goose.Sleep(ctx, confirmRetry) {
 					return
 				}
-				sleep(ctx, confirmRetry)
 			}
+			answers <- answer{reply.Version, member.Instance}
 		})
 	}
 	select {
@@ -187,12 +186,3 @@
 	}
 	return VersionReply{Version: m.version()}, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
