Install the linter again when its version differs

Cause: make test took any golangci-lint that was there; a machine that keeps one of another version would lint by other rules.

Change: the tools target compares the version.

--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 test: tools lint vet unit fleet fuzz-fixed known-red
 
 tools:
-	@test -x $(GOLANGCI_LINT) || $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	@$(GOLANGCI_LINT) version 2>/dev/null | grep -qF '$(GOLANGCI_LINT_VERSION:v%=%)' || $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
 
 lint:
 	$(GOLANGCI_LINT) fmt --diff ./...
