--- a/internal/gooseentry/job.go
+++ b/internal/gooseentry/job.go
@@ -109,16 +109,16 @@
 		if !ok {
 			return res
 		}
-		if res, again := j.tryAlone(proto, p, one); !again {
+		if res, again := j.tryOnce(proto, p, one); !again {
 			return res
 		}
 	}
 }
 
-// tryAlone makes one attempt. That a suspect runs is announced before: if this
+// tryOnce makes one attempt. The run of a suspect is announced before: if this
 // instance dies, others must not run it on another backend server, as nobody knows
 // whether it crashed this one.
-func (j *job) tryAlone(proto goose.Protocol, p *goose.Permit, one func(goose.Protocol, *goose.Permit) (result, bool)) (result, bool) {
+func (j *job) tryOnce(proto goose.Protocol, p *goose.Permit, one func(goose.Protocol, *goose.Permit) (result, bool)) (result, bool) {
 	if j.e.suspects.Try(j.ctx, j.q.fingerprint) {
 		defer j.e.suspects.Tried(j.q.fingerprint)
 	}
--- a/pkg/goosedispatch/failure_test.go
+++ b/pkg/goosedispatch/failure_test.go
@@ -477,3 +477,55 @@
 		}
 	})
 }
+
+// Guards against a request that waited beside the trial of an equal one and is
+// refused once that has ended well.
+func TestWaitingBesideATrialThatIsCleared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &trials{Suspects: goosetest.NewSuspects()}
+		r := newRig(t, func(_ *rig, d *Dependencies) { d.Suspects = s }, "a")
+		r.run()
+		r.warm()
+		g := r.acquire(request("bad", 100), goose.PermitGranted).Permit
+		s.set.Store(true)
+		twin := request("twin", 100)
+		twin.Fingerprint, twin.Suspicion = request("bad", 100).Fingerprint, goose.SuspicionOnTrial
+		ch, a, done := r.pool.enter(time.Now(), twin)
+		if done {
+			t.Fatalf("got %s %v, want it waiting", a.Status, a.Refusal)
+		}
+		s.set.Store(false)
+		r.release(g, nil)
+		time.Sleep(2 * tickInterval)
+		if a := r.pool.leave(twin.Request, ch); a.Status != goose.PermitGranted {
+			t.Errorf("got %s %v, want it granted", a.Status, a.Refusal)
+		}
+	})
+}
+
+// Guards against a long prefill that counts for ever because its stream ended
+// unread while its holder was silent.
+func TestCompleteStreamEndsItsPrefill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil, "a")
+		r.run()
+		r.warm()
+		q := request("r1", 50_000)
+		q.Class = goose.ClassLong
+		g := r.acquire(q, goose.PermitGranted).Permit
+		r.pool.Report(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhaseStarted})
+		r.protocol.set("a:1", func(e *fakeEngine) {
+			e.streams[goose.AttemptID(g.ID)] = true
+			e.complete = maps.Clone(e.streams)
+		})
+		r.holders.set(func(f *fakeHolders) { f.silent = time.Now() })
+		time.Sleep(8 * time.Second)
+		r.holders.set(func(f *fakeHolders) { f.silent = time.Time{} })
+		r.release(g, nil)
+		r.pool.mu.Lock()
+		defer r.pool.mu.Unlock()
+		if got := r.pool.poolLongs; got != 0 {
+			t.Errorf("long prefills after the release: got %d, want 0", got)
+		}
+	})
+}
--- a/pkg/goosedispatch/pool.go
+++ b/pkg/goosedispatch/pool.go
@@ -219,6 +219,11 @@
 }
 
 func (p *Pool) push(now time.Time, r goose.PermitRequest) *waiter {
+	if r.Suspicion == goose.SuspicionOnTrial {
+		// The trial is this pool's own, or the request would have been refused; its
+		// end is noted here and not in the request.
+		r.Suspicion = goose.SuspicionSuspect
+	}
 	w := &waiter{request: r, weight: 1, arrived: now, deadline: now.Add(r.TimeLeft), polled: now}
 	if s, ok := p.d.Configuration.Current().Workspace(r.Workspace); ok {
 		w.weight = s.Weight
--- a/pkg/goosedispatch/reclaim.go
+++ b/pkg/goosedispatch/reclaim.go
@@ -219,7 +219,9 @@
 func (p *Pool) completed(g *permit, now time.Time) {
 	all := p.replicasOf(g)
 	for _, r := range all {
+		before := r.limits.Longs()
 		r.limits.Complete(g.permit.ID)
+		p.poolLongs += r.limits.Longs() - before
 	}
 	p.pumpReplicas(now, all...)
 }
