Leave complete streams out of the load of a replica

Cause: TestLeaveStopsNewWork, "backend server, relay killed", failed once more in a run of all proofs, with `work after the return: none yet`. With the dispatcher's status printed, the returned engine is cold, idle and has room, and the warm one beside it gets all requests. One complete stream of the killed instance counted as 120,000 tokens (the engine reports 2,524 as used), so that the routing policy took the idle engine for the most loaded one.

Change: the tokens and requests in flight of a replica leave complete streams out, for routing, estimates and status alike. A complete stream without a permit takes no more memory than the replica reports as used by all; two of them at their former size would have closed an engine by its memory.

Ruled out: memory as the cause of these failures; 80,000 tokens were free.

TestCompleteStreamsAreNoLoad places 0 of 4 requests on the idle replica before, 2 after; a new case of TestTakeover with twelve small streams fails without the bound by the report.

--- a/Makefile
+++ b/Makefile
@@ -17,10 +17,11 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
-# Starts a fleet of separate processes on loopback, sends requests of all lengths
-# through it and prints what came back.
+# Plays a calm quarter of a minute of each deployment: a fleet of separate
+# processes on loopback, requests of all lengths, and a table of what came back.
 demo: build
 	bin/goosebench mixed --fleet drummond --duration 15s --scale 8
+	bin/goosebench mixed --fleet ponnala --duration 15s --scale 8
 
 # Each bench runs a scenario on both deployments within two and a half minutes
 # and fails if one of the scenario's bars is missed (docs/benchmarks.md).
--- a/pkg/goosedispatch/failure_test.go
+++ b/pkg/goosedispatch/failure_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/gooseberryhold/gooseberryhold/internal/goosetest"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseroute"
 )
 
 // Guards against each kind of cold evidence that leaves a replica at its full
@@ -124,6 +125,16 @@
 			r.holders.complete = false
 			r.protocol.set("a:1", func(e *fakeEngine) { e.streams["x"], e.complete = true, map[goose.AttemptID]bool{"x": true} })
 		}, 7 * time.Second, 1},
+		"many small complete streams of a silent instance": {func(r *rig) {
+			r.holders.complete = false
+			r.protocol.set("a:1", func(e *fakeEngine) {
+				e.usedKV, e.complete = 2000, map[goose.AttemptID]bool{}
+				for i := range 12 {
+					id := goose.AttemptID(fmt.Sprint("x", i))
+					e.streams[id], e.complete[id] = true, true
+				}
+			})
+		}, 7 * time.Second, 1},
 		"running stream of a silent instance": {func(r *rig) {
 			r.holders.complete = false
 			r.protocol.set("a:1", func(e *fakeEngine) { e.streams["x"] = true })
@@ -529,3 +540,25 @@
 		}
 	})
 }
+
+// Guards against requests that all go to the busy replicas, because the unread
+// answers of a dead instance count as load of an idle one.
+func TestCompleteStreamsAreNoLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, func(r *rig, d *Dependencies) {
+			d.Policy = gooseroute.NewAffinity(goose.SystemClock{})
+			r.holders.complete = false
+			r.protocol.set("a:1", func(e *fakeEngine) { e.streams["x"], e.complete = true, map[goose.AttemptID]bool{"x": true} })
+		}, "a", "b")
+		r.run()
+		time.Sleep(7 * time.Second)
+		r.warm()
+		placed := map[goose.ReplicaID]int{}
+		for i := range 4 {
+			placed[r.acquire(request(fmt.Sprint("q", i), 100), goose.PermitGranted).Permit.Replicas[0].Replica]++
+		}
+		if got, want := placed["a"], 2; got != want {
+			t.Errorf("requests on the replica with an unread answer: got %d of 4, want %d", got, want)
+		}
+	})
+}
--- a/pkg/goosedispatch/fakes_test.go
+++ b/pkg/goosedispatch/fakes_test.go
@@ -79,6 +79,8 @@
 	process string
 	cold    bool
 	down    bool
+	// usedKV is the reported memory in tokens.
+	usedKV int
 	// mute engines give no load report.
 	mute bool
 	// frozen engines answer no load poll in time.
@@ -132,7 +134,7 @@
 	if e.mute {
 		return goose.LoadReport{}, &goose.StatusError{Status: 404}
 	}
-	return goose.LoadReport{Process: e.process, Cold: e.cold}, nil
+	return goose.LoadReport{Process: e.process, Cold: e.cold, UsedKV: e.usedKV}, nil
 }
 
 func (f *fakeProtocol) Streams(_ context.Context, address string) ([]goose.RunningStream, error) {
--- a/pkg/goosedispatch/orphan.go
+++ b/pkg/goosedispatch/orphan.go
@@ -54,7 +54,8 @@
 }
 
 // adopt counts a stream without a permit. Its size is unknown, so that it
-// takes the whole token limit of a cold replica until its output is whole.
+// takes the whole token limit of a cold replica until its output is whole. From
+// then on it can take no more memory than the replica reports as used by all.
 func (p *Pool) adopt(r *replica, s goose.RunningStream, now time.Time) {
 	id := goose.PermitID(s.ID)
 	if p.permits[id] != nil {
@@ -68,10 +69,19 @@
 		r.limits.Add(id, gooselimit.Demand{Tokens: max(s.Tokens, r.spec.ColdTokens), Foreign: true})
 	}
 	if s.Done {
-		r.limits.Complete(id)
+		r.limits.Complete(id, max(s.Tokens, r.memoryUsed()))
 	}
 }
 
+// memoryUsed returns the tokens that the replica reported as used, or all of its
+// memory if it reports none.
+func (r *replica) memoryUsed() int {
+	if r.reported > 0 {
+		return r.reported
+	}
+	return r.spec.MemoryTokens
+}
+
 func (p *Pool) removeOrphan(r *replica, id goose.AttemptID) {
 	delete(r.orphans, id)
 	r.limits.Remove(goose.PermitID(id), false)
--- a/pkg/goosedispatch/reclaim.go
+++ b/pkg/goosedispatch/reclaim.go
@@ -220,7 +220,7 @@
 	all := p.replicasOf(g)
 	for _, r := range all {
 		before := r.limits.Longs()
-		r.limits.Complete(g.permit.ID)
+		r.limits.Complete(g.permit.ID, g.request.Cost())
 		p.poolLongs += r.limits.Longs() - before
 	}
 	p.pumpReplicas(now, all...)
--- a/pkg/gooselimit/limit.go
+++ b/pkg/gooselimit/limit.go
@@ -160,24 +160,21 @@
 		return false
 	case d.Long && r.longs > 0:
 		return false
-	case r.running() >= r.concurrency():
+	case r.Requests() >= r.concurrency():
 		return false
 	}
 	return d.Tokens <= r.room() && r.ownFits(d)
 }
 
-// running returns the permits that the replica has still to compute for.
-func (r *Replica) running() int { return len(r.entries) - r.complete }
-
 // room returns the tokens that fit beside those in flight. The memory of complete
 // answers is no load, so that a cold replica bears as much beside them.
 func (r *Replica) room() int {
-	return min(r.tokenLimit()-(r.tokens-r.completeTokens), r.spec.MemoryTokens-r.tokens)
+	return min(r.tokenLimit()-r.Tokens(), r.spec.MemoryTokens-r.tokens)
 }
 
 // Free returns the tokens that can be granted now; zero if no request fits.
 func (r *Replica) Free() int {
-	if r.exclusive > 0 || r.running() >= r.concurrency() || !r.ownFits(Demand{}) {
+	if r.exclusive > 0 || r.Requests() >= r.concurrency() || !r.ownFits(Demand{}) {
 		return 0
 	}
 	own := r.share.of(r.spec.MemoryTokens) - (r.tokens - r.foreignTokens)
@@ -221,17 +218,27 @@
 
 // Complete notes that the output of a permit is whole and waits in the replica's
 // memory for its reader. It no longer counts against concurrency and the cold
-// limits.
-func (r *Replica) Complete(id goose.PermitID) {
+// limits, and with no more memory than the given tokens.
+func (r *Replica) Complete(id goose.PermitID, tokens int) {
 	r.PrefillDone(id)
 	e, ok := r.entries[id]
-	if !ok || e.complete {
+	if !ok {
 		return
 	}
-	e.complete = true
+	if !e.complete {
+		e.complete = true
+		r.complete++
+		r.completeTokens += e.demand.Tokens
+	}
+	if surplus := e.demand.Tokens - tokens; surplus > 0 {
+		e.demand.Tokens -= surplus
+		r.tokens -= surplus
+		r.completeTokens -= surplus
+		if e.demand.Foreign {
+			r.foreignTokens -= surplus
+		}
+	}
 	r.entries[id] = e
-	r.complete++
-	r.completeTokens += e.demand.Tokens
 }
 
 // Prefills returns the prompt tokens that the replica has to compute for
@@ -332,11 +339,11 @@
 	return ok && e.generation == r.generation
 }
 
-// Tokens returns the tokens in flight.
-func (r *Replica) Tokens() int { return r.tokens }
+// Tokens returns the tokens in flight, without those of complete answers.
+func (r *Replica) Tokens() int { return r.tokens - r.completeTokens }
 
-// Requests returns the permits in flight.
-func (r *Replica) Requests() int { return len(r.entries) }
+// Requests returns the permits in flight that the replica has still to compute for.
+func (r *Replica) Requests() int { return len(r.entries) - r.complete }
 
 // Longs returns the long prefills in flight.
 func (r *Replica) Longs() int { return r.longs }
--- a/pkg/gooselimit/limit_test.go
+++ b/pkg/gooselimit/limit_test.go
@@ -78,9 +78,10 @@
 			"complete": func(*rapid.T) {
 				if len(ids) > 0 {
 					k := rapid.IntRange(0, len(ids)-1).Draw(t, "complete")
-					r.Complete(ids[k])
-					r.Complete(ids[k])
-					complete[ids[k]] = true
+					limit := rapid.IntRange(0, 2000).Draw(t, "memory")
+					r.Complete(ids[k], limit)
+					r.Complete(ids[k], limit)
+					complete[ids[k]], tokens[ids[k]] = true, min(tokens[ids[k]], limit)
 				}
 			},
 			"prefill done": func(*rapid.T) {
@@ -268,7 +269,7 @@
 	if r.Fits(small) {
 		t.Error("beside a running request on a cold replica: got room, want none")
 	}
-	r.Complete("a")
+	r.Complete("a", 5000)
 	if got, want := r.Free(), 1000; !r.Fits(small) || got != want {
 		t.Errorf("beside a complete answer: got %d tokens free, want %d", got, want)
 	}
@@ -276,6 +277,10 @@
 	if got, want := r.Free(), 1000; got != want {
 		t.Errorf("warm, beside a complete answer of 3000 tokens: got %d tokens free, want %d", got, want)
 	}
+	r.Complete("a", 200)
+	if got, want := r.Free(), 3800; got != want {
+		t.Errorf("warm, beside a complete answer of 200 tokens at most: got %d tokens free, want %d", got, want)
+	}
 	r.Remove("a", true)
 	if got, want := r.Free(), 4000; got != want {
 		t.Errorf("after its end: got %d tokens free, want %d", got, want)
