--- a/internal/goosecommand/command.go
+++ b/internal/goosecommand/command.go
@@ -62,7 +62,7 @@
 
 func commands() []command {
 	return []command{
-		serveCommand(), checkCommand(), applyCommand(), getCommand(), labelCommand(),
+		serveCommand(), forwardCommand(), checkCommand(), applyCommand(), getCommand(), labelCommand(),
 		leaveCommand(), returnCommand(), loadCommand(), roleCommand(), statusCommand(), ordersCommand(), auditCommand(),
 		certCommand(), versionCommand(),
 	}
--- a/internal/gooseentry/answer.go
+++ b/internal/gooseentry/answer.go
@@ -267,7 +267,7 @@
 	}
 	s.e.noteRefusal(s.j.q.id, s.j.q, *res.refusal)
 	_, _ = w.WriteString("event: error\ndata: ")
-	_, _ = w.Write(renderRefusal(*res.refusal))
+	_, _ = w.Write(res.refusal.Body())
 	_, _ = w.Write(eventEnd)
 	_ = w.Flush()
 }
--- a/internal/gooseentry/fakes_test.go
+++ b/internal/gooseentry/fakes_test.go
@@ -145,9 +145,9 @@
 	return out.String()
 }
 
-func refusalIn(t testing.TB, s string) refusalError {
+func refusalIn(t testing.TB, s string) goose.RefusalError {
 	t.Helper()
-	var b refusalBody
+	var b goose.RefusalBody
 	if err := json.Unmarshal([]byte(s), &b); err != nil {
 		t.Fatalf("refusal body %q: %v", s, err)
 	}
--- a/internal/gooseentry/refuse.go
+++ b/internal/gooseentry/refuse.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math"
@@ -24,30 +23,6 @@
 	headerRetryAfter = "Retry-After"
 )
 
-// refusalBody is the JSON form of a refusal.
-type refusalBody struct {
-	Error refusalError `json:"error"`
-}
-
-type refusalError struct {
-	Code         goose.Code `json:"code"`
-	Message      string     `json:"message"`
-	Run          goose.Run  `json:"run"`
-	Reason       string     `json:"reason,omitempty"`
-	RetryAfterMS int64      `json:"retry-after-ms,omitempty"`
-}
-
-func renderRefusal(r goose.Refusal) []byte {
-	b, err := json.Marshal(refusalBody{refusalError{
-		Code: r.Code, Message: r.Message, Run: r.Run, Reason: r.Reason,
-		RetryAfterMS: int64(math.Ceil(float64(r.RetryAfter) / float64(time.Millisecond))),
-	}})
-	if err != nil {
-		panic("gooseentry: refusal cannot be encoded: " + err.Error())
-	}
-	return b
-}
-
 // noteRefusal counts and logs a refusal.
 func (e *Entry) noteRefusal(id goose.RequestID, q *request, r goose.Refusal) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberryhold_refusals_total{code=%q,run=%q}`, r.Code, r.Run)).Inc()
@@ -71,9 +46,9 @@
 	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
 	c.Status(r.Code.Status())
 	if rest := unread(c, q); rest != nil {
-		return sendBeforeBody(c, renderRefusal(r), rest)
+		return sendBeforeBody(c, r.Body(), rest)
 	}
-	return c.Send(renderRefusal(r))
+	return c.Send(r.Body())
 }
 
 const (
--- /dev/null
+++ b/internal/gooseevent/events_forward.go
@@ -0,0 +1,22 @@
+package gooseevent
+
+import "log/slog"
+
+// Events of an instance that forwards routed requests: 7xx.
+var (
+	StoreLost         = define(701, slog.LevelWarn, "store lost", "The platform's store does not answer; routing and replicas stay as they were last read.")
+	StoreBack         = define(702, slog.LevelInfo, "store back", "The platform's store answers again; replicas that are still missing are kept for the time in which lapsed entries come back.")
+	EntryUnreadable   = define(703, slog.LevelWarn, "store entry unreadable", "An entry of the store cannot be decoded; it names no replica to use, and a routing version is not applied.")
+	RoutingInForce    = define(704, slog.LevelInfo, "routing in force", "A newer version of routes, services and workspaces is used from now on.")
+	ReplicaChanged    = define(705, slog.LevelInfo, "replica changed", "A replica registered, changed its state or left.")
+	EvacuationChanged = define(706, slog.LevelInfo, "evacuation changed", "Operators take a data centre's replicas out of service or back.")
+	RequestForwarded  = define(710, slog.LevelInfo, "request forwarded", "A caller has its answer; attempts lists the replicas in order with the outcome of each.")
+	RequestFailed     = define(711, slog.LevelWarn, "request failed", "A caller got no whole answer of a replica; code, run and attempts tell why and what ran.")
+	AttemptFailed     = define(712, slog.LevelInfo, "attempt failed", "A replica did not answer an attempt as it should; error tells how, age how old the information about the replica was.")
+	ReplicaSuspended  = define(713, slog.LevelWarn, "replica suspended", "Attempts at a replica failed in a row; it gets no work for the time in pause unless no other is left.")
+	PeerSeen          = define(720, slog.LevelInfo, "peer seen", "Another instance tells its load from now on.")
+	PeerSilent        = define(721, slog.LevelWarn, "peer silent", "Another instance has not told its load for a while; its requests no longer count.")
+	MemberRegistered  = define(722, slog.LevelInfo, "instance registered", "The instance is listed in the platform's store under its lease.")
+	MemberLost        = define(723, slog.LevelWarn, "registration lost", "The instance's entry in the platform's store could not be renewed; it is written again.")
+	LinesDropped      = define(730, slog.LevelWarn, "log lines dropped", "Standard output did not take the lines in time, or there were more than the budget; count lines are missing since the last such line.")
+)
--- /dev/null
+++ b/internal/gooseforward/attempt.go
@@ -0,0 +1,312 @@
+package gooseforward
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseplacement"
+)
+
+// outcome tells how an attempt ended.
+type outcome string
+
+// Outcomes of attempts.
+const (
+	// outcomeDone means that the caller has the whole answer.
+	outcomeDone outcome = "done"
+	// outcomeNotSent means that no byte reached the replica.
+	outcomeNotSent outcome = "not-sent"
+	// outcomeNoMemory means that a helper did not reserve its part of the memory.
+	outcomeNoMemory outcome = "no-memory"
+	// outcomeNotRun means that the replica stated that it did not run the request.
+	outcomeNotRun outcome = "not-run"
+	// outcomeFailed means that the replica ran the request and answered a failure.
+	outcomeFailed outcome = "failed"
+	// outcomeLost means that the answer did not come, or not whole; the request may
+	// have run.
+	outcomeLost outcome = "lost"
+	// outcomeSilent means that the replica did not begin to answer in time.
+	outcomeSilent outcome = "silent"
+	// outcomeGone means that the caller has left.
+	outcomeGone outcome = "caller-gone"
+	// outcomeDeadline means that the request's time is over.
+	outcomeDeadline outcome = "deadline"
+)
+
+// attempt is one try at a replica, as the log shows it.
+type attempt struct {
+	Replica goose.ReplicaID `json:"replica"`
+	Outcome outcome         `json:"outcome"`
+	Status  int             `json:"status,omitempty"`
+	Helpers int             `json:"helpers,omitempty"`
+	// Load is the number of requests that the replica was known to have before.
+	Load     int    `json:"load"`
+	Expected string `json:"expected,omitempty"`
+	After    string `json:"after"`
+	Error    string `json:"error,omitempty"`
+}
+
+// result is the end of an attempt.
+type result struct {
+	outcome outcome
+	// answer is the replica's whole answer where it is no success; it can be given to
+	// the caller.
+	answer *whole
+	status int
+	err    error
+}
+
+// obstaclePause is the pause before replicas are looked at again, and obstacleShare
+// the part of the objective for which a request waits for memory or a cold replica.
+const (
+	obstaclePause = 40 * time.Millisecond
+	obstacleShare = 8
+)
+
+// maxNotRun bounds the replicas that may decline one request.
+const maxNotRun = 3
+
+// run tries replicas until the caller has its final answer.
+func (c *call) run() {
+	var last result
+	declined := 0
+	for {
+		choice, obstacle := c.choose()
+		if obstacle != gooseplacement.ObstacleNone {
+			c.giveUp(last, obstacle)
+			return
+		}
+		last = c.try(choice)
+		switch last.outcome {
+		case outcomeDone, outcomeGone:
+			c.finish(last)
+			return
+		case outcomeNotRun, outcomeNoMemory:
+			declined++
+		case outcomeFailed, outcomeLost, outcomeSilent:
+			c.runs++
+		}
+		if !c.again(last, declined) {
+			c.giveUp(last, gooseplacement.ObstacleNone)
+			return
+		}
+	}
+}
+
+// choose asks the board, and waits a little for memory or a cold replica.
+func (c *call) choose() (gooseplacement.Choice, gooseplacement.Obstacle) {
+	patience := c.arrived.Add(c.route.Objective / obstacleShare)
+	for {
+		now := c.o.Clock.Now()
+		snapshot := c.o.Directory.Current()
+		choice, obstacle := c.o.Board.Choose(c.demand(now), snapshot.Replicas(c.service.Name), now)
+		if obstacle != gooseplacement.ObstacleCold && obstacle != gooseplacement.ObstacleMemory {
+			return choice, obstacle
+		}
+		if now.After(patience) || !goose.Sleep(c.ctx, obstaclePause) {
+			return choice, obstacle
+		}
+	}
+}
+
+func (c *call) demand(now time.Time) gooseplacement.Demand {
+	d := gooseplacement.Demand{
+		Service: c.service, PromptTokens: c.routed.PromptTokens, OutputTokens: c.output(),
+		LongestPause: c.route.LongestPause, TimeLeft: c.deadline.Sub(now), Avoid: c.tried,
+	}
+	return d
+}
+
+// output is the memory that the answer is expected to need, in tokens.
+func (c *call) output() int {
+	if c.routed.OutputEstimate > 0 {
+		return min(c.routed.OutputEstimate, c.routed.OutputTokens)
+	}
+	if c.service.Engine != nil && c.service.Engine.UsualOutput > 0 {
+		return min(c.service.Engine.UsualOutput, c.routed.OutputTokens)
+	}
+	return c.routed.OutputTokens
+}
+
+// again reports whether another replica may get the request after the result.
+func (c *call) again(last result, declined int) bool {
+	now := c.o.Clock.Now()
+	if c.ctx.Err() != nil || !now.Before(c.deadline) {
+		return false
+	}
+	switch last.outcome {
+	case outcomeNotSent:
+		return true
+	case outcomeNoMemory:
+		return declined < maxNotRun
+	case outcomeNotRun:
+		return declined < maxNotRun && c.o.Budget.Retry(c.service.Name, now)
+	case outcomeFailed, outcomeLost, outcomeSilent:
+		return c.route.Repeatable() && c.runs < c.route.Attempts && c.o.Budget.Retry(c.service.Name, now)
+	}
+	return false
+}
+
+// try sends the request to the chosen replica and gives its answer to the caller if
+// it is a success.
+func (c *call) try(choice gooseplacement.Choice) result {
+	begun := c.o.Clock.Now()
+	c.tried[choice.Replica.ID] = true
+	r := c.exchange(choice)
+	now := c.o.Clock.Now()
+	bad := r.outcome == outcomeNotSent || r.outcome == outcomeLost || r.outcome == outcomeSilent || r.outcome == outcomeFailed ||
+		r.outcome == outcomeNotRun
+	pause := c.o.Board.Ended(choice.Flight, bad, r.outcome == outcomeNotSent, now)
+	a := attempt{
+		Replica: choice.Replica.ID, Outcome: r.outcome, Status: r.status, Helpers: len(choice.Helpers),
+		Load: choice.Load.Requests, After: now.Sub(begun).Round(time.Microsecond).String(),
+	}
+	if choice.Expected > 0 {
+		a.Expected = choice.Expected.Round(time.Millisecond).String()
+	}
+	if r.err != nil {
+		a.Error = r.err.Error()
+	}
+	c.attempts = append(c.attempts, a)
+	c.o.Metrics.attempt(c.service.Name, r.outcome)
+	if bad {
+		gooseevent.AttemptFailed.Log(c.o.Log, slog.String("request", string(c.routed.Attempt)), slog.Any("attempt", a))
+	}
+	if pause > 0 {
+		gooseevent.ReplicaSuspended.Log(c.o.Log, slog.String("replica", string(choice.Replica.ID)), slog.Duration("pause", pause))
+	}
+	return r
+}
+
+// exchange runs one attempt.
+func (c *call) exchange(choice gooseplacement.Choice) result {
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	defer cancel(nil)
+	release, err := c.reserve(ctx, choice)
+	if err != nil {
+		return result{outcome: outcomeNoMemory, err: err}
+	}
+	defer release()
+	silence := time.AfterFunc(c.silence(choice), func() { cancel(errSilent) })
+	defer silence.Stop()
+	u, err := send(ctx, choice.Replica.Address, c.forwarded(choice))
+	if err != nil {
+		return c.broken(ctx, err)
+	}
+	defer u.close()
+	header := c.o.Dialect.Answer(u.resp.StatusCode, u.resp.Header)
+	if header.Attempt != "" && c.routed.Attempt != "" && header.Attempt != c.routed.Attempt {
+		return result{outcome: outcomeLost, err: errors.Errorf("answer of attempt %q", header.Attempt)}
+	}
+	if c.route.Kind == goose.RouteStream && u.resp.StatusCode == http.StatusOK {
+		return c.stream(ctx, u, choice, silence)
+	}
+	return c.whole(ctx, u, header, choice, silence)
+}
+
+// errSilent ends an attempt whose replica does not answer.
+var errSilent = errors.New("no answer in time")
+
+// Bounds on the silence of a replica before another one is tried.
+const (
+	// leastSilence lets a replica pass over an ordinary hold-up, such as the stall of
+	// a helper.
+	leastSilence = 1200 * time.Millisecond
+	// expectedSilence is the multiple of the estimated time to the first event.
+	expectedSilence = 3
+	// objectiveSilence is the multiple of the objective of a plain request.
+	objectiveSilence = 2
+)
+
+// silence is how long the replica may take until its answer begins. A request that
+// must not run again waits to its end.
+func (c *call) silence(choice gooseplacement.Choice) time.Duration {
+	left := c.deadline.Sub(c.o.Clock.Now())
+	if !c.route.Repeatable() || c.runs+1 >= c.route.Attempts {
+		return left
+	}
+	if c.route.Kind == goose.RouteStream {
+		return min(max(leastSilence, expectedSilence*choice.Expected), left)
+	}
+	return min(objectiveSilence*max(c.route.Objective, time.Millisecond), left)
+}
+
+// broken tells why an attempt ended without a whole answer.
+func (c *call) broken(ctx context.Context, err error) result {
+	switch {
+	case c.r.Context().Err() != nil:
+		return result{outcome: outcomeGone, err: err}
+	case errors.Is(err, goose.ErrNotSent) && c.ctx.Err() == nil:
+		return result{outcome: outcomeNotSent, err: err}
+	case c.ctx.Err() != nil:
+		return result{outcome: outcomeDeadline, err: err}
+	case errors.Is(context.Cause(ctx), errSilent):
+		return result{outcome: outcomeSilent, err: errSilent}
+	}
+	return result{outcome: outcomeLost, err: err}
+}
+
+func (c *call) forwarded(choice gooseplacement.Choice) forwarded {
+	f := goose.ForwardHeader{
+		TimeLeft: c.deadline.Sub(c.o.Clock.Now()), Replica: choice.Replica.ID, Workspace: c.workspace.Name,
+		Urgency: c.urgency, LastEvent: c.lastEvent,
+	}
+	for _, h := range choice.Helpers {
+		helper := goose.Helper{Address: h.Replica.Address}
+		if h.Tokens > 0 {
+			helper.Ticket = c.ticket(choice)
+		}
+		f.Helpers = append(f.Helpers, helper)
+	}
+	return forwarded{
+		method: c.r.Method, uri: c.r.RequestURI, host: c.r.Host,
+		header: c.o.Dialect.Forward(c.r.Header, f), body: c.body,
+	}
+}
+
+// finish notes a request that has its answer, or whose caller is gone.
+func (c *call) finish(last result) {
+	c.o.Metrics.count(c.service.Name, string(last.outcome))
+	gooseevent.RequestForwarded.Log(c.o.Log, append(c.fields(), slog.String("outcome", string(last.outcome)))...)
+	if last.outcome == outcomeGone {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Times after which a refused caller may come back.
+const (
+	memoryRetry = 500 * time.Millisecond
+	otherRetry  = 300 * time.Millisecond
+)
+
+// giveUp sends the final answer of a request that no replica has answered with
+// success: the replica's own failure if there is a whole one.
+func (c *call) giveUp(last result, o gooseplacement.Obstacle) {
+	if last.answer != nil && !c.committed {
+		c.answer(last.answer)
+		c.finish(last)
+		return
+	}
+	c.refuse(c.refusal(last, o))
+}
+
+func (c *call) refusal(last result, o gooseplacement.Obstacle) goose.Refusal {
+	ran := c.runs > 0 || last.outcome == outcomeDeadline
+	switch {
+	case last.outcome == outcomeDeadline:
+		return goose.NotRun(goose.CodeDeadline, "the request's time is over").WithRun(goose.RunUnknown)
+	case ran:
+		r := goose.NotRun(goose.CodeBackendFailed, "the backend server gave no whole answer").WithRun(goose.RunUnknown)
+		return r.WithReason(string(last.outcome))
+	case o == gooseplacement.ObstacleMemory || o == gooseplacement.ObstacleLate:
+		return goose.NotRun(goose.CodeOverloaded, "no backend server can take the request in time").
+			WithReason(string(o)).WithRetryAfter(memoryRetry)
+	}
+	return goose.NotRun(goose.CodeNotReady, "no backend server took the request").WithReason(string(o)).WithRetryAfter(otherRetry)
+}
--- /dev/null
+++ b/internal/gooseforward/upstream.go
@@ -0,0 +1,138 @@
+package gooseforward
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+const (
+	// connectTimeout is far above a round trip between data centres; a replica whose
+	// queue of new connections is full does not answer for seconds.
+	connectTimeout = 300 * time.Millisecond
+	// unacknowledged is how long sent data may stay without an acknowledgement before
+	// the connection counts as lost.
+	unacknowledged = 1500 * time.Millisecond
+	// readBuffer also bounds what is read ahead of an event.
+	readBuffer = 8 << 10
+)
+
+// keepAlive notices a silent replica's machine within about three seconds.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
+// forwarded is one request as a replica gets it.
+type forwarded struct {
+	method, uri, host string
+	header            http.Header
+	body              []byte
+}
+
+// upstream is one request and its answer on a connection of their own: nothing that
+// another answer left behind can be taken for this one, and nothing is sent twice.
+type upstream struct {
+	conn    net.Conn
+	resp    *http.Response
+	unwatch func() bool
+}
+
+// send connects, writes the request and reads the header of its answer. Errors are
+// goose.ErrNotSent if no byte was sent, otherwise goose.ErrDisconnected. The end of
+// ctx breaks the connection.
+func send(ctx context.Context, address string, f forwarded) (*upstream, error) {
+	dialer := net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive, Control: boundUnacknowledged}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(goose.ErrNotSent, err.Error())
+	}
+	u := &upstream{conn: conn}
+	u.unwatch = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	if err := u.exchange(f); err != nil {
+		u.close()
+		return nil, err
+	}
+	return u, nil
+}
+
+// exchange writes the request beside reading the answer: a replica may answer
+// before it has read a long body.
+func (u *upstream) exchange(f forwarded) error {
+	req := f.request()
+	counting := &countingConn{Conn: u.conn}
+	written := make(chan error, 1)
+	go func() {
+		w := bufio.NewWriterSize(counting, readBuffer)
+		err := req.Write(w)
+		if err == nil {
+			err = w.Flush()
+		}
+		written <- err
+	}()
+	resp, err := http.ReadResponse(bufio.NewReaderSize(u.conn, readBuffer), req)
+	if err == nil {
+		u.resp = resp
+		return nil
+	}
+	_ = u.conn.Close()
+	<-written
+	if counting.written == 0 {
+		return errors.Wrap(goose.ErrNotSent, err.Error())
+	}
+	return errors.Wrap(goose.ErrDisconnected, err.Error())
+}
+
+// request has the caller's request target to the letter.
+func (f forwarded) request() *http.Request {
+	r := &http.Request{
+		Method: f.method, URL: &url.URL{Opaque: f.uri}, Host: f.host, Header: f.header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Close: true,
+	}
+	if _, ok := r.Header["User-Agent"]; !ok {
+		r.Header["User-Agent"] = []string{""}
+	}
+	if len(f.body) > 0 {
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(f.body)), int64(len(f.body))
+	}
+	return r
+}
+
+func (u *upstream) close() {
+	u.unwatch()
+	_ = u.conn.Close()
+}
+
+// countingConn counts the bytes that the kernel took.
+type countingConn struct {
+	net.Conn
+	written int64
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += int64(n)
+	return n, err
+}
+
+// boundUnacknowledged sets the time after which unacknowledged data ends a
+// connection.
+func boundUnacknowledged(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged/time.Millisecond))
+	})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(failed)
+}
--- a/pkg/goose/refusal.go
+++ b/pkg/goose/refusal.go
@@ -1,6 +1,10 @@
 package goose
 
-import "time"
+import (
+	"encoding/json"
+	"math"
+	"time"
+)
 
 // Run tells what a refused request did.
 type Run string
@@ -121,3 +125,29 @@
 
 // String returns the code and message.
 func (r Refusal) String() string { return string(r.Code) + ": " + r.Message }
+
+// RefusalBody is the JSON form of a refusal.
+type RefusalBody struct {
+	Error RefusalError `json:"error"`
+}
+
+// RefusalError is what a RefusalBody says.
+type RefusalError struct {
+	Code         Code   `json:"code"`
+	Message      string `json:"message"`
+	Run          Run    `json:"run"`
+	Reason       string `json:"reason,omitempty"`
+	RetryAfterMS int64  `json:"retry-after-ms,omitempty"`
+}
+
+// Body returns the refusal as JSON, as callers get it.
+func (r Refusal) Body() []byte {
+	b, err := json.Marshal(RefusalBody{RefusalError{
+		Code: r.Code, Message: r.Message, Run: r.Run, Reason: r.Reason,
+		RetryAfterMS: int64(math.Ceil(float64(r.RetryAfter) / float64(time.Millisecond))),
+	}})
+	if err != nil {
+		panic("goose: refusal cannot be encoded: " + err.Error())
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/goosedirectory/follow.go
@@ -0,0 +1,201 @@
+package goosedirectory
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+const (
+	// firstRetry and lastRetry bound the pause before the store is asked again;
+	// each attempt is counted and priced.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = 800 * time.Millisecond
+	// returnMargin is added to the time in which lapsed entries come back: the
+	// outage may have ended a little later than the first answer here.
+	returnMargin = 200 * time.Millisecond
+)
+
+// FollowOptions are the dependencies of a Follower; all are required.
+type FollowOptions struct {
+	Store     goose.Store
+	Registry  goose.Registry
+	Directory *Directory
+	// ReturnGrace is the time in which entries that lapsed during an outage of the
+	// store come back after it.
+	ReturnGrace time.Duration
+	Log         *slog.Logger
+	Clock       goose.Clock
+}
+
+// Follower keeps a directory equal to the store.
+type Follower struct {
+	o FollowOptions
+
+	mu sync.Mutex
+	// synced has the prefixes that were read at least once.
+	synced map[string]bool
+	// lost has the prefixes whose last call failed.
+	lost map[string]bool
+}
+
+// NewFollower returns a follower that does not run yet.
+func NewFollower(o FollowOptions) *Follower {
+	return &Follower{o: o, synced: map[string]bool{}, lost: map[string]bool{}}
+}
+
+// Synced reports whether the whole store was read once.
+func (f *Follower) Synced() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.synced) == len(f.o.Registry.Prefixes())
+}
+
+// Reachable reports whether the last call of every prefix succeeded.
+func (f *Follower) Reachable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.lost) == 0
+}
+
+// Run follows all prefixes until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	for _, prefix := range f.o.Registry.Prefixes() {
+		wg.Go(func() { f.follow(ctx, prefix) })
+	}
+	wg.Go(func() { f.expire(ctx) })
+	wg.Wait()
+}
+
+func (f *Follower) expire(ctx context.Context) {
+	for goose.Sleep(ctx, returnMargin) {
+		f.o.Directory.Expire(f.o.Clock.Now())
+	}
+}
+
+// follow reads the prefix and applies its changes; after each failure it reads
+// the whole prefix again.
+func (f *Follower) follow(ctx context.Context, prefix string) {
+	pause := firstRetry
+	for ctx.Err() == nil {
+		revision, err := f.read(ctx, prefix)
+		if err == nil {
+			pause = firstRetry
+			err = f.watch(ctx, prefix, revision+1)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, goose.ErrCompacted) {
+			continue
+		}
+		f.note(prefix, err)
+		goose.Sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, lastRetry)
+	}
+}
+
+// note remembers whether the store answers. The first answer after a failure
+// begins the time in which missing entries may come back.
+func (f *Follower) note(prefix string, err error) {
+	f.mu.Lock()
+	before := len(f.lost)
+	if err != nil {
+		f.lost[prefix] = true
+	} else {
+		if f.lost[prefix] {
+			f.o.Directory.Tentative(f.o.Clock.Now().Add(f.o.ReturnGrace + returnMargin))
+		}
+		delete(f.lost, prefix)
+	}
+	after := len(f.lost)
+	f.mu.Unlock()
+	switch {
+	case before == 0 && after > 0:
+		gooseevent.StoreLost.Log(f.o.Log, slog.String("prefix", prefix), slog.Any("error", err))
+	case before > 0 && after == 0:
+		gooseevent.StoreBack.Log(f.o.Log)
+	}
+}
+
+// read replaces what is known of a prefix.
+func (f *Follower) read(ctx context.Context, prefix string) (int64, error) {
+	entries, revision, err := f.o.Store.List(ctx, prefix, 0)
+	if err != nil {
+		return 0, err
+	}
+	f.note(prefix, nil)
+	changes := make([]goose.Change, 0, len(entries))
+	for _, e := range entries {
+		changes = append(changes, f.decode(e, false))
+	}
+	f.o.Directory.Replace(kindsBelow(prefix, f.o.Registry), changes, f.o.Clock.Now())
+	f.logRouting(changes)
+	f.mu.Lock()
+	f.synced[prefix] = true
+	f.mu.Unlock()
+	return revision, nil
+}
+
+// kindsBelow returns the kinds of changes that a prefix holds in whole.
+func kindsBelow(prefix string, r goose.Registry) []goose.ChangeKind {
+	var kinds []goose.ChangeKind
+	for kind, p := range r.Kinds() {
+		if p == prefix {
+			kinds = append(kinds, kind)
+		}
+	}
+	return kinds
+}
+
+func (f *Follower) watch(ctx context.Context, prefix string, from int64) error {
+	w, err := f.o.Store.Watch(ctx, prefix, from)
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	for e := range w.Events() {
+		c := f.decode(e.Entry, e.Deleted)
+		if f.o.Directory.Apply(c, f.o.Clock.Now()) {
+			f.logRouting([]goose.Change{c})
+			f.logReplica(c)
+		}
+	}
+	return w.Err()
+}
+
+// decode logs an entry that cannot be read; it then names no replica to use.
+func (f *Follower) decode(e goose.Entry, deleted bool) goose.Change {
+	c, err := f.o.Registry.Decode(e, deleted)
+	if err != nil {
+		gooseevent.EntryUnreadable.Log(f.o.Log, slog.String("key", e.Key), slog.Int64("revision", e.ModRevision), slog.Any("error", err))
+	}
+	return c
+}
+
+func (f *Follower) logRouting(changes []goose.Change) {
+	for _, c := range changes {
+		if c.Kind == goose.ChangeRouting && c.Routing != nil {
+			gooseevent.RoutingInForce.Log(f.o.Log, slog.Int64("version", c.Routing.Version), slog.Int("routes", len(c.Routing.Routes)))
+		}
+	}
+}
+
+func (f *Follower) logReplica(c goose.Change) {
+	switch c.Kind {
+	case goose.ChangeReplica:
+		gooseevent.ReplicaChanged.Log(f.o.Log, slog.String("replica", string(c.Replica.ID)), slog.Bool("removed", c.Removed),
+			slog.String("state", string(c.Replica.State)), slog.Duration("cold", c.Replica.ColdFor))
+	case goose.ChangeEvacuation:
+		gooseevent.EvacuationChanged.Log(f.o.Log, slog.String("evacuated", string(c.DataCentre)), slog.Bool("ended", c.Removed))
+	}
+}
--- /dev/null
+++ b/pkg/goosegossip/gossip.go
@@ -0,0 +1,229 @@
+package goosegossip
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseplacement"
+)
+
+const (
+	// reportEvery is the time between reports: requests of other instances that are
+	// younger are not known.
+	reportEvery = 120 * time.Millisecond
+	// quietEvery is the time between reports that say the same.
+	quietEvery = 600 * time.Millisecond
+	// maxDatagram bounds a report; larger ones are split by replicas.
+	maxDatagram = 1200
+	// replicasPerDatagram keeps the report of so many replicas below maxDatagram.
+	replicasPerDatagram = 24
+	// forgetAfter is how long reports go to an instance that is no longer registered
+	// after its last own report.
+	forgetAfter = 5 * time.Second
+)
+
+// message is one datagram. A report of several datagrams has the same Sequence in
+// all of them.
+type message struct {
+	From goose.InstanceID `cbor:"1,keyasint"`
+	// Incarnation is the start of the process; a larger one is a later process.
+	Incarnation int64                 `cbor:"2,keyasint"`
+	Sequence    uint64                `cbor:"3,keyasint"`
+	Part        int                   `cbor:"4,keyasint,omitempty"`
+	Parts       int                   `cbor:"5,keyasint"`
+	Report      gooseplacement.Report `cbor:"6,keyasint"`
+}
+
+// Options are the dependencies of a Gossip; all are required.
+type Options struct {
+	Instance goose.InstanceID
+	// Incarnation is the start of the process in Unix nanoseconds.
+	Incarnation int64
+	Conn        net.PacketConn
+	// Instances returns the registered instances with their addresses.
+	Instances func() map[goose.InstanceID]string
+	Board     *gooseplacement.Board
+	Log       *slog.Logger
+	Clock     goose.Clock
+}
+
+// Gossip tells peers the own load and notes theirs.
+type Gossip struct {
+	o Options
+
+	mu    sync.Mutex
+	peers map[goose.InstanceID]*known
+}
+
+// known is a peer that was heard.
+type known struct {
+	address     net.Addr
+	incarnation int64
+	sequence    uint64
+	at          time.Time
+	silent      bool
+	// partial collects the datagrams of one report.
+	partial gooseplacement.Report
+	parts   map[int]bool
+}
+
+// New returns a gossip that Run drives.
+func New(o Options) *Gossip { return &Gossip{o: o, peers: map[goose.InstanceID]*known{}} }
+
+// Run sends and receives reports until ctx ends; it closes the connection.
+func (g *Gossip) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = g.o.Conn.Close() })
+	defer stop()
+	var wg conc.WaitGroup
+	wg.Go(func() { g.send(ctx) })
+	wg.Go(func() { g.receive(ctx) })
+	wg.Wait()
+}
+
+func (g *Gossip) send(ctx context.Context) {
+	var last string
+	var lastAt time.Time
+	sequence := uint64(0)
+	for goose.Sleep(ctx, reportEvery) {
+		now := g.o.Clock.Now()
+		g.noteSilent(now)
+		report := g.o.Board.Report(now)
+		summary, err := cbor.Marshal(report.Replicas)
+		if err != nil {
+			panic(err)
+		}
+		if string(summary) == last && now.Sub(lastAt) < quietEvery {
+			continue
+		}
+		last, lastAt = string(summary), now
+		sequence++
+		for _, datagram := range g.encode(report, sequence) {
+			for _, to := range g.targets(now) {
+				// A lost report is replaced by the next one.
+				_, _ = g.o.Conn.WriteTo(datagram, to)
+			}
+		}
+	}
+}
+
+// encode splits a report into datagrams.
+func (g *Gossip) encode(r gooseplacement.Report, sequence uint64) [][]byte {
+	parts := []map[goose.ReplicaID]gooseplacement.Load{{}}
+	for id, load := range r.Replicas {
+		if len(parts[len(parts)-1]) == replicasPerDatagram {
+			parts = append(parts, map[goose.ReplicaID]gooseplacement.Load{})
+		}
+		parts[len(parts)-1][id] = load
+	}
+	datagrams := make([][]byte, 0, len(parts))
+	for i, replicas := range parts {
+		m := message{
+			From: g.o.Instance, Incarnation: g.o.Incarnation, Sequence: sequence, Part: i, Parts: len(parts),
+			Report: gooseplacement.Report{Replicas: replicas, Work: r.Work},
+		}
+		b, err := cbor.Marshal(m)
+		if err != nil {
+			panic(err)
+		}
+		datagrams = append(datagrams, b)
+	}
+	return datagrams
+}
+
+// targets are the registered instances and those heard lately: registrations can
+// lapse while the store is away.
+func (g *Gossip) targets(now time.Time) []net.Addr {
+	to := map[goose.InstanceID]net.Addr{}
+	for id, address := range g.o.Instances() {
+		if a, err := net.ResolveUDPAddr("udp4", address); err == nil && id != g.o.Instance {
+			to[id] = a
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, p := range g.peers {
+		if _, listed := to[id]; !listed && now.Sub(p.at) < forgetAfter {
+			to[id] = p.address
+		}
+	}
+	all := make([]net.Addr, 0, len(to))
+	for _, a := range to {
+		all = append(all, a)
+	}
+	return all
+}
+
+func (g *Gossip) receive(ctx context.Context) {
+	buffer := make([]byte, 2*maxDatagram)
+	for ctx.Err() == nil {
+		n, from, err := g.o.Conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			goose.Sleep(ctx, reportEvery)
+			continue
+		}
+		var m message
+		if err := cbor.Unmarshal(buffer[:n], &m); err != nil || m.From == "" || m.From == g.o.Instance || m.Parts <= 0 {
+			continue
+		}
+		g.heard(m, from)
+	}
+}
+
+// heard notes a datagram; late ones of older reports are dropped.
+func (g *Gossip) heard(m message, from net.Addr) {
+	now := g.o.Clock.Now()
+	g.mu.Lock()
+	p, ok := g.peers[m.From]
+	if !ok {
+		p = &known{silent: true}
+		g.peers[m.From] = p
+	}
+	if m.Incarnation < p.incarnation || m.Incarnation == p.incarnation && m.Sequence < p.sequence {
+		g.mu.Unlock()
+		return
+	}
+	if m.Incarnation != p.incarnation || m.Sequence != p.sequence {
+		p.partial = gooseplacement.Report{Replicas: map[goose.ReplicaID]gooseplacement.Load{}}
+		p.parts = map[int]bool{}
+	}
+	p.incarnation, p.sequence, p.address, p.at = m.Incarnation, m.Sequence, from, now
+	p.parts[m.Part] = true
+	for id, l := range m.Report.Replicas {
+		p.partial.Replicas[id] = l
+	}
+	p.partial.Work = m.Report.Work
+	complete := len(p.parts) >= m.Parts
+	report := p.partial
+	back := p.silent
+	p.silent = false
+	g.mu.Unlock()
+	if back {
+		gooseevent.PeerSeen.Log(g.o.Log, slog.String("peer", string(m.From)), slog.Int64("incarnation", m.Incarnation))
+	}
+	if complete {
+		g.o.Board.Heard(m.From, report, now)
+	}
+}
+
+func (g *Gossip) noteSilent(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, p := range g.peers {
+		if !p.silent && now.Sub(p.at) > gooseplacement.PeerSilence {
+			p.silent = true
+			gooseevent.PeerSilent.Log(g.o.Log, slog.String("peer", string(id)), slog.Duration("age", now.Sub(p.at)))
+		}
+	}
+}
--- /dev/null
+++ b/pkg/gooseplacement/choose.go
@@ -0,0 +1,273 @@
+package gooseplacement
+
+import (
+	"sort"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosedirectory"
+)
+
+// Demand is what a request needs.
+type Demand struct {
+	Service goose.RoutedService
+	// PromptTokens and OutputTokens are zero for plain services.
+	PromptTokens, OutputTokens int
+	// LongestPause is the pause between events above which the stream is late.
+	LongestPause time.Duration
+	// TimeLeft is the time to the deadline.
+	TimeLeft time.Duration
+	// Avoid are replicas that were tried before.
+	Avoid map[goose.ReplicaID]bool
+}
+
+// Helper reads a part of the prompt of another replica.
+type Helper struct {
+	Replica goose.Replica
+	// Tokens is the memory to reserve at the helper; zero if it only reads.
+	Tokens int
+}
+
+// Choice is where an attempt goes. Its capacity is counted until Board.Ended.
+type Choice struct {
+	Flight  uint64
+	Replica goose.Replica
+	Helpers []Helper
+	// Expected is the estimated time to the first event.
+	Expected time.Duration
+	// Load is that of the replica before this attempt, by what is known here.
+	Load Load
+}
+
+// Obstacle tells why there is no choice.
+type Obstacle string
+
+// Obstacles.
+const (
+	ObstacleNone Obstacle = ""
+	// ObstacleNoReplica means that no replica of the service is known that was not
+	// tried before.
+	ObstacleNoReplica Obstacle = "no-replica"
+	// ObstacleCold means that all replicas are at the bound for cold ones.
+	ObstacleCold Obstacle = "cold"
+	// ObstacleMemory means that no set of replicas has the memory.
+	ObstacleMemory Obstacle = "memory"
+	// ObstacleLate means that no replica can answer in time.
+	ObstacleLate Obstacle = "late"
+)
+
+// Penalties in estimated time to the first event.
+const (
+	// requestPenalty spreads requests that are estimated alike.
+	requestPenalty = 2 * time.Millisecond
+	// distancePenalty is a little more than the round trip to another data centre.
+	distancePenalty = 3 * time.Millisecond
+	// failurePenalty is the price of a failed attempt, which is repeated elsewhere.
+	failurePenalty = 800 * time.Millisecond
+	// fullPenalty puts replicas without a free slot last.
+	fullPenalty = 5 * time.Second
+	// tightPenalty is the price of one stream that a long prefill makes late.
+	tightPenalty = 100 * time.Millisecond
+	// poolPenalty keeps short prompts off the replicas that read long ones.
+	poolPenalty = 200 * time.Millisecond
+)
+
+// candidate is a replica that may take the request.
+type candidate struct {
+	goosedirectory.Replica
+	load  Load
+	state *replica
+	// long marks a replica of the pool for long prompts.
+	long bool
+	cost time.Duration
+}
+
+// Choose picks the replicas of a request among those of its service and counts the
+// attempt. It returns an obstacle if the request cannot be served now.
+func (b *Board) Choose(d Demand, replicas []goosedirectory.Replica, now time.Time) (Choice, Obstacle) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.dropSilent(now)
+	all, paced := b.candidates(d, replicas, now)
+	if len(all) == 0 {
+		if paced {
+			return Choice{}, ObstacleCold
+		}
+		return Choice{}, ObstacleNoReplica
+	}
+	if d.Service.Engine == nil {
+		return b.choosePlain(d, all, now), ObstacleNone
+	}
+	return b.chooseEngine(d, all, now)
+}
+
+// candidates returns the replicas that were not tried and are not suspended; all
+// that were not tried if every one is suspended. paced tells that the cold bound
+// left some out.
+func (b *Board) candidates(d Demand, replicas []goosedirectory.Replica, now time.Time) ([]candidate, bool) {
+	long := b.longPool(d.Service, replicas, now)
+	var sound, suspended []candidate
+	paced := false
+	for _, r := range replicas {
+		if d.Avoid[r.ID] {
+			continue
+		}
+		s := b.state(r.Replica)
+		if b.atColdBound(d.Service, s, now) {
+			paced = true
+			continue
+		}
+		c := candidate{Replica: r, load: b.load(r.ID, now), state: s, long: long[r.ID]}
+		if now.Before(s.health.suspended) {
+			suspended = append(suspended, c)
+			continue
+		}
+		sound = append(sound, c)
+	}
+	if len(sound) == 0 {
+		return suspended, paced
+	}
+	return sound, paced
+}
+
+// coldWindow is the time over which a cold replica's requests are bounded.
+const coldWindow = time.Second
+
+// coldShare is the part of the cold bound that the instances use together: a
+// request can arrive later than it was sent.
+const coldShare = 0.8
+
+// atColdBound reports whether the replica got this instance's share of what a cold
+// one may get. It holds for warm replicas too: a replica can turn cold before
+// anybody is told, and warm ones never come near it.
+func (b *Board) atColdBound(s goose.RoutedService, r *replica, now time.Time) bool {
+	if s.ColdRate <= 0 {
+		return false
+	}
+	share := coldShare * (s.ColdRate*b.o.ColdFactor + b.o.ColdSlack) / float64(1+len(b.peers))
+	window := coldWindow
+	if share < 1 {
+		window = time.Duration(float64(coldWindow) / share)
+		share = 1
+	}
+	drop := 0
+	for drop < len(r.sent) && now.Sub(r.sent[drop]) > window {
+		drop++
+	}
+	r.sent = r.sent[drop:]
+	return len(r.sent) >= int(share)
+}
+
+// choosePlain takes the replica with the fewest requests for its slots.
+func (b *Board) choosePlain(d Demand, all []candidate, now time.Time) Choice {
+	for i := range all {
+		c := &all[i]
+		used := float64(c.load.Requests+1) / float64(max(c.Slots, 1))
+		c.cost = time.Duration(used*c.state.health.factor(now)*float64(plainUnit)) +
+			time.Duration(c.state.health.failures*float64(failurePenalty)) + b.distance(c.DataCentre)
+	}
+	return b.take(d, []candidate{cheapest(all)}, nil, 0, now)
+}
+
+// plainUnit weighs a full set of slots against the other penalties.
+const plainUnit = 50 * time.Millisecond
+
+func (b *Board) distance(dc goose.DataCentre) time.Duration {
+	if dc == b.o.DataCentre {
+		return 0
+	}
+	return distancePenalty
+}
+
+func cheapest(all []candidate) candidate {
+	best := all[0]
+	for _, c := range all[1:] {
+		if c.cost < best.cost {
+			best = c
+		}
+	}
+	return best
+}
+
+// chooseEngine places short prompts on one replica and reads long ones on several.
+func (b *Board) chooseEngine(d Demand, all []candidate, now time.Time) (Choice, Obstacle) {
+	e := *d.Service.Engine
+	prefill := e.Prefill(d.PromptTokens)
+	short := isShort(prefill)
+	for i := range all {
+		b.price(&all[i], e, short, d.PromptTokens+d.OutputTokens, now)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].cost < all[j].cost })
+	parts, obstacle := plan(d, all, prefill, short)
+	if obstacle != ObstacleNone {
+		return Choice{}, obstacle
+	}
+	expected := time.Duration(0)
+	share := prefill / time.Duration(len(parts.replicas))
+	for _, c := range parts.replicas {
+		wait := c.load.Prefill + share + pass(e, c.load)
+		expected = max(expected, time.Duration(float64(wait)*c.state.health.factor(now)))
+	}
+	if d.TimeLeft > 0 && expected > d.TimeLeft {
+		return Choice{}, ObstacleLate
+	}
+	choice := b.take(d, parts.replicas, parts.tokens, expected, now)
+	return choice, ObstacleNone
+}
+
+// price sets the cost of a replica for a request.
+func (b *Board) price(c *candidate, e goose.EngineProfile, short bool, tokens int, now time.Time) {
+	wait := c.load.Prefill + pass(e, c.load)
+	cost := time.Duration(float64(wait) * c.state.health.factor(now))
+	cost += time.Duration(c.load.Requests)*requestPenalty + b.distance(c.DataCentre)
+	cost += time.Duration(c.state.health.failures * float64(failurePenalty))
+	switch {
+	case short && c.long:
+		cost += poolPenalty
+	case !short && !c.long:
+		cost += poolPenalty + time.Duration(c.load.Tight)*tightPenalty
+	case !short:
+		cost += time.Duration(c.load.Tight) * tightPenalty
+	}
+	if c.load.Requests >= e.Slots || short && c.load.Tokens+tokens > e.MemoryTokens {
+		cost += fullPenalty
+	}
+	c.cost = cost
+}
+
+// pass is the time of one pass of an engine with the load: it ends before a new
+// prompt is read.
+func pass(e goose.EngineProfile, l Load) time.Duration {
+	writers := l.Requests - l.Waiting
+	step := e.Step + time.Duration(max(writers, 1))*e.PerSequence +
+		time.Duration(float64(l.Tokens)/1000*float64(e.ContextPerThousand))
+	return step * time.Duration(max(e.Stride, 1))
+}
+
+// take counts the attempt on its replicas; the first one answers.
+func (b *Board) take(d Demand, on []candidate, reserved []int, expected time.Duration, now time.Time) Choice {
+	prefill := time.Duration(0)
+	if d.Service.Engine != nil {
+		prefill = d.Service.Engine.Prefill(d.PromptTokens)
+	}
+	f := &flight{
+		tokens: d.PromptTokens + d.OutputTokens, tight: d.LongestPause > 0 && d.LongestPause <= tightPause,
+		begun: now, expected: expected,
+	}
+	c := Choice{Replica: on[0].Replica.Replica, Expected: expected, Load: on[0].load}
+	for i, r := range on {
+		p := part{replica: r.ID, prefill: prefill / time.Duration(len(on))}
+		if i > 0 {
+			h := Helper{Replica: r.Replica.Replica}
+			if reserved != nil {
+				h.Tokens = reserved[i]
+				p.reserved = h.Tokens
+				f.tokens -= h.Tokens
+			}
+			c.Helpers = append(c.Helpers, h)
+		}
+		f.parts = append(f.parts, p)
+	}
+	c.Flight = b.begin(f, d.Service.Name, isShort(prefill), prefill, now)
+	return c
+}
--- /dev/null
+++ b/pkg/gooseplacement/long.go
@@ -0,0 +1,156 @@
+package gooseplacement
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosedirectory"
+)
+
+// Prompts of very unlike lengths share the replicas of a service. A long prefill
+// holds up every stream of its replica, so long prompts are read on replicas of
+// their own, and each on several at once, so that none is blocked for long.
+const (
+	// shortPrefill is the longest prefill that delays streams beside it by less than
+	// the shortest pause that callers bear, about 250 ms, with a pass of the engine.
+	shortPrefill = 190 * time.Millisecond
+	// tightPause is the longest pause of a stream that a long prefill makes late.
+	tightPause = 400 * time.Millisecond
+	// partPrefill is the part of a long prompt that one replica reads.
+	partPrefill = 250 * time.Millisecond
+	// maxParts is the largest number of replicas that read one prompt.
+	maxParts = 17
+	// longUse and shortUse are the shares of their time that the replicas of the two
+	// pools are meant to read.
+	longUse  = 0.5
+	shortUse = 0.2
+)
+
+func isShort(prefill time.Duration) bool { return prefill <= shortPrefill }
+
+// longPool returns the replicas that read long prompts. Every instance finds the
+// same ones if it knows the same replicas and work.
+func (b *Board) longPool(s goose.RoutedService, replicas []goosedirectory.Replica, now time.Time) map[goose.ReplicaID]bool {
+	if s.Engine == nil || len(replicas) < 2 {
+		return nil
+	}
+	var w Work
+	if m, ok := b.work[s.Name]; ok {
+		w = m.rate(now)
+	}
+	for _, p := range b.peers {
+		w.Short += p.report.Work[s.Name].Short
+		w.Long += p.report.Work[s.Name].Long
+	}
+	ids := make([]goose.ReplicaID, len(replicas))
+	for i, r := range replicas {
+		ids[i] = r.ID
+	}
+	sort.Slice(ids, func(i, j int) bool { return rank(ids[i]) < rank(ids[j]) })
+	pool := map[goose.ReplicaID]bool{}
+	for _, id := range ids[:longPoolSize(w, len(ids))] {
+		pool[id] = true
+	}
+	return pool
+}
+
+// rank orders replicas alike on every instance and independently of data centres.
+func rank(id goose.ReplicaID) uint64 { return xxhash.Sum64String(string(id)) }
+
+// longPoolSize is the number of n replicas that read long prompts.
+func longPoolSize(w Work, n int) int {
+	short := max(int(math.Ceil(w.Short/shortUse)), (n+3)/4)
+	long := max(int(math.Ceil(w.Long/longUse)), n/4)
+	return max(min(long, n-short), 1)
+}
+
+// placement are the replicas of one request with the memory to reserve on each;
+// tokens is nil if the first one holds everything.
+type placement struct {
+	replicas []candidate
+	tokens   []int
+}
+
+// plan picks the replicas of a request; all are ordered by cost.
+func plan(d Demand, all []candidate, prefill time.Duration, short bool) (placement, Obstacle) {
+	e := *d.Service.Engine
+	need := d.PromptTokens + d.OutputTokens
+	if short {
+		return placement{replicas: all[:1]}, ObstacleNone
+	}
+	n := min(int((prefill+partPrefill-1)/partPrefill), maxParts, len(all), max(countLong(all), 1))
+	chosen := append([]candidate(nil), all[:n]...)
+	if i := roomiest(chosen, e, need); i >= 0 {
+		chosen[0], chosen[i] = chosen[i], chosen[0]
+		return placement{replicas: chosen}, ObstacleNone
+	}
+	if need <= e.MemoryTokens {
+		if i := roomiest(all, e, need); i >= 0 {
+			rest := append([]candidate{all[i]}, without(all, i)...)
+			return placement{replicas: rest[:n]}, ObstacleNone
+		}
+	}
+	return spread(all, e, need, n)
+}
+
+func countLong(all []candidate) int {
+	n := 0
+	for _, c := range all {
+		if c.long {
+			n++
+		}
+	}
+	return n
+}
+
+// free is the memory of a replica that no request uses.
+func free(c candidate, e goose.EngineProfile) int { return max(e.MemoryTokens-c.load.Tokens, 0) }
+
+// roomiest returns the replica with the most free memory if it holds need, else -1.
+func roomiest(all []candidate, e goose.EngineProfile, need int) int {
+	best := -1
+	for i, c := range all {
+		if free(c, e) >= need && (best < 0 || free(c, e) > free(all[best], e)) {
+			best = i
+		}
+	}
+	return best
+}
+
+func without(all []candidate, i int) []candidate {
+	rest := make([]candidate, 0, len(all)-1)
+	rest = append(rest, all[:i]...)
+	return append(rest, all[i+1:]...)
+}
+
+// reserveShare is the part of a replica's free memory that one prompt may reserve:
+// what is known of the others' requests lags.
+const reserveShare = 0.85
+
+// spread reserves the memory of a prompt on at least n replicas, all or nothing.
+func spread(all []candidate, e goose.EngineProfile, need, n int) (placement, Obstacle) {
+	var p placement
+	room := 0
+	for _, c := range all {
+		if len(p.replicas) == maxParts {
+			break
+		}
+		p.replicas = append(p.replicas, c)
+		room += int(reserveShare * float64(free(c, e)))
+		if room >= need && len(p.replicas) >= n {
+			break
+		}
+	}
+	if room < need || len(p.replicas) < 2 {
+		return placement{}, ObstacleMemory
+	}
+	p.tokens = make([]int, len(p.replicas))
+	for i, c := range p.replicas {
+		p.tokens[i] = int(float64(need) * reserveShare * float64(free(c, e)) / float64(room))
+	}
+	return p, ObstacleNone
+}
