Spend the retry budget before an attempt is given up as silent

Change: the budget is asked when the silence ends; reservations last 3.5 s and are renewed; peers tell for how long they reach the store, and entries that are missing after an outage of this instance alone are gone at once; the cold bound is wider for replicas that do not say that they are cold.

--- a/internal/gooseforward/answer.go
+++ b/internal/gooseforward/answer.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -25,14 +24,14 @@
 
 // whole reads an answer that is no stream and gives a success to the caller at once.
 // Failures are returned: another replica may do better.
-func (c *call) whole(ctx context.Context, u *upstream, h goose.AnswerHeader, choice gooseplacement.Choice, silence *time.Timer) result {
+func (c *call) whole(ctx context.Context, u *upstream, h goose.AnswerHeader, choice gooseplacement.Choice, silence *silenceWatch) result {
 	body, err := io.ReadAll(io.LimitReader(u.resp.Body, maxAnswer+1))
 	if err == nil && len(body) > maxAnswer {
 		err = errors.Errorf("answer of more than %d bytes", maxAnswer)
 	}
 	silence.Stop()
 	if h.NotRun {
-		r := result{outcome: outcomeNotRun, status: u.resp.StatusCode}
+		r := result{outcome: outcomeNotRun, status: u.resp.StatusCode, faultAt: h.FaultAt}
 		if err == nil && !h.Elsewhere {
 			r.answer = &whole{status: u.resp.StatusCode, header: u.resp.Header, body: body}
 		}
@@ -45,7 +44,7 @@
 	if a.status >= http.StatusInternalServerError {
 		return result{outcome: outcomeFailed, status: a.status, answer: a}
 	}
-	c.o.Board.Started(choice.Flight, c.o.Clock.Now())
+	c.noteFirst(choice)
 	c.answer(a)
 	c.o.Metrics.first(c.service.Name, c.class(), c.o.Clock.Now().Sub(c.arrived))
 	return result{outcome: outcomeDone, status: a.status}
@@ -88,19 +87,9 @@
 	return goose.Classify(c.routed.PromptTokens, memory)
 }
 
-// Bounds on the pause inside a stream before it goes on at another replica.
-const (
-	leastPause    = time.Second
-	pauseMultiple = 3
-)
-
-func (c *call) longestPause() time.Duration {
-	return max(leastPause, pauseMultiple*c.route.LongestPause)
-}
-
 // stream forwards events as they arrive. Nothing reaches the caller before the
 // first whole event, so that another replica can begin the answer until then.
-func (c *call) stream(ctx context.Context, u *upstream, choice gooseplacement.Choice, silence *time.Timer) result {
+func (c *call) stream(ctx context.Context, u *upstream, choice gooseplacement.Choice, silence *silenceWatch) result {
 	events := newEventReader(u.resp.Body)
 	control := http.NewResponseController(c.w)
 	for first := true; ; first = false {
@@ -115,13 +104,9 @@
 			return c.broken(ctx, errors.Wrap(goose.ErrDisconnected, err.Error()))
 		}
 		if first {
-			c.o.Board.Started(choice.Flight, c.o.Clock.Now())
-		}
-		if c.canResume() {
-			silence.Reset(c.longestPause())
-		} else {
-			silence.Stop()
+			c.noteFirst(choice)
 		}
+		silence.heard()
 		if c.lastEvent != "" && !ev.after(c.lastEvent) {
 			continue
 		}
@@ -141,9 +126,11 @@
 	}
 }
 
-// canResume reports whether the stream may go on at another replica.
-func (c *call) canResume() bool {
-	return c.route.Resumable && c.runs+1 < c.route.Attempts && c.lastEvent != ""
+// noteFirst notes the first event of an attempt, or its whole answer.
+func (c *call) noteFirst(choice gooseplacement.Choice) {
+	now := c.o.Clock.Now()
+	c.first = now.Sub(c.begun)
+	c.o.Board.Started(choice.Flight, now)
 }
 
 // begin sends the status and the headers of the stream's first replica.
--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -48,8 +48,11 @@
 	// Load is the number of requests that the replica was known to have before.
 	Load     int    `json:"load"`
 	Expected string `json:"expected,omitempty"`
-	After    string `json:"after"`
-	Error    string `json:"error,omitempty"`
+	// First is the time to the first event; empty if none came.
+	First   string `json:"first,omitempty"`
+	After   string `json:"after"`
+	FaultAt string `json:"fault-at,omitempty"`
+	Error   string `json:"error,omitempty"`
 }
 
 // result is the end of an attempt.
@@ -59,7 +62,11 @@
 	// the caller.
 	answer *whole
 	status int
-	err    error
+	// faultAt names the helper at fault; empty if it is the replica itself.
+	faultAt string
+	err     error
+	// first is the time to the first event; zero if none came.
+	first time.Duration
 }
 
 // obstaclePause is the pause before replicas are looked at again, and obstacleShare
@@ -147,7 +154,10 @@
 		return declined < maxNotRun
 	case outcomeNotRun:
 		return declined < maxNotRun && c.o.Budget.Retry(c.service.Name, now)
-	case outcomeFailed, outcomeLost, outcomeSilent:
+	case outcomeSilent:
+		// The further attempt was taken from the budget when the silence ended.
+		return c.route.Repeatable()
+	case outcomeFailed, outcomeLost:
 		return c.route.Repeatable() && c.runs < c.route.Attempts && c.o.Budget.Retry(c.service.Name, now)
 	}
 	return false
@@ -156,20 +166,25 @@
 // try sends the request to the chosen replica and gives its answer to the caller if
 // it is a success.
 func (c *call) try(choice gooseplacement.Choice) result {
-	begun := c.o.Clock.Now()
+	c.begun = c.o.Clock.Now()
 	c.tried[choice.Replica.ID] = true
+	c.first = 0
 	r := c.exchange(choice)
+	r.first = c.first
 	now := c.o.Clock.Now()
 	bad := r.outcome == outcomeNotSent || r.outcome == outcomeLost || r.outcome == outcomeSilent || r.outcome == outcomeFailed ||
 		r.outcome == outcomeNotRun
 	pause := c.o.Board.Ended(choice.Flight, bad, r.outcome == outcomeNotSent, now)
 	a := attempt{
 		Replica: choice.Replica.ID, Outcome: r.outcome, Status: r.status, Helpers: len(choice.Helpers),
-		Load: choice.Load.Requests, After: now.Sub(begun).Round(time.Microsecond).String(),
+		Load: choice.Load.Requests, FaultAt: r.faultAt, After: now.Sub(c.begun).Round(time.Microsecond).String(),
 	}
 	if choice.Expected > 0 {
 		a.Expected = choice.Expected.Round(time.Millisecond).String()
 	}
+	if r.first > 0 {
+		a.First = r.first.Round(time.Millisecond).String()
+	}
 	if r.err != nil {
 		a.Error = r.err.Error()
 	}
@@ -193,7 +208,7 @@
 		return result{outcome: outcomeNoMemory, err: err}
 	}
 	defer release()
-	silence := time.AfterFunc(c.silence(choice), func() { cancel(errSilent) })
+	silence := c.watchSilence(choice, cancel)
 	defer silence.Stop()
 	u, err := send(ctx, choice.Replica.Address, c.forwarded(choice))
 	if err != nil {
@@ -210,33 +225,6 @@
 	return c.whole(ctx, u, header, choice, silence)
 }
 
-// errSilent ends an attempt whose replica does not answer.
-var errSilent = errors.New("no answer in time")
-
-// Bounds on the silence of a replica before another one is tried.
-const (
-	// leastSilence lets a replica pass over an ordinary hold-up, such as the stall of
-	// a helper.
-	leastSilence = 1200 * time.Millisecond
-	// expectedSilence is the multiple of the estimated time to the first event.
-	expectedSilence = 3
-	// objectiveSilence is the multiple of the objective of a plain request.
-	objectiveSilence = 2
-)
-
-// silence is how long the replica may take until its answer begins. A request that
-// must not run again waits to its end.
-func (c *call) silence(choice gooseplacement.Choice) time.Duration {
-	left := c.deadline.Sub(c.o.Clock.Now())
-	if !c.route.Repeatable() || c.runs+1 >= c.route.Attempts {
-		return left
-	}
-	if c.route.Kind == goose.RouteStream {
-		return min(max(leastSilence, expectedSilence*choice.Expected), left)
-	}
-	return min(objectiveSilence*max(c.route.Objective, time.Millisecond), left)
-}
-
 // broken tells why an attempt ended without a whole answer.
 func (c *call) broken(ctx context.Context, err error) result {
 	switch {
--- a/internal/gooseforward/event.go
+++ b/internal/gooseforward/event.go
@@ -22,7 +22,9 @@
 // eventReader splits a stream into events.
 type eventReader struct{ r *bufio.Reader }
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{r: bufio.NewReaderSize(r, readBuffer)} }
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, readBuffer)}
+}
 
 // next returns the next whole event. It returns io.EOF at the end of the stream, and
 // io.ErrUnexpectedEOF if the stream ends inside an event.
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -93,6 +93,9 @@
 	// runs counts the attempts that may have run.
 	runs     int
 	attempts []attempt
+	// begun is the start of the current attempt, first its time to the first event.
+	begun time.Time
+	first time.Duration
 	// committed is set once the caller has a status; lastEvent is the id of the last
 	// event that it has.
 	committed bool
--- a/internal/gooseforward/reserve.go
+++ b/internal/gooseforward/reserve.go
@@ -12,6 +12,14 @@
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooseplacement"
 )
 
+const (
+	// reservationHold is how long memory stays reserved without a renewal: that of a
+	// dead instance is free again after it.
+	reservationHold = 3500 * time.Millisecond
+	// renewEvery leaves two renewals time to fail.
+	renewEvery = 1100 * time.Millisecond
+)
+
 // reservationTimeout bounds one call that reserves or releases memory.
 const reservationTimeout = 800 * time.Millisecond
 
@@ -32,21 +40,39 @@
 	if len(with) == 0 {
 		return func() {}, nil
 	}
-	r := goose.Reservation{Ticket: c.ticket(choice), Hold: min(c.deadline.Sub(c.o.Clock.Now())+time.Second, c.o.LongestHold)}
+	r := goose.Reservation{Ticket: c.ticket(choice), Hold: min(reservationHold, c.o.LongestHold)}
 	failed := make([]error, len(with))
 	var wg conc.WaitGroup
 	for i, h := range with {
 		wg.Go(func() { failed[i] = c.order(ctx, h, r.WithTokens(h.Tokens)) })
 	}
 	wg.Wait()
-	release := func() { c.release(with, r) }
 	for _, err := range failed {
 		if err != nil {
-			release()
+			c.release(with, r)
 			return nil, err
 		}
 	}
-	return release, nil
+	renewing, stop := context.WithCancel(ctx)
+	var renewal conc.WaitGroup
+	renewal.Go(func() { c.renew(renewing, with, r) })
+	return func() {
+		stop()
+		renewal.Wait()
+		c.release(with, r)
+	}, nil
+}
+
+// renew keeps the memory reserved until ctx ends.
+func (c *call) renew(ctx context.Context, at []gooseplacement.Helper, r goose.Reservation) {
+	for goose.Sleep(ctx, renewEvery) {
+		var wg conc.WaitGroup
+		for _, h := range at {
+			// A renewal that fails is repeated by the next one.
+			wg.Go(func() { _ = c.order(ctx, h, r.WithTokens(h.Tokens)) })
+		}
+		wg.Wait()
+	}
 }
 
 // release gives the memory back; what cannot be told is given back by the end of its
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -98,6 +98,7 @@
 	h.follower = goosedirectory.NewFollower(goosedirectory.FollowOptions{
 		Store: store, Registry: goosegossip.NewRegistry(gooseplatform.NewRegistry(s.DataCentres)),
 		Directory: h.directory, ReturnGrace: s.ReturnGrace, Log: log, Clock: h.clock,
+		PeerReach: func(now time.Time) time.Duration { return h.gossip.PeerReach(now) },
 	})
 	h.board = gooseplacement.New(gooseplacement.Options{
 		DataCentre: s.DataCentre, ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack,
@@ -123,7 +124,7 @@
 	h.gossip = goosegossip.New(goosegossip.Options{
 		Instance: h.settings.Instance, Incarnation: time.Now().UnixNano(), Conn: conn,
 		Instances: func() map[goose.InstanceID]string { return h.directory.Current().Instances() },
-		Board:     h.board, Log: h.log, Clock: h.clock,
+		Board:     h.board, Reach: h.follower.Reach, Log: h.log, Clock: h.clock,
 	})
 	h.member = goosegossip.NewRegistration(h.store, h.settings.Instance, address, h.log)
 	return nil
--- a/pkg/goose/routing.go
+++ b/pkg/goose/routing.go
@@ -191,6 +191,8 @@
 	NotRun bool
 	// Elsewhere is set if another process than the expected one answered.
 	Elsewhere bool
+	// FaultAt names the replica at fault where it is a helper; empty if not told.
+	FaultAt string
 }
 
 // Dialect is how callers and replicas of a platform write a routed request into
--- a/pkg/goosedirectory/follow.go
+++ b/pkg/goosedirectory/follow.go
@@ -18,7 +18,7 @@
 	// firstRetry and lastRetry bound the pause before the store is asked again;
 	// each attempt is counted and priced.
 	firstRetry = 100 * time.Millisecond
-	lastRetry  = 800 * time.Millisecond
+	lastRetry  = 400 * time.Millisecond
 	// returnMargin is added to the time in which lapsed entries come back: the
 	// outage may have ended a little later than the first answer here.
 	returnMargin = 200 * time.Millisecond
@@ -32,8 +32,11 @@
 	// ReturnGrace is the time in which entries that lapsed during an outage of the
 	// store come back after it.
 	ReturnGrace time.Duration
-	Log         *slog.Logger
-	Clock       goose.Clock
+	// PeerReach returns for how long some peer has reached the store without a
+	// failure: leases cannot have lapsed in that time.
+	PeerReach func(now time.Time) time.Duration
+	Log       *slog.Logger
+	Clock     goose.Clock
 }
 
 // Follower keeps a directory equal to the store.
@@ -45,11 +48,13 @@
 	synced map[string]bool
 	// lost has the prefixes whose last call failed.
 	lost map[string]bool
+	// since is when the store was lost or came back.
+	since time.Time
 }
 
 // NewFollower returns a follower that does not run yet.
 func NewFollower(o FollowOptions) *Follower {
-	return &Follower{o: o, synced: map[string]bool{}, lost: map[string]bool{}}
+	return &Follower{o: o, synced: map[string]bool{}, lost: map[string]bool{}, since: o.Clock.Now()}
 }
 
 // Synced reports whether the whole store was read once.
@@ -59,11 +64,15 @@
 	return len(f.synced) == len(f.o.Registry.Prefixes())
 }
 
-// Reachable reports whether the last call of every prefix succeeded.
-func (f *Follower) Reachable() bool {
+// Reach returns for how long every call to the store has succeeded; zero if the last
+// one failed.
+func (f *Follower) Reach(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.lost) == 0
+	if len(f.lost) > 0 || len(f.synced) == 0 {
+		return 0
+	}
+	return now.Sub(f.since)
 }
 
 // Run follows all prefixes until ctx ends.
@@ -99,31 +108,37 @@
 			continue
 		}
 		f.note(prefix, err)
-		goose.Sleep(ctx, pause/2+rand.N(pause))
+		goose.Sleep(ctx, 3*pause/4+rand.N(pause/2))
 		pause = min(2*pause, lastRetry)
 	}
 }
 
-// note remembers whether the store answers. The first answer after a failure
-// begins the time in which missing entries may come back.
+// note remembers whether the store answers. The first answer after an outage of the
+// store, and not of this instance's way to it, begins the time in which missing
+// entries may come back.
 func (f *Follower) note(prefix string, err error) {
+	now := f.o.Clock.Now()
 	f.mu.Lock()
 	before := len(f.lost)
 	if err != nil {
 		f.lost[prefix] = true
 	} else {
-		if f.lost[prefix] {
-			f.o.Directory.Tentative(f.o.Clock.Now().Add(f.o.ReturnGrace + returnMargin))
+		if f.lost[prefix] && f.o.PeerReach(now) <= now.Sub(f.since) {
+			f.o.Directory.Tentative(now.Add(f.o.ReturnGrace + returnMargin))
 		}
 		delete(f.lost, prefix)
 	}
 	after := len(f.lost)
+	age := now.Sub(f.since)
+	if (before == 0) != (after == 0) {
+		f.since = now
+	}
 	f.mu.Unlock()
 	switch {
 	case before == 0 && after > 0:
-		gooseevent.StoreLost.Log(f.o.Log, slog.String("prefix", prefix), slog.Any("error", err))
+		gooseevent.StoreLost.Log(f.o.Log, slog.String("prefix", prefix), slog.Duration("age", age), slog.Any("error", err))
 	case before > 0 && after == 0:
-		gooseevent.StoreBack.Log(f.o.Log)
+		gooseevent.StoreBack.Log(f.o.Log, slog.Duration("age", age))
 	}
 }
 
--- a/pkg/goosegossip/gossip.go
+++ b/pkg/goosegossip/gossip.go
@@ -41,6 +41,8 @@
 	Part        int                   `cbor:"4,keyasint,omitempty"`
 	Parts       int                   `cbor:"5,keyasint"`
 	Report      gooseplacement.Report `cbor:"6,keyasint"`
+	// Reach is for how long the sender has reached the store without a failure.
+	Reach time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // Options are the dependencies of a Gossip; all are required.
@@ -52,8 +54,10 @@
 	// Instances returns the registered instances with their addresses.
 	Instances func() map[goose.InstanceID]string
 	Board     *gooseplacement.Board
-	Log       *slog.Logger
-	Clock     goose.Clock
+	// Reach returns for how long this instance has reached the store.
+	Reach func(now time.Time) time.Duration
+	Log   *slog.Logger
+	Clock goose.Clock
 }
 
 // Gossip tells peers the own load and notes theirs.
@@ -71,6 +75,8 @@
 	sequence    uint64
 	at          time.Time
 	silent      bool
+	// reach is for how long the peer had reached the store at its last report.
+	reach time.Duration
 	// partial collects the datagrams of one report.
 	partial gooseplacement.Report
 	parts   map[int]bool
@@ -106,7 +112,7 @@
 		}
 		last, lastAt = string(summary), now
 		sequence++
-		for _, datagram := range g.encode(report, sequence) {
+		for _, datagram := range g.encode(report, sequence, now) {
 			for _, to := range g.targets(now) {
 				// A lost report is replaced by the next one.
 				_, _ = g.o.Conn.WriteTo(datagram, to)
@@ -116,7 +122,7 @@
 }
 
 // encode splits a report into datagrams.
-func (g *Gossip) encode(r gooseplacement.Report, sequence uint64) [][]byte {
+func (g *Gossip) encode(r gooseplacement.Report, sequence uint64, now time.Time) [][]byte {
 	parts := []map[goose.ReplicaID]gooseplacement.Load{{}}
 	for id, load := range r.Replicas {
 		if len(parts[len(parts)-1]) == replicasPerDatagram {
@@ -128,7 +134,7 @@
 	for i, replicas := range parts {
 		m := message{
 			From: g.o.Instance, Incarnation: g.o.Incarnation, Sequence: sequence, Part: i, Parts: len(parts),
-			Report: gooseplacement.Report{Replicas: replicas, Work: r.Work},
+			Report: gooseplacement.Report{Replicas: replicas, Work: r.Work}, Reach: g.o.Reach(now),
 		}
 		b, err := cbor.Marshal(m)
 		if err != nil {
@@ -198,7 +204,7 @@
 		p.partial = gooseplacement.Report{Replicas: map[goose.ReplicaID]gooseplacement.Load{}}
 		p.parts = map[int]bool{}
 	}
-	p.incarnation, p.sequence, p.address, p.at = m.Incarnation, m.Sequence, from, now
+	p.incarnation, p.sequence, p.address, p.at, p.reach = m.Incarnation, m.Sequence, from, now, m.Reach
 	p.parts[m.Part] = true
 	for id, l := range m.Report.Replicas {
 		p.partial.Replicas[id] = l
@@ -227,3 +233,17 @@
 		}
 	}
 }
+
+// PeerReach returns for how long some peer that was heard lately has reached the
+// store without a failure.
+func (g *Gossip) PeerReach(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var longest time.Duration
+	for _, p := range g.peers {
+		if now.Sub(p.at) <= gooseplacement.PeerSilence {
+			longest = max(longest, p.reach)
+		}
+	}
+	return longest
+}
--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -113,7 +113,7 @@
 			continue
 		}
 		s := b.state(r.Replica)
-		if b.atColdBound(d.Service, s, now) {
+		if b.atColdBound(d.Service, s, now.Before(r.ColdUntil.Add(coldMargin)), now) {
 			paced = true
 			continue
 		}
@@ -130,21 +130,30 @@
 	return sound, paced
 }
 
-// coldWindow is the time over which a cold replica's requests are bounded.
-const coldWindow = time.Second
-
-// coldShare is the part of the cold bound that the instances use together: a
-// request can arrive later than it was sent.
-const coldShare = 0.8
+const (
+	// coldWindow is the time over which a cold replica's requests are bounded.
+	coldWindow = time.Second
+	// coldShare is the part of the cold bound that the instances use together: a
+	// request can arrive later than it was sent.
+	coldShare = 0.8
+	// coldMargin is added to the time for which a replica says that it is cold.
+	coldMargin = time.Second
+	// warmFactor widens an instance's share of the bound for a replica that does not
+	// say that it is cold: it can turn cold before anybody is told, but instances
+	// rarely all send to the same one.
+	warmFactor = 2.5
+)
 
 // atColdBound reports whether the replica got this instance's share of what a cold
-// one may get. It holds for warm replicas too: a replica can turn cold before
-// anybody is told, and warm ones never come near it.
-func (b *Board) atColdBound(s goose.RoutedService, r *replica, now time.Time) bool {
+// one may get.
+func (b *Board) atColdBound(s goose.RoutedService, r *replica, cold bool, now time.Time) bool {
 	if s.ColdRate <= 0 {
 		return false
 	}
 	share := coldShare * (s.ColdRate*b.o.ColdFactor + b.o.ColdSlack) / float64(1+len(b.peers))
+	if !cold {
+		share *= warmFactor
+	}
 	window := coldWindow
 	if share < 1 {
 		window = time.Duration(float64(coldWindow) / share)
