Read huge prompts on idle replicas alone

Cause: a prompt of 400,000 tokens takes 17 s of an engine; read on 17 replicas at once, it holds up every other prompt there for a second, and several of them for many seconds. Streams beside them were late, and slots filled up. Change: a prompt above 5 s of reading gets only idle replicas for long prompts, at most 0.6 of them: enough to meet its objective, else its deadline; otherwise it is refused at once as not run, with a time to come back. Short streams in flight size the pool for short prompts, and long prompts keep off it.

--- a/internal/goosecommand/platform.go
+++ b/internal/goosecommand/platform.go
@@ -9,7 +9,7 @@
 
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
 	"github.com/gooseberryhold/gooseberryhold/internal/goosehost"
-	"github.com/gooseberryhold/gooseberryhold/platform"
+	gooseplatform "github.com/gooseberryhold/gooseberryhold/platform"
 )
 
 func forwardCommand() command {
--- a/internal/gooseforward/answer.go
+++ b/internal/gooseforward/answer.go
@@ -120,9 +120,19 @@
 		if err := control.Flush(); err != nil {
 			return result{outcome: outcomeGone, err: err}
 		}
-		if ev.id != "" {
-			c.lastEvent = ev.id
-		}
+		c.noteEvent(ev)
+	}
+}
+
+// noteEvent notes an event that the caller has.
+func (c *call) noteEvent(ev event) {
+	now := c.o.Clock.Now()
+	if !c.lastAt.IsZero() {
+		c.pause = max(c.pause, now.Sub(c.lastAt))
+	}
+	c.lastAt = now
+	if ev.id != "" {
+		c.lastEvent = ev.id
 	}
 }
 
--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -125,7 +126,7 @@
 func (c *call) demand(now time.Time) gooseplacement.Demand {
 	d := gooseplacement.Demand{
 		Service: c.service, PromptTokens: c.routed.PromptTokens, OutputTokens: c.output(),
-		LongestPause: c.route.LongestPause, TimeLeft: c.deadline.Sub(now), Avoid: c.tried,
+		LongestPause: c.route.LongestPause, Objective: c.route.Objective, TimeLeft: c.deadline.Sub(now), Avoid: c.tried,
 	}
 	return d
 }
@@ -271,6 +272,8 @@
 const (
 	memoryRetry = 500 * time.Millisecond
 	otherRetry  = 300 * time.Millisecond
+	// hugeRetry to twice of it is when a huge prompt may come back.
+	hugeRetry = 2 * time.Second
 )
 
 // giveUp sends the final answer of a request that no replica has answered with
@@ -292,6 +295,9 @@
 	case ran:
 		r := goose.NotRun(goose.CodeBackendFailed, "the backend server gave no whole answer").WithRun(goose.RunUnknown)
 		return r.WithReason(string(last.outcome))
+	case o == gooseplacement.ObstacleHuge:
+		return goose.NotRun(goose.CodeOverloaded, "too few backend servers are idle for a prompt of this length").
+			WithReason(string(o)).WithRetryAfter(hugeRetry + rand.N(hugeRetry))
 	case o == gooseplacement.ObstacleMemory || o == gooseplacement.ObstacleLate:
 		return goose.NotRun(goose.CodeOverloaded, "no backend server can take the request in time").
 			WithReason(string(o)).WithRetryAfter(memoryRetry)
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -96,6 +96,9 @@
 	// begun is the start of the current attempt, first its time to the first event.
 	begun time.Time
 	first time.Duration
+	// lastAt is when the last event was written, pause the longest time between two.
+	lastAt time.Time
+	pause  time.Duration
 	// committed is set once the caller has a status; lastEvent is the id of the last
 	// event that it has.
 	committed bool
--- a/internal/gooseforward/refuse.go
+++ b/internal/gooseforward/refuse.go
@@ -43,7 +43,7 @@
 		slog.String("service", string(c.service.Name)), slog.String("workspace", string(c.workspace.Name)),
 		slog.Int64("version", c.version()), slog.Int("prompt-tokens", c.routed.PromptTokens),
 		slog.Duration("after", c.o.Clock.Now().Sub(c.arrived).Round(time.Microsecond)),
-		slog.Any("attempts", c.attempts),
+		slog.Duration("longest-pause", c.pause.Round(time.Microsecond)), slog.Any("attempts", c.attempts),
 	}
 }
 
--- a/internal/gooseforward/upstream.go
+++ b/internal/gooseforward/upstream.go
@@ -69,18 +69,19 @@
 func (u *upstream) exchange(f forwarded) error {
 	req := f.request()
 	counting := &countingConn{Conn: u.conn}
-	written := make(chan error, 1)
+	written := make(chan struct{})
 	go func() {
+		defer close(written)
 		w := bufio.NewWriterSize(counting, readBuffer)
-		err := req.Write(w)
-		if err == nil {
-			err = w.Flush()
+		// A failed write shows in the answer, which is read all the same.
+		if err := req.Write(w); err == nil {
+			_ = w.Flush()
 		}
-		written <- err
 	}()
-	resp, err := http.ReadResponse(bufio.NewReaderSize(u.conn, readBuffer), req)
+	var err error
+	// close ends the connection, and with it the body.
+	u.resp, err = http.ReadResponse(bufio.NewReaderSize(u.conn, readBuffer), req) //nolint:bodyclose
 	if err == nil {
-		u.resp = resp
 		return nil
 	}
 	_ = u.conn.Close()
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -26,7 +26,7 @@
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosegossip"
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooseplacement"
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooseretry"
-	"github.com/gooseberryhold/gooseberryhold/platform"
+	gooseplatform "github.com/gooseberryhold/gooseberryhold/platform"
 )
 
 const (
--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -15,6 +15,9 @@
 	PromptTokens, OutputTokens int
 	// LongestPause is the pause between events above which the stream is late.
 	LongestPause time.Duration
+	// Objective is the time to the first event within which an answer has its full
+	// value.
+	Objective time.Duration
 	// TimeLeft is the time to the deadline.
 	TimeLeft time.Duration
 	// Avoid are replicas that were tried before.
@@ -52,6 +55,8 @@
 	ObstacleCold Obstacle = "cold"
 	// ObstacleMemory means that no set of replicas has the memory.
 	ObstacleMemory Obstacle = "memory"
+	// ObstacleHuge means that too few replicas are idle for a huge prompt.
+	ObstacleHuge Obstacle = "huge"
 	// ObstacleLate means that no replica can answer in time.
 	ObstacleLate Obstacle = "late"
 )
@@ -68,8 +73,10 @@
 	fullPenalty = 5 * time.Second
 	// tightPenalty is the price of one stream that a long prefill makes late.
 	tightPenalty = 100 * time.Millisecond
-	// poolPenalty keeps short prompts off the replicas that read long ones.
+	// poolPenalty keeps short prompts off the replicas that read long ones, and
+	// longPenalty long prompts off the others.
 	poolPenalty = 200 * time.Millisecond
+	longPenalty = 1500 * time.Millisecond
 )
 
 // candidate is a replica that may take the request.
@@ -234,7 +241,7 @@
 	case short && c.long:
 		cost += poolPenalty
 	case !short && !c.long:
-		cost += poolPenalty + time.Duration(c.load.Tight)*tightPenalty
+		cost += longPenalty + time.Duration(c.load.Tight)*tightPenalty
 	case !short:
 		cost += time.Duration(c.load.Tight) * tightPenalty
 	}
--- a/pkg/gooseplacement/long.go
+++ b/pkg/gooseplacement/long.go
@@ -28,6 +28,19 @@
 	// pools are meant to read.
 	longUse  = 0.5
 	shortUse = 0.2
+	// shortStreams is the number of short streams that a replica is meant to have.
+	shortStreams = 9
+	// hugePrefill is the prefill above which a prompt is read by idle replicas alone.
+	hugePrefill = 5 * time.Second
+	// hugeShare is the part of the idle replicas for long prompts that one huge prompt
+	// may take.
+	hugeShare = 0.6
+	// idlePrefill is the prefill of a replica that counts as idle.
+	idlePrefill = 60 * time.Millisecond
+	// objectiveShare and deadlineShare are the parts of the objective and of the time
+	// left in which a huge prompt is read.
+	objectiveShare = 0.6
+	deadlineShare  = 0.45
 )
 
 func isShort(prefill time.Duration) bool { return prefill <= shortPrefill }
@@ -47,12 +60,14 @@
 		w.Long += p.report.Work[s.Name].Long
 	}
 	ids := make([]goose.ReplicaID, len(replicas))
+	streams := 0
 	for i, r := range replicas {
 		ids[i] = r.ID
+		streams += b.load(r.ID, now).Tight
 	}
 	sort.Slice(ids, func(i, j int) bool { return rank(ids[i]) < rank(ids[j]) })
 	pool := map[goose.ReplicaID]bool{}
-	for _, id := range ids[:longPoolSize(w, len(ids))] {
+	for _, id := range ids[:longPoolSize(w, streams, len(ids))] {
 		pool[id] = true
 	}
 	return pool
@@ -62,12 +77,41 @@
 func rank(id goose.ReplicaID) uint64 { return xxhash.Sum64String(string(id)) }
 
 // longPoolSize is the number of n replicas that read long prompts.
-func longPoolSize(w Work, n int) int {
-	short := max(int(math.Ceil(w.Short/shortUse)), (n+3)/4)
+func longPoolSize(w Work, streams, n int) int {
+	short := max(int(math.Ceil(w.Short/shortUse)), (streams+shortStreams-1)/shortStreams, (n+3)/4)
 	long := max(int(math.Ceil(w.Long/longUse)), n/4)
 	return max(min(long, n-short), 1)
 }
 
+// width is the number of replicas that read a prompt.
+func width(all []candidate, prefill time.Duration) int {
+	return min(int((prefill+partPrefill-1)/partPrefill), maxParts, len(all), max(countLong(all), 1))
+}
+
+// idle returns the replicas that may read a huge prompt: enough of the idle ones to
+// answer it within its objective, else before its deadline, and none if others would
+// have to wait for it.
+func idle(d Demand, all []candidate, prefill time.Duration) []candidate {
+	var free []candidate
+	for _, c := range all {
+		if c.long && c.load.Prefill <= idlePrefill {
+			free = append(free, c)
+		}
+	}
+	room := min(int(hugeShare*float64(len(free))), maxParts)
+	for _, within := range []time.Duration{
+		time.Duration(objectiveShare * float64(d.Objective)), time.Duration(deadlineShare * float64(d.TimeLeft)),
+	} {
+		if within <= 0 {
+			continue
+		}
+		if n := int((prefill + within - 1) / within); n <= room {
+			return free[:n]
+		}
+	}
+	return nil
+}
+
 // placement are the replicas of one request with the memory to reserve on each;
 // tokens is nil if the first one holds everything.
 type placement struct {
@@ -82,7 +126,17 @@
 	if short {
 		return placement{replicas: all[:1]}, ObstacleNone
 	}
-	n := min(int((prefill+partPrefill-1)/partPrefill), maxParts, len(all), max(countLong(all), 1))
+	if prefill > hugePrefill {
+		if all = idle(d, all, prefill); len(all) == 0 {
+			return placement{}, ObstacleHuge
+		}
+		if i := roomiest(all, e, need); i >= 0 {
+			all[0], all[i] = all[i], all[0]
+			return placement{replicas: all}, ObstacleNone
+		}
+		return spread(all, e, need, len(all))
+	}
+	n := width(all, prefill)
 	chosen := append([]candidate(nil), all[:n]...)
 	if i := roomiest(chosen, e, need); i >= 0 {
 		chosen[0], chosen[i] = chosen[i], chosen[0]
--- a/pkg/goosetable/table_test.go
+++ b/pkg/goosetable/table_test.go
@@ -20,14 +20,14 @@
 		host, path string
 		want       string
 	}{
-		"longest prefix":        {host: "a.example", path: "/x/y/z", want: "inner"},
-		"shorter prefix":        {host: "a.example", path: "/x/z", want: "outer"},
-		"not at a slash":        {host: "a.example", path: "/xy/", want: ""},
-		"prefix without slash":  {host: "a.example", path: "/x", want: ""},
-		"host in capitals":      {host: "A.Example", path: "/x/", want: "outer"},
-		"host with port":        {host: "a.example:80", path: "/x/", want: "outer"},
-		"other host":            {host: "b.example", path: "/x/y/z", want: "other"},
-		"unknown host":          {host: "c.example", path: "/x/", want: ""},
+		"longest prefix":         {host: "a.example", path: "/x/y/z", want: "inner"},
+		"shorter prefix":         {host: "a.example", path: "/x/z", want: "outer"},
+		"not at a slash":         {host: "a.example", path: "/xy/", want: ""},
+		"prefix without slash":   {host: "a.example", path: "/x", want: ""},
+		"host in capitals":       {host: "A.Example", path: "/x/", want: "outer"},
+		"host with port":         {host: "a.example:80", path: "/x/", want: "outer"},
+		"other host":             {host: "b.example", path: "/x/y/z", want: "other"},
+		"unknown host":           {host: "c.example", path: "/x/", want: ""},
 		"prefix of another host": {host: "a.example", path: "/", want: ""},
 	}
 	for name, tc := range tests {
