--- a/cmd/gooseberryhold/main.go
+++ b/cmd/gooseberryhold/main.go
@@ -6,12 +6,13 @@
 	"os"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/goosecommand"
+	"github.com/gooseberryhold/gooseberryhold/internal/goosehost"
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseserve"
 )
 
 func main() {
 	app := &goosecommand.App{
-		Serve: gooseserve.Run, Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Environ: os.Environ(),
+		Serve: gooseserve.Run, Forward: goosehost.Run, Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Environ: os.Environ(),
 	}
 	os.Exit(app.Run(context.Background(), os.Args[1:]))
 }
--- a/internal/goosecommand/command.go
+++ b/internal/goosecommand/command.go
@@ -14,6 +14,7 @@
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooseconfig"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosesettings"
+	gooseplatform "github.com/gooseberryhold/gooseberryhold/platform"
 
 	"github.com/pkg/errors"
 )
@@ -32,7 +33,10 @@
 type App struct {
 	// Serve runs an entry instance until ctx ends and its work is done.
 	Serve func(ctx context.Context, s goosesettings.Settings, l *slog.Logger) error
-	Stdin io.Reader
+	// Forward runs an entry instance on the users' platform until ctx ends and its
+	// work is done; it logs to out and serves its metrics on the port.
+	Forward func(ctx context.Context, s gooseplatform.Settings, metricsPort int, out io.Writer) error
+	Stdin   io.Reader
 	// Stdout takes results, Stderr errors, hints and logs.
 	Stdout, Stderr io.Writer
 	// Environ is the environment as os.Environ returns it.
--- a/internal/goosecommand/command_test.go
+++ b/internal/goosecommand/command_test.go
@@ -17,6 +17,7 @@
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseoperatortest"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosesettings"
+	gooseplatform "github.com/gooseberryhold/gooseberryhold/platform"
 
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
@@ -25,7 +26,7 @@
 func TestMain(m *testing.M) {
 	gooseoperatortest.RegisterProtocols()
 	testscript.Main(m, map[string]func(){"gooseberryhold": func() {
-		app := &goosecommand.App{Serve: describe, Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Environ: os.Environ()}
+		app := &goosecommand.App{Serve: describe, Forward: describeForward, Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Environ: os.Environ()}
 		os.Exit(app.Run(context.Background(), os.Args[1:]))
 	}})
 }
@@ -36,6 +37,12 @@
 	return nil
 }
 
+// describeForward stands for an entry instance on the users' platform.
+func describeForward(_ context.Context, s gooseplatform.Settings, metricsPort int, out io.Writer) error {
+	_, err := fmt.Fprintf(out, "%s in %s listens on %s, metrics port %d\n", s.Instance, s.DataCentre, s.CallerAddress, metricsPort)
+	return err
+}
+
 // start serves the operator API until the script ends.
 func start(env *testscript.Env) error {
 	i, err := gooseoperatortest.Start()
--- a/internal/goosecommand/platform.go
+++ b/internal/goosecommand/forward.go
@@ -8,28 +8,34 @@
 	"syscall"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
-	"github.com/gooseberryhold/gooseberryhold/internal/goosehost"
 	gooseplatform "github.com/gooseberryhold/gooseberryhold/platform"
 )
 
+// defaultMetricsPort is the one that deploy/system.toml names.
+const defaultMetricsPort = 9464
+
 func forwardCommand() command {
 	return command{
-		name: "forward", usage: "[--settings file]", short: "run one entry instance on the users' platform",
+		name: "forward", usage: "[--settings file] [--metrics-port port]", short: "run one entry instance on the users' platform",
 		long:     "Runs one entry instance that forwards callers' requests by the routing and the replicas in\nthe platform's store, until SIGTERM or SIGINT. It then lets the balancer take it out, finishes\nits requests and exits; a second signal ends it at once. Logs go to standard output.",
 		examples: []string{"forward --settings boot.toml"},
 		flags: func(f *flag.FlagSet) run {
 			file := f.String("settings", "", "the platform's settings `file` (default $"+gooseplatform.SettingsVariable+")")
+			port := f.Int("metrics-port", defaultMetricsPort, "`port` of the metrics, on the instance's address")
 			return func(ctx context.Context, a *App, args []string) error {
 				if len(args) > 0 {
 					return usagef("unexpected argument %q", args[0])
 				}
-				return a.forward(ctx, *file)
+				if *port < 1 || *port > 65535 {
+					return usagef("--metrics-port %d must be from 1 to 65535", *port)
+				}
+				return a.forward(ctx, *file, *port)
 			}
 		},
 	}
 }
 
-func (a *App) forward(ctx context.Context, file string) error {
+func (a *App) forward(ctx context.Context, file string, metricsPort int) error {
 	if file == "" {
 		file = a.env(gooseplatform.SettingsVariable)
 	}
@@ -43,5 +49,5 @@
 	defer stop()
 	// The next signal has its default effect again.
 	context.AfterFunc(ctx, stop)
-	return goosehost.Run(ctx, s, a.Stdout)
+	return a.Forward(ctx, s, metricsPort, a.Stdout)
 }
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -30,8 +30,6 @@
 )
 
 const (
-	// metricsPort serves the metrics; deploy/system.toml names it too.
-	metricsPort = 9464
 	// leaveDelay is how long new connections are taken after SIGTERM: the balancer
 	// asks each second, and two questions without a 200 take an instance out.
 	leaveDelay = 3 * time.Second
@@ -72,8 +70,8 @@
 
 // Run serves until ctx ends, then drains: the balancer takes the instance out, and
 // running requests finish. It returns an error if the instance cannot start or a
-// listener fails.
-func Run(ctx context.Context, s gooseplatform.Settings, out io.Writer) error {
+// listener fails. Log lines go to out, and metrics are served on metricsPort.
+func Run(ctx context.Context, s gooseplatform.Settings, metricsPort int, out io.Writer) error {
 	debug.SetMemoryLimit(memoryLimit)
 	lines := gooselog.NewWriter(out)
 	defer lines.Close(stopMargin / 3)
@@ -83,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	return h.run(ctx)
+	return h.run(ctx, metricsPort)
 }
 
 // build makes the parts in the order of their dependencies.
@@ -131,7 +129,7 @@
 }
 
 // run serves until ctx ends and the drain is over.
-func (h *host) run(ctx context.Context) error {
+func (h *host) run(ctx context.Context, metricsPort int) error {
 	callers, err := net.Listen("tcp4", h.settings.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "setting listen.front")
--- /dev/null
+++ b/internal/gooseplatformtest/store.go
@@ -0,0 +1,355 @@
+// Package gooseplatformtest has stand-ins for the users' platform: its key-value
+// store and replicas, with fault switches.
+package gooseplatformtest
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is what the store does to a call.
+type Fault string
+
+// Faults of the store.
+const (
+	FaultNone Fault = ""
+	// FaultBusy answers 503: nothing is done.
+	FaultBusy Fault = "busy"
+	// FaultLost carries the call out and closes the connection without an answer.
+	FaultLost Fault = "lost"
+	// FaultReset closes the connection and does nothing.
+	FaultReset Fault = "reset"
+)
+
+// pageItems is the number of items in one page of a range; small, so that tests turn
+// pages.
+const pageItems = 3
+
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"created,omitempty"`
+	Lease    int64  `json:"lease,omitempty"`
+	Removed  bool   `json:"removed,omitempty"`
+}
+
+// Store is an http.Handler that serves the platform's key-value calls from memory. It
+// is safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
+	changed  chan struct{}
+	revision int64
+	// forgotten is the last revision that the history does not have any more.
+	forgotten int64
+	items     map[string]item
+	history   []item
+	leases    map[int64]time.Duration
+	lastLease int64
+	fault     func(path string) Fault
+	calls     map[string]int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		changed: make(chan struct{}), items: map[string]item{}, leases: map[int64]time.Duration{}, calls: map[string]int{},
+	}
+}
+
+// SetFault replaces the fault of calls; nil ends it. Waiting watches end.
+func (s *Store) SetFault(f func(path string) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+	s.wake()
+}
+
+// Put writes an item as an operator or a replica does.
+func (s *Store) Put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(key, []byte(value), 0)
+	s.wake()
+}
+
+// Delete removes an item.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(key)
+	s.wake()
+}
+
+// Get returns the value of an item.
+func (s *Store) Get(key string) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[key]
+	return string(i.Value), ok
+}
+
+// Keys returns the keys below a prefix.
+func (s *Store) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Compact drops the history and ends waiting watches.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.forgotten = nil, s.revision
+	s.wake()
+}
+
+// Expire ends all leases, as their lapse does.
+func (s *Store) Expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.end(id)
+	}
+	s.wake()
+}
+
+// Calls returns how often a path was called, refused calls included.
+func (s *Store) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) put(key string, value []byte, lease int64) {
+	s.revision++
+	i := item{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: lease}
+	if old, ok := s.items[key]; ok {
+		i.Created = old.Created
+	}
+	s.items[key] = i
+	s.history = append(s.history, i)
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.history = append(s.history, item{Key: key, Revision: s.revision, Removed: true})
+}
+
+func (s *Store) end(lease int64) {
+	delete(s.leases, lease)
+	for k, i := range s.items {
+		if i.Lease == lease {
+			s.remove(k)
+		}
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls[r.URL.Path]++
+	fault := FaultNone
+	if s.fault != nil {
+		fault = s.fault(r.URL.Path)
+	}
+	s.mu.Unlock()
+	switch fault {
+	case FaultBusy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case FaultReset:
+		panic(http.ErrAbortHandler)
+	}
+	status, body := s.answer(r)
+	if fault == FaultLost {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The client of a test may be gone.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Store) answer(r *http.Request) (int, any) {
+	id := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
+	switch {
+	case r.URL.Path == "/v1/kv-key":
+		return s.read(r.URL.Query().Get("key"))
+	case r.URL.Path == "/v1/kv-range":
+		return s.list(r.URL.Query().Get("prefix"), r.URL.Query().Get("after"))
+	case r.URL.Path == "/v1/kv-watch":
+		return s.watch(r)
+	case r.URL.Path == "/v1/kv-txn":
+		return s.txn(r)
+	case r.URL.Path == "/v1/kv-lease":
+		return s.grant(r)
+	case strings.HasPrefix(r.URL.Path, "/v1/kv-keep/"):
+		return s.keep(id)
+	case strings.HasPrefix(r.URL.Path, "/v1/kv-lease-end/"):
+		return s.revoke(id)
+	}
+	return http.StatusNotFound, nil
+}
+
+func (s *Store) read(key string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[key]
+	if !ok {
+		return http.StatusNotFound, nil
+	}
+	return http.StatusOK, struct {
+		item
+		CurrentRev int64 `json:"current-rev"`
+	}{i, s.revision}
+}
+
+func (s *Store) list(prefix, after string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []item
+	for k, i := range s.items {
+		if strings.HasPrefix(k, prefix) && k > after {
+			all = append(all, i)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Key < all[j].Key })
+	more := len(all) > pageItems
+	if more {
+		all = all[:pageItems]
+	}
+	return http.StatusOK, map[string]any{"items": all, "more-pages": more, "current-rev": s.revision}
+}
+
+func (s *Store) watch(r *http.Request) (int, any) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("wait-ms"))
+	limit := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer limit.Stop()
+	for {
+		s.mu.Lock()
+		if after < s.forgotten {
+			s.mu.Unlock()
+			return http.StatusGone, nil
+		}
+		events := []item{}
+		for _, i := range s.history {
+			if i.Revision > after && strings.HasPrefix(i.Key, q.Get("prefix")) {
+				events = append(events, i)
+			}
+		}
+		revision, changed, faulty := s.revision, s.changed, s.fault != nil && s.fault(r.URL.Path) != FaultNone
+		s.mu.Unlock()
+		if faulty {
+			panic(http.ErrAbortHandler)
+		}
+		if len(events) > 0 {
+			return http.StatusOK, map[string]any{"events": events, "current-rev": revision}
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return http.StatusOK, nil
+		case <-limit.C:
+			return http.StatusOK, map[string]any{"events": events, "current-rev": revision}
+		}
+	}
+}
+
+func (s *Store) txn(r *http.Request) (int, any) {
+	var t struct {
+		Expected []struct {
+			Key      string
+			Revision int64
+		}
+		Puts []struct {
+			Key   string
+			Value []byte
+			Lease int64
+		}
+		Drop []string
+	}
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		return http.StatusBadRequest, err.Error()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range t.Expected {
+		if s.items[e.Key].Revision != e.Revision {
+			return http.StatusPreconditionFailed, map[string]any{"items": []item{}}
+		}
+	}
+	for _, p := range t.Puts {
+		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
+			return http.StatusNotFound, nil
+		}
+	}
+	for _, p := range t.Puts {
+		s.put(p.Key, p.Value, p.Lease)
+	}
+	for _, k := range t.Drop {
+		s.remove(k)
+	}
+	s.wake()
+	return http.StatusOK, map[string]any{"revision": s.revision}
+}
+
+func (s *Store) grant(r *http.Request) (int, any) {
+	var q struct {
+		TTL int64 `json:"ttl-ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil || q.TTL <= 0 {
+		return http.StatusBadRequest, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastLease++
+	s.leases[s.lastLease] = time.Duration(q.TTL) * time.Millisecond
+	return http.StatusOK, map[string]any{"lease": s.lastLease, "ttl-ms": q.TTL}
+}
+
+func (s *Store) keep(id string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, _ := strconv.ParseInt(id, 10, 64)
+	ttl, ok := s.leases[n]
+	if !ok {
+		return http.StatusNotFound, nil
+	}
+	return http.StatusOK, map[string]any{"ttl-ms": ttl.Milliseconds()}
+}
+
+func (s *Store) revoke(id string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, _ := strconv.ParseInt(id, 10, 64)
+	if _, ok := s.leases[n]; !ok {
+		return http.StatusNotFound, nil
+	}
+	s.end(n)
+	s.wake()
+	return http.StatusOK, map[string]any{}
+}
--- a/pkg/goosegossip/gossip.go
+++ b/pkg/goosegossip/gossip.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -150,8 +152,8 @@
 func (g *Gossip) targets(now time.Time) []net.Addr {
 	to := map[goose.InstanceID]net.Addr{}
 	for id, address := range g.o.Instances() {
-		if a, err := net.ResolveUDPAddr("udp4", address); err == nil && id != g.o.Instance {
-			to[id] = a
+		if a, err := netip.ParseAddrPort(address); err == nil && id != g.o.Instance {
+			to[id] = net.UDPAddrFromAddrPort(a)
 		}
 	}
 	g.mu.Lock()
@@ -211,7 +213,7 @@
 	}
 	p.partial.Work = m.Report.Work
 	complete := len(p.parts) >= m.Parts
-	report := p.partial
+	report := gooseplacement.Report{Replicas: maps.Clone(p.partial.Replicas), Work: p.partial.Work}
 	back := p.silent
 	p.silent = false
 	g.mu.Unlock()
--- /dev/null
+++ b/pkg/goosegossip/gossip_test.go
@@ -0,0 +1,257 @@
+package goosegossip
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/goosestoretest"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosedirectory"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseplacement"
+)
+
+// packet is a datagram of the test's network.
+type packet struct {
+	data []byte
+	from net.Addr
+}
+
+// network connects instances by their addresses, in memory.
+type network map[string]*conn
+
+// conn is a net.PacketConn of a network.
+type conn struct {
+	net.PacketConn
+	network network
+	address *net.UDPAddr
+	in      chan packet
+	closed  chan struct{}
+}
+
+func (n network) listen(address string) *conn {
+	a, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		panic(err)
+	}
+	c := &conn{network: n, address: a, in: make(chan packet, 100), closed: make(chan struct{})}
+	n[address] = c
+	return c
+}
+
+func (c *conn) ReadFrom(b []byte) (int, net.Addr, error) {
+	select {
+	case p := <-c.in:
+		return copy(b, p.data), p.from, nil
+	case <-c.closed:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+func (c *conn) WriteTo(b []byte, to net.Addr) (int, error) {
+	if len(b) > maxDatagram {
+		panic("datagram too long")
+	}
+	if peer, ok := c.network[to.String()]; ok {
+		select {
+		case peer.in <- packet{data: append([]byte(nil), b...), from: c.address}:
+		default:
+		}
+	}
+	return len(b), nil
+}
+
+func (c *conn) Close() error {
+	close(c.closed)
+	return nil
+}
+
+// start runs the gossip of an instance.
+func start(t *testing.T, n network, name, address string, listed *atomic.Pointer[map[goose.InstanceID]string], b *gooseplacement.Board) (*Gossip, context.CancelFunc) {
+	t.Helper()
+	g := New(Options{
+		Instance: goose.InstanceID(name), Incarnation: time.Now().UnixNano(), Conn: n.listen(address),
+		Instances: func() map[goose.InstanceID]string { return *listed.Load() }, Board: b,
+		Reach: func(time.Time) time.Duration { return time.Minute },
+		Log:   slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.Run(ctx)
+	}()
+	return g, func() {
+		stop()
+		<-done
+	}
+}
+
+func board() *gooseplacement.Board {
+	return gooseplacement.New(gooseplacement.Options{DataCentre: "leith"})
+}
+
+// Guards against peers that do not learn each other's load, or keep that of a dead
+// one, and against registrations that lapse and end the exchange.
+func TestGossip(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		n := network{}
+		var listed atomic.Pointer[map[goose.InstanceID]string]
+		listed.Store(&map[goose.InstanceID]string{"a": "10.0.0.1:7", "b": "10.0.0.2:7"})
+		boardA, boardB := board(), board()
+		a, stopA := start(t, n, "a", "10.0.0.1:7", &listed, boardA)
+		_, stopB := start(t, n, "b", "10.0.0.2:7", &listed, boardB)
+		time.Sleep(time.Second)
+		if got := boardA.Instances(time.Now()); got != 2 {
+			t.Errorf("got %d instances, want 2", got)
+		}
+		if got := a.PeerReach(time.Now()); got != time.Minute {
+			t.Errorf("got a reach of %s, want that of the peer", got)
+		}
+		listed.Store(&map[goose.InstanceID]string{})
+		time.Sleep(time.Minute)
+		if got := boardA.Instances(time.Now()); got != 2 {
+			t.Errorf("got %d instances after the registrations lapsed, want 2", got)
+		}
+		stopB()
+		time.Sleep(gooseplacement.PeerSilence + time.Second)
+		if got := boardA.Instances(time.Now()); got != 1 {
+			t.Errorf("got %d instances after one died, want 1", got)
+		}
+		if got := a.PeerReach(time.Now()); got != 0 {
+			t.Errorf("got a reach of %s after the peer died, want none", got)
+		}
+		stopA()
+	})
+}
+
+// Guards against reports that arrive late and hide newer ones, and against those of
+// several datagrams that count in part.
+func TestHeard(t *testing.T) {
+	t.Parallel()
+	report := func(requests int, ids ...goose.ReplicaID) gooseplacement.Report {
+		r := gooseplacement.Report{Replicas: map[goose.ReplicaID]gooseplacement.Load{}}
+		for _, id := range ids {
+			r.Replicas[id] = gooseplacement.Load{Requests: requests}
+		}
+		return r
+	}
+	one := func(incarnation int64, sequence uint64, requests int) message {
+		return message{From: "b", Incarnation: incarnation, Sequence: sequence, Parts: 1, Report: report(requests, "i-0")}
+	}
+	tests := map[string]struct {
+		messages []message
+		// want is the replica that the next plain request goes to.
+		want goose.ReplicaID
+	}{
+		"newest counts":      {messages: []message{one(1, 1, 9), one(1, 2, 0)}, want: "i-0"},
+		"late one dropped":   {messages: []message{one(1, 2, 9), one(1, 1, 0)}, want: "i-1"},
+		"earlier process":    {messages: []message{one(2, 1, 9), one(1, 5, 0)}, want: "i-1"},
+		"later process":      {messages: []message{one(1, 5, 9), one(2, 1, 0)}, want: "i-0"},
+		"half of a report":   {messages: []message{{From: "b", Incarnation: 1, Sequence: 1, Parts: 2, Report: report(9, "i-0")}}, want: "i-0"},
+		"both halves":        {messages: []message{{From: "b", Incarnation: 1, Sequence: 1, Parts: 2, Report: report(9, "i-0")}, {From: "b", Incarnation: 1, Sequence: 1, Part: 1, Parts: 2, Report: report(3, "i-1")}}, want: "i-1"},
+		"halves of two":      {messages: []message{{From: "b", Incarnation: 1, Sequence: 1, Parts: 2, Report: report(9, "i-0")}, {From: "b", Incarnation: 1, Sequence: 2, Part: 1, Parts: 2}}, want: "i-0"},
+		"the same one twice": {messages: []message{one(1, 1, 9), one(1, 1, 9)}, want: "i-1"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := board()
+			g := New(Options{Board: b, Log: slog.New(slog.DiscardHandler), Clock: goose.SystemClock{}})
+			for _, m := range tc.messages {
+				g.heard(m, &net.UDPAddr{})
+			}
+			c, _ := b.Choose(gooseplacement.Demand{}, twoReplicas(), time.Now())
+			if c.Replica.ID != tc.want {
+				t.Errorf("got replica %s, want %s", c.Replica.ID, tc.want)
+			}
+		})
+	}
+}
+
+// twoReplicas are plain replicas with few slots, i-0 before i-1.
+func twoReplicas() []goosedirectory.Replica {
+	all := make([]goosedirectory.Replica, 2)
+	for i, id := range []goose.ReplicaID{"i-0", "i-1"} {
+		all[i].Replica = goose.Replica{ID: id, DataCentre: "leith", Slots: 4}
+	}
+	return all
+}
+
+// Guards against reports of many replicas that do not fit into datagrams.
+func TestEncode(t *testing.T) {
+	t.Parallel()
+	r := gooseplacement.Report{
+		Replicas: map[goose.ReplicaID]gooseplacement.Load{}, Work: map[goose.ServiceName]gooseplacement.Work{"wording-desk": {Short: 1.23456, Long: 2.34567}},
+	}
+	for i := range 100 {
+		id := goose.ReplicaID("i-" + strings.Repeat("f", 8) + string(rune('0'+i/10)) + string(rune('0'+i%10)))
+		r.Replicas[id] = gooseplacement.Load{Requests: 16, Waiting: 16, Tokens: 315_000, Prefill: 9_999_999_999, Tight: 16}
+	}
+	g := New(Options{Instance: "edge-musselburgh-1", Reach: func(time.Time) time.Duration { return time.Hour }})
+	datagrams := g.encode(r, 1, time.Now())
+	if len(datagrams) < 2 {
+		t.Fatalf("got %d datagrams, want several", len(datagrams))
+	}
+	for _, d := range datagrams {
+		if len(d) > maxDatagram {
+			t.Errorf("got a datagram of %d bytes, limit %d", len(d), maxDatagram)
+		}
+	}
+}
+
+// Guards against instances that are not listed again after their lease was lost.
+func TestRegistration(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		store := goosestoretest.New()
+		r := NewRegistration(store, "a", "10.0.0.1:7", slog.New(slog.DiscardHandler))
+		store.Down(true)
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			r.Run(ctx)
+		}()
+		time.Sleep(time.Minute)
+		store.Down(false)
+		time.Sleep(time.Minute)
+		e, ok, err := store.Get(context.Background(), instancePrefix+"a")
+		if err != nil || !ok || string(e.Value) != "10.0.0.1:7" {
+			t.Errorf("got entry %q, %t, error %v, want the address", e.Value, ok, err)
+		}
+		stop()
+		<-done
+	})
+}
+
+// Guards against registrations of another writer that break the exchange.
+func TestDecodeRegistration(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		value   string
+		deleted bool
+		want    goose.Change
+		wantErr bool
+	}{
+		"address":  {value: "10.0.0.1:7", want: goose.Change{Kind: goose.ChangeInstance, Instance: "a", Address: "10.0.0.1:7"}},
+		"gone":     {deleted: true, want: goose.Change{Kind: goose.ChangeInstance, Instance: "a", Removed: true}},
+		"rubbish":  {value: "\x00", want: goose.Change{Kind: goose.ChangeInstance, Instance: "a", Removed: true}, wantErr: true},
+		"no value": {want: goose.Change{Kind: goose.ChangeInstance, Instance: "a", Removed: true}, wantErr: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			got, err := NewRegistry(nil).Decode(goose.Entry{Key: instancePrefix + "a", Value: []byte(tc.value)}, tc.deleted)
+			if got != tc.want || (err != nil) != tc.wantErr {
+				t.Errorf("got %+v, error %v, want %+v, error: %t", got, err, tc.want, tc.wantErr)
+			}
+		})
+	}
+}
--- a/pkg/goosegossip/instance.go
+++ b/pkg/goosegossip/instance.go
@@ -5,7 +5,7 @@
 import (
 	"context"
 	"log/slog"
-	"net"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -55,7 +55,7 @@
 		return c, nil
 	}
 	address := string(e.Value)
-	if _, err := net.ResolveUDPAddr("udp4", address); err != nil {
+	if _, err := netip.ParseAddrPort(address); err != nil {
 		c.Removed = true
 		return c, errors.Wrapf(err, "registration of instance %s", name)
 	}
