--- a/pkg/goosegossip/gossip_test.go
+++ b/pkg/goosegossip/gossip_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -23,24 +24,24 @@
 }
 
 // network connects instances by their addresses, in memory.
-type network map[string]*conn
+type network struct{ conns sync.Map }
 
 // conn is a net.PacketConn of a network.
 type conn struct {
 	net.PacketConn
-	network network
+	network *network
 	address *net.UDPAddr
 	in      chan packet
 	closed  chan struct{}
 }
 
-func (n network) listen(address string) *conn {
+func (n *network) listen(address string) *conn {
 	a, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		panic(err)
 	}
 	c := &conn{network: n, address: a, in: make(chan packet, 100), closed: make(chan struct{})}
-	n[address] = c
+	n.conns.Store(address, c)
 	return c
 }
 
@@ -57,9 +58,9 @@
 	if len(b) > maxDatagram {
 		panic("datagram too long")
 	}
-	if peer, ok := c.network[to.String()]; ok {
+	if peer, ok := c.network.conns.Load(to.String()); ok {
 		select {
-		case peer.in <- packet{data: append([]byte(nil), b...), from: c.address}:
+		case peer.(*conn).in <- packet{data: append([]byte(nil), b...), from: c.address}:
 		default:
 		}
 	}
@@ -72,7 +73,7 @@
 }
 
 // start runs the gossip of an instance.
-func start(t *testing.T, n network, name, address string, listed *atomic.Pointer[map[goose.InstanceID]string], b *gooseplacement.Board) (*Gossip, context.CancelFunc) {
+func start(t *testing.T, n *network, name, address string, listed *atomic.Pointer[map[goose.InstanceID]string], b *gooseplacement.Board) (*Gossip, context.CancelFunc) {
 	t.Helper()
 	g := New(Options{
 		Instance: goose.InstanceID(name), Incarnation: time.Now().UnixNano(), Conn: n.listen(address),
@@ -101,7 +102,7 @@
 func TestGossip(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		n := network{}
+		n := &network{}
 		var listed atomic.Pointer[map[goose.InstanceID]string]
 		listed.Store(&map[goose.InstanceID]string{"a": "10.0.0.1:7", "b": "10.0.0.2:7"})
 		boardA, boardB := board(), board()
