Refuse short requests that would miss their objective on every replica

Change: a short request is refused at once, as not run, if the best replica has more requests than slots or its estimate is above 1.5 times the objective; callers may come back after 1.5 to 3 s, spread.

--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -272,6 +272,9 @@
 const (
 	memoryRetry = 500 * time.Millisecond
 	otherRetry  = 300 * time.Millisecond
+	// fullRetry to twice of it is when a short request may come back: bursts last for
+	// seconds, and those that come back do not come together.
+	fullRetry = 1500 * time.Millisecond
 	// hugeRetry to twice of it is when a huge prompt may come back.
 	hugeRetry = 2 * time.Second
 )
@@ -298,6 +301,9 @@
 	case o == gooseplacement.ObstacleHuge:
 		return goose.NotRun(goose.CodeOverloaded, "too few backend servers are idle for a prompt of this length").
 			WithReason(string(o)).WithRetryAfter(hugeRetry + rand.N(hugeRetry))
+	case o == gooseplacement.ObstacleFull:
+		return goose.NotRun(goose.CodeOverloaded, "all backend servers are full").
+			WithReason(string(o)).WithRetryAfter(fullRetry + rand.N(fullRetry))
 	case o == gooseplacement.ObstacleMemory || o == gooseplacement.ObstacleLate:
 		return goose.NotRun(goose.CodeOverloaded, "no backend server can take the request in time").
 			WithReason(string(o)).WithRetryAfter(memoryRetry)
--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -55,6 +55,9 @@
 	ObstacleCold Obstacle = "cold"
 	// ObstacleMemory means that no set of replicas has the memory.
 	ObstacleMemory Obstacle = "memory"
+	// ObstacleFull means that a short request would miss its objective on every
+	// replica.
+	ObstacleFull Obstacle = "full"
 	// ObstacleHuge means that too few replicas are idle for a huge prompt.
 	ObstacleHuge Obstacle = "huge"
 	// ObstacleLate means that no replica can answer in time.
@@ -227,10 +230,30 @@
 	if d.TimeLeft > 0 && expected > d.TimeLeft {
 		return Choice{}, ObstacleLate
 	}
+	if short && b.wouldQueue(d, parts.replicas[0], expected) {
+		return Choice{}, ObstacleFull
+	}
 	choice := b.take(d, parts.replicas, parts.tokens, expected, now)
 	return choice, ObstacleNone
 }
 
+// queueSlots is the number of requests that may wait for a slot of a replica: one
+// becomes free several times in the objective of a short request.
+const queueSlots = 1
+
+// lateFactor allows for estimates that are too long.
+const lateFactor = 1.5
+
+// wouldQueue reports whether a short request would miss its objective on the best
+// replica. Taken all the same, it would make the next ones late as well: more requests
+// than slots for some seconds make every answer late, and none of them more are served.
+func (b *Board) wouldQueue(d Demand, best candidate, expected time.Duration) bool {
+	if d.Objective <= 0 {
+		return false
+	}
+	return best.load.Requests >= d.Service.Engine.Slots+queueSlots || float64(expected) > lateFactor*float64(d.Objective)
+}
+
 // price sets the cost of a replica for a request.
 func (b *Board) price(c *candidate, e goose.EngineProfile, short bool, tokens int, now time.Time) {
 	wait := c.load.Prefill + pass(e, c.load)
