Give long prompts all replicas that short streams do not need

Change: short streams in flight, seven for each replica, and short reading decide how many replicas short prompts keep; all others read long ones. Parts of long prompts take 200 ms, and short prompts avoid replicas with several to read.

--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -45,7 +45,8 @@
 	Replica goose.ReplicaID `json:"replica"`
 	Outcome outcome         `json:"outcome"`
 	Status  int             `json:"status,omitempty"`
-	Helpers int             `json:"helpers,omitempty"`
+	// Helpers read parts of the prompt.
+	Helpers []goose.ReplicaID `json:"helpers,omitempty"`
 	// Load is the number of requests that the replica was known to have before.
 	Load     int    `json:"load"`
 	Expected string `json:"expected,omitempty"`
@@ -177,7 +178,7 @@
 		r.outcome == outcomeNotRun
 	pause := c.o.Board.Ended(choice.Flight, bad, r.outcome == outcomeNotSent, now)
 	a := attempt{
-		Replica: choice.Replica.ID, Outcome: r.outcome, Status: r.status, Helpers: len(choice.Helpers),
+		Replica: choice.Replica.ID, Outcome: r.outcome, Status: r.status, Helpers: helperIDs(choice),
 		Load: choice.Load.Requests, FaultAt: r.faultAt, After: now.Sub(c.begun).Round(time.Microsecond).String(),
 	}
 	if choice.Expected > 0 {
@@ -200,6 +201,14 @@
 	return r
 }
 
+func helperIDs(choice gooseplacement.Choice) []goose.ReplicaID {
+	var ids []goose.ReplicaID
+	for _, h := range choice.Helpers {
+		ids = append(ids, h.Replica.ID)
+	}
+	return ids
+}
+
 // exchange runs one attempt.
 func (c *call) exchange(choice gooseplacement.Choice) result {
 	ctx, cancel := context.WithCancelCause(c.ctx)
--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -76,12 +76,19 @@
 	fullPenalty = 5 * time.Second
 	// tightPenalty is the price of one stream that a long prefill makes late.
 	tightPenalty = 100 * time.Millisecond
+	// crowdPenalty is the price of one stream that several short prompts at once make
+	// late.
+	crowdPenalty = 15 * time.Millisecond
 	// poolPenalty keeps short prompts off the replicas that read long ones, and
 	// longPenalty long prompts off the others.
 	poolPenalty = 200 * time.Millisecond
 	longPenalty = 1500 * time.Millisecond
 )
 
+// crowdedPrefill is the reading that waits at a replica above which another short
+// prompt makes the streams beside it late.
+const crowdedPrefill = 90 * time.Millisecond
+
 // candidate is a replica that may take the request.
 type candidate struct {
 	goosedirectory.Replica
@@ -263,6 +270,9 @@
 	switch {
 	case short && c.long:
 		cost += poolPenalty
+	case short && c.load.Prefill > crowdedPrefill:
+		// One pass would read so many prompts that the streams beside it pause.
+		cost += time.Duration(c.load.Tight) * crowdPenalty
 	case !short && !c.long:
 		cost += longPenalty + time.Duration(c.load.Tight)*tightPenalty
 	case !short:
--- a/pkg/gooseplacement/long.go
+++ b/pkg/gooseplacement/long.go
@@ -21,15 +21,14 @@
 	// tightPause is the longest pause of a stream that a long prefill makes late.
 	tightPause = 400 * time.Millisecond
 	// partPrefill is the part of a long prompt that one replica reads.
-	partPrefill = 250 * time.Millisecond
+	partPrefill = 200 * time.Millisecond
 	// maxParts is the largest number of replicas that read one prompt.
 	maxParts = 17
-	// longUse and shortUse are the shares of their time that the replicas of the two
-	// pools are meant to read.
-	longUse  = 0.5
+	// shortUse is the share of their time that the replicas for short prompts are meant
+	// to read.
 	shortUse = 0.2
 	// shortStreams is the number of short streams that a replica is meant to have.
-	shortStreams = 9
+	shortStreams = 7
 	// hugePrefill is the prefill above which a prompt is read by idle replicas alone.
 	hugePrefill = 5 * time.Second
 	// hugeShare is the part of the idle replicas for long prompts that one huge prompt
@@ -76,11 +75,12 @@
 // rank orders replicas alike on every instance and independently of data centres.
 func rank(id goose.ReplicaID) uint64 { return xxhash.Sum64String(string(id)) }
 
-// longPoolSize is the number of n replicas that read long prompts.
+// longPoolSize is the number of n replicas that read long prompts: all that short
+// ones do not need. There are many short streams, so that their number changes more
+// slowly than the work of a few long prompts.
 func longPoolSize(w Work, streams, n int) int {
 	short := max(int(math.Ceil(w.Short/shortUse)), (streams+shortStreams-1)/shortStreams, (n+3)/4)
-	long := max(int(math.Ceil(w.Long/longUse)), n/4)
-	return max(min(long, n-short), 1)
+	return max(n-short, 1)
 }
 
 // width is the number of replicas that read a prompt.
