Spread requests over replicas that are hardly worse, and follow the store by one watch

Cause: with 85 instances the estimate of short requests was 75 ms and their first event came after 245 ms: all instances chose the same cheapest replica from reports that lag by 120 ms.

--- a/pkg/goosegossip/gossip.go
+++ b/pkg/goosegossip/gossip.go
@@ -22,6 +22,11 @@
 	// reportEvery is the time between reports: requests of other instances that are
 	// younger are not known.
 	reportEvery = 120 * time.Millisecond
+	// instancesPerInterval is the number of instances above which reports come less
+	// often.
+	instancesPerInterval = 24
+	// urgentDelay is the pause before a report about a long prompt.
+	urgentDelay = 2 * time.Millisecond
 	// quietEvery is the time between reports that say the same.
 	quietEvery = 600 * time.Millisecond
 	// maxDatagram bounds a report; larger ones are split by replicas.
@@ -101,7 +106,7 @@
 	var last string
 	var lastAt time.Time
 	sequence := uint64(0)
-	for goose.Sleep(ctx, reportEvery) {
+	for g.wait(ctx) {
 		now := g.o.Clock.Now()
 		g.noteSilent(now)
 		report := g.o.Board.Report(now)
@@ -123,6 +128,22 @@
 	}
 }
 
+// wait returns when the next report is due: after a time that grows with the number
+// of instances, since each tells all others, or at once if a long prompt was placed.
+func (g *Gossip) wait(ctx context.Context) bool {
+	instances := g.o.Board.Instances(g.o.Clock.Now())
+	t := time.NewTimer(reportEvery * time.Duration(max(instances, instancesPerInterval)) / instancesPerInterval)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-g.o.Board.Urgent():
+		// Prompts that are placed together are told together.
+		return goose.Sleep(ctx, urgentDelay)
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
 // encode splits a report into datagrams.
 func (g *Gossip) encode(r gooseplacement.Report, sequence uint64, now time.Time) [][]byte {
 	parts := []map[goose.ReplicaID]gooseplacement.Load{{}}
--- a/pkg/goosegossip/instance.go
+++ b/pkg/goosegossip/instance.go
@@ -22,8 +22,8 @@
 const (
 	// leaseTTL is how long a dead instance stays registered, and renewEvery the time
 	// between renewals, each of which is counted and priced.
-	leaseTTL   = 8 * time.Second
-	renewEvery = 3 * time.Second
+	leaseTTL   = 15 * time.Second
+	renewEvery = 5 * time.Second
 	// retryEvery is the pause after a failed registration.
 	retryEvery = time.Second
 )
@@ -34,13 +34,10 @@
 // NewRegistry returns a registry that also reads the registrations of instances.
 func NewRegistry(platform goose.Registry) Registry { return Registry{Registry: platform} }
 
-// Prefixes implements goose.Registry.
-func (r Registry) Prefixes() []string { return append(r.Registry.Prefixes(), instancePrefix) }
-
 // Kinds implements goose.Registry.
 func (r Registry) Kinds() map[goose.ChangeKind]string {
 	kinds := r.Registry.Kinds()
-	kinds[goose.ChangeInstance] = instancePrefix
+	kinds[goose.ChangeInstance] = ""
 	return kinds
 }
 
--- a/pkg/gooseplacement/board.go
+++ b/pkg/gooseplacement/board.go
@@ -1,6 +1,7 @@
 package gooseplacement
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	// ColdFactor and ColdSlack turn the rate of a cold replica into the bound over
 	// the whole fleet on the requests that it gets in a second.
 	ColdFactor, ColdSlack float64
+	// Rand returns a random number from 0 up to n; rand.IntN if it is nil.
+	Rand func(n int) int
 }
 
 // Board keeps what is in flight. It is safe for concurrent use.
@@ -30,6 +33,8 @@
 	replicas map[goose.ReplicaID]*replica
 	peers    map[goose.InstanceID]peer
 	work     map[goose.ServiceName]*meter
+	// urgent has a value if peers should hear of a long prompt at once.
+	urgent chan struct{}
 }
 
 // replica is what is known of one replica beside the directory.
@@ -49,12 +54,20 @@
 
 // New returns an empty board.
 func New(o Options) *Board {
+	if o.Rand == nil {
+		o.Rand = rand.IntN
+	}
 	return &Board{
 		o: o, flights: map[uint64]*flight{}, replicas: map[goose.ReplicaID]*replica{},
 		peers: map[goose.InstanceID]peer{}, work: map[goose.ServiceName]*meter{},
+		urgent: make(chan struct{}, 1),
 	}
 }
 
+// Urgent delivers a value when peers should hear at once of what was placed here: a
+// long prompt that they do not know of would meet another one.
+func (b *Board) Urgent() <-chan struct{} { return b.urgent }
+
 // Heard replaces the report of a peer.
 func (b *Board) Heard(from goose.InstanceID, r Report, now time.Time) {
 	b.mu.Lock()
@@ -154,6 +167,12 @@
 		b.work[service] = m
 	}
 	m.add(now, whole, short)
+	if !short {
+		select {
+		case b.urgent <- struct{}{}:
+		default:
+		}
+	}
 	return b.next
 }
 
--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -192,7 +192,7 @@
 		c.cost = time.Duration(used*c.state.health.factor(now)*float64(plainUnit)) +
 			time.Duration(c.state.health.failures*float64(failurePenalty)) + b.distance(c.DataCentre)
 	}
-	return b.take(d, []candidate{cheapest(all)}, nil, 0, now)
+	return b.take(d, []candidate{all[b.anyOfCheapest(all, plainSpread)]}, nil, 0, now)
 }
 
 // plainUnit weighs a full set of slots against the other penalties.
@@ -205,14 +205,29 @@
 	return distancePenalty
 }
 
-func cheapest(all []candidate) candidate {
-	best := all[0]
+// Instances know each other's requests only with a lag. If all took the cheapest
+// replica, the requests of that time would meet there; so each takes any of those that
+// are hardly worse.
+const (
+	plainSpread = 10 * time.Millisecond
+	shortSpread = 25 * time.Millisecond
+	longSpread  = 60 * time.Millisecond
+)
+
+// anyOfCheapest returns the index of one of the replicas whose cost is within spread
+// of the least.
+func (b *Board) anyOfCheapest(all []candidate, spread time.Duration) int {
+	least := all[0].cost
 	for _, c := range all[1:] {
-		if c.cost < best.cost {
-			best = c
+		least = min(least, c.cost)
+	}
+	var near []int
+	for i, c := range all {
+		if c.cost <= least+spread {
+			near = append(near, i)
 		}
 	}
-	return best
+	return near[b.o.Rand(len(near))]
 }
 
 // chooseEngine places short prompts on one replica and reads long ones on several.
@@ -222,8 +237,15 @@
 	short := isShort(prefill)
 	for i := range all {
 		b.price(&all[i], e, short, d.PromptTokens+d.OutputTokens, now)
+		if !short {
+			all[i].cost += time.Duration(b.o.Rand(int(longSpread)))
+		}
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].cost < all[j].cost })
+	if short {
+		i := b.anyOfCheapest(all, shortSpread)
+		all[0], all[i] = all[i], all[0]
+	}
 	parts, obstacle := plan(d, all, prefill, short)
 	if obstacle != ObstacleNone {
 		return Choice{}, obstacle
