--- a/internal/gooseforward/forward_test.go
+++ b/internal/gooseforward/forward_test.go
@@ -68,7 +68,7 @@
 		Workspaces: []goose.RoutedWorkspace{{Name: "guild", Keys: []string{"k1"}}},
 		Limits:     goose.CallerLimits{BodyBytes: 1 << 10},
 	}}, time.Now())
-	s.board = gooseplacement.New(gooseplacement.Options{DataCentre: "leith"})
+	s.board = gooseplacement.New(gooseplacement.Options{DataCentre: "leith", Rand: func(int) int { return 0 }})
 	for i, h := range replicas {
 		s.addReplica(d, i, h)
 	}
--- a/internal/gooseforward/silence.go
+++ b/internal/gooseforward/silence.go
@@ -16,18 +16,27 @@
 
 // Bounds on the silence of a replica before another one is tried.
 const (
-	// leastSilence lets a replica pass over an ordinary hold-up, such as the stall of
-	// a helper.
-	leastSilence = 2500 * time.Millisecond
+	// leastPatience, objectivePatience and pausePatience give the pause after which
+	// callers abandon a stream, before its first event and inside it: the longest of
+	// leastPatience and these multiples of the objective and of the longest pause.
+	leastPatience     = 2 * time.Second
+	objectivePatience = 4
+	pausePatience     = 8
+	// patienceShare is the part of it for which a replica may be silent: what is left
+	// has to do for another one.
+	patienceShare = 0.6
 	// expectedSilence is the multiple of the estimated time to the first event.
 	expectedSilence = 4
 	// objectiveSilence is the multiple of the objective of a plain request.
 	objectiveSilence = 2
-	// leastPause and pauseMultiple bound the pause inside a stream.
-	leastPause    = 1200 * time.Millisecond
-	pauseMultiple = 3
 )
 
+// streamSilence is how long a replica may pause inside a stream of the route.
+func streamSilence(r goose.Route) time.Duration {
+	patience := max(leastPatience, objectivePatience*r.Objective, pausePatience*r.LongestPause)
+	return time.Duration(patienceShare * float64(patience))
+}
+
 // silenceWatch ends an attempt whose replica is silent for too long, if another
 // replica may get the request and the budget has a further attempt.
 type silenceWatch struct {
@@ -52,7 +61,7 @@
 // firstSilence is how long the replica may take until its answer begins.
 func (c *call) firstSilence(choice gooseplacement.Choice) time.Duration {
 	if c.route.Kind == goose.RouteStream {
-		return max(leastSilence, expectedSilence*choice.Expected)
+		return max(streamSilence(c.route), expectedSilence*choice.Expected)
 	}
 	return objectiveSilence * max(c.route.Objective, time.Millisecond)
 }
@@ -70,7 +79,7 @@
 func (w *silenceWatch) heard() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.limit = max(leastPause, pauseMultiple*w.c.route.LongestPause)
+	w.limit = streamSilence(w.c.route)
 	w.timer.Reset(w.limit)
 }
 
--- a/pkg/goosegossip/gossip_test.go
+++ b/pkg/goosegossip/gossip_test.go
@@ -94,7 +94,7 @@
 }
 
 func board() *gooseplacement.Board {
-	return gooseplacement.New(gooseplacement.Options{DataCentre: "leith"})
+	return gooseplacement.New(gooseplacement.Options{DataCentre: "leith", Rand: func(int) int { return 0 }})
 }
 
 // Guards against peers that do not learn each other's load, or keep that of a dead
--- a/pkg/gooseplacement/placement_test.go
+++ b/pkg/gooseplacement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -38,8 +39,9 @@
 	return all
 }
 
+// newBoard returns a board that takes the first of several replicas alike.
 func newBoard() *Board {
-	return New(Options{DataCentre: "leith", ColdFactor: 1.5, ColdSlack: 5})
+	return New(Options{DataCentre: "leith", ColdFactor: 1.5, ColdSlack: 5, Rand: func(int) int { return 0 }})
 }
 
 // Prompts of the three lengths that callers send.
@@ -347,6 +349,28 @@
 	}
 }
 
+// Guards against instances that know nothing of each other's last requests and all
+// take the same replica: the load pattern of a burst at many instances.
+func TestInstancesDoNotMeet(t *testing.T) {
+	t.Parallel()
+	all := replicas("desk", 20)
+	random := rand.New(rand.NewPCG(1, 2))
+	got := map[goose.ReplicaID]int{}
+	for range 60 {
+		b := New(Options{DataCentre: "leith", ColdFactor: 1.5, ColdSlack: 5, Rand: random.IntN})
+		c, o := b.Choose(short(), all, start)
+		if o != ObstacleNone {
+			t.Fatalf("got obstacle %q", o)
+		}
+		got[c.Replica.ID]++
+	}
+	for id, n := range got {
+		if n > 20 {
+			t.Errorf("got %d of 60 first requests of instances on replica %s", n, id)
+		}
+	}
+}
+
 // Guards against pools that leave one kind of prompts without a replica.
 func TestLongPoolSize(t *testing.T) {
 	t.Parallel()
