--- a/pkg/gooseplacement/long.go
+++ b/pkg/gooseplacement/long.go
@@ -29,9 +29,11 @@
 	shortUse = 0.2
 	// shortStreams is the number of short streams that a replica is meant to have.
 	shortStreams = 7
-	// hugePrefill is the prefill, for each replica that reads long prompts, above which
-	// a prompt is read by idle replicas alone.
-	hugePrefill = 300 * time.Millisecond
+	// A prompt is huge, and is read by idle replicas alone, if its prefill is above
+	// leastHuge and above hugePerReplica for each replica of the service: read by all at
+	// once, it would hold up the others for long.
+	leastHuge      = 5 * time.Second
+	hugePerReplica = 220 * time.Millisecond
 	// hugeShare is the part of the idle replicas for long prompts that one huge prompt
 	// may take.
 	hugeShare = 0.6
@@ -127,7 +129,7 @@
 	if short {
 		return placement{replicas: all[:1]}, ObstacleNone
 	}
-	if prefill > hugePrefill*time.Duration(max(countLong(all), 1)) {
+	if prefill > max(leastHuge, hugePerReplica*time.Duration(len(all))) {
 		if all = idle(d, all, prefill); len(all) == 0 {
 			return placement{}, ObstacleHuge
 		}
