--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -238,6 +238,9 @@
 	for i := range all {
 		b.price(&all[i], e, short, d.PromptTokens+d.OutputTokens, now)
 		if !short {
+			if prefill > mediumPart*maxParts {
+				all[i].cost += time.Duration(all[i].load.Medium) * tightPenalty
+			}
 			all[i].cost += time.Duration(b.o.Rand(int(longSpread)))
 		}
 	}
@@ -322,8 +325,7 @@
 		prefill = d.Service.Engine.Prefill(d.PromptTokens)
 	}
 	f := &flight{
-		tokens: d.PromptTokens + d.OutputTokens, tight: d.LongestPause > 0 && d.LongestPause <= tightPause,
-		begun: now, expected: expected,
+		tokens: d.PromptTokens + d.OutputTokens, pause: d.LongestPause, begun: now, expected: expected,
 	}
 	c := Choice{Replica: on[0].Replica.Replica, Expected: expected, Load: on[0].load}
 	for i, r := range on {
--- a/pkg/gooseplacement/load.go
+++ b/pkg/gooseplacement/load.go
@@ -19,12 +19,14 @@
 	Prefill time.Duration `cbor:"4,keyasint,omitempty"`
 	// Tight is the number of streams that a long prefill makes late.
 	Tight int `cbor:"5,keyasint,omitempty"`
+	// Medium is the number of streams that only a very long part of a prompt makes late.
+	Medium int `cbor:"6,keyasint,omitempty"`
 }
 
 func (l Load) plus(o Load) Load {
 	return Load{
 		Requests: l.Requests + o.Requests, Waiting: l.Waiting + o.Waiting, Tokens: l.Tokens + o.Tokens,
-		Prefill: l.Prefill + o.Prefill, Tight: l.Tight + o.Tight,
+		Prefill: l.Prefill + o.Prefill, Tight: l.Tight + o.Tight, Medium: l.Medium + o.Medium,
 	}
 }
 
@@ -46,7 +48,8 @@
 	// parts are the replicas with their share of the prefill; the first one answers.
 	parts  []part
 	tokens int
-	tight  bool
+	// pause is the longest one between events of a stream in time; zero for any.
+	pause time.Duration
 	// started is set by the first event.
 	started bool
 	begun   time.Time
@@ -68,8 +71,11 @@
 	l.Tokens = f.parts[i].reserved
 	if i == 0 {
 		l.Requests, l.Tokens = 1, f.tokens
-		if f.tight {
+		switch {
+		case f.pause > 0 && f.pause <= tightPause:
 			l.Tight = 1
+		case f.pause > 0 && f.pause <= mediumPause:
+			l.Medium = 1
 		}
 	}
 	if !f.started {
--- a/pkg/gooseplacement/long.go
+++ b/pkg/gooseplacement/long.go
@@ -20,6 +20,10 @@
 	shortPrefill = 190 * time.Millisecond
 	// tightPause is the longest pause of a stream that a long prefill makes late.
 	tightPause = 400 * time.Millisecond
+	// mediumPause is the longest pause of a stream that parts above mediumPart make
+	// late.
+	mediumPause = 700 * time.Millisecond
+	mediumPart  = 400 * time.Millisecond
 	// partPrefill is the part of a long prompt that one replica reads.
 	partPrefill = 200 * time.Millisecond
 	// maxParts is the largest number of replicas that read one prompt.
--- a/pkg/gooseplacement/placement_test.go
+++ b/pkg/gooseplacement/placement_test.go
@@ -349,6 +349,37 @@
 	}
 }
 
+// Guards against very long parts of prompts that make streams with medium pauses late
+// although other replicas could read them: the load pattern of archives beside charters.
+func TestLongPartsAvoidMediumStreams(t *testing.T) {
+	t.Parallel()
+	b, all := newBoard(), replicas("desk", 78)
+	charter := Demand{
+		Service: desk(), PromptTokens: 45_000, OutputTokens: 1_000, Objective: 1500 * time.Millisecond,
+		LongestPause: 600 * time.Millisecond, TimeLeft: 10 * time.Second,
+	}
+	writing := map[goose.ReplicaID]bool{}
+	for range 8 {
+		c, o := b.Choose(charter, all, start)
+		if o != ObstacleNone {
+			t.Fatalf("got obstacle %q for a charter", o)
+		}
+		b.Started(c.Flight, start)
+		writing[c.Replica.ID] = true
+	}
+	archive := long()
+	archive.PromptTokens = 290_000
+	c, o := b.Choose(archive, all, start)
+	if o != ObstacleNone || len(c.Helpers) < 8 {
+		t.Fatalf("got %d helpers, obstacle %q, want many", len(c.Helpers), o)
+	}
+	for _, h := range append(c.Helpers, Helper{Replica: c.Replica}) {
+		if writing[h.Replica.ID] {
+			t.Errorf("got a part of the archive on %s, which writes a charter", h.Replica.ID)
+		}
+	}
+}
+
 // Guards against instances that know nothing of each other's last requests and all
 // take the same replica: the load pattern of a burst at many instances.
 func TestInstancesDoNotMeet(t *testing.T) {
