--- a/internal/gooseforward/forward_test.go
+++ b/internal/gooseforward/forward_test.go
@@ -43,7 +43,7 @@
 // routes of every stand, by path.
 func routes() []goose.Route {
 	base := goose.Route{
-		Host: "desk.example", Timeout: patience, Objective: patience, Attempts: 2,
+		Host: "desk.example", Timeout: time.Hour, Objective: time.Hour, Attempts: 2,
 		Services: []goose.WeightedService{{Service: "desk", Weight: 1}},
 	}
 	look, order, stream, whole, open, short := base, base, base, base, base, base
@@ -378,7 +378,11 @@
 				leave()
 			}()
 			s.send(s.request(ctx, path, ""))
-			<-gone
+			select {
+			case <-gone:
+			case <-time.After(patience):
+				t.Error("the replica works on for a caller that has left")
+			}
 			if got := s.reached("i-1"); got != 0 {
 				t.Errorf("got %d requests at another replica after the caller left", got)
 			}
--- a/pkg/gooseplacement/placement_test.go
+++ b/pkg/gooseplacement/placement_test.go
@@ -207,11 +207,15 @@
 		demand   Demand
 		replicas int
 		before   int
-		want     Obstacle
+		// running is set if the requests before write.
+		running bool
+		want    Obstacle
 	}{
 		"none known": {demand: short(), want: ObstacleNoReplica},
 		"too late":   {demand: late, replicas: 3, want: ObstacleLate},
 		"cold bound": {demand: short(), replicas: 1, before: 88, want: ObstacleCold},
+		"slots full": {demand: short(), replicas: 1, before: 17, running: true, want: ObstacleFull},
+		"slot free":  {demand: short(), replicas: 1, before: 16, running: true, want: ObstacleNone},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -222,6 +226,10 @@
 				if o != ObstacleNone {
 					t.Fatalf("got obstacle %q before", o)
 				}
+				if tc.running {
+					b.Started(c.Flight, start)
+					continue
+				}
 				b.Ended(c.Flight, false, false, start)
 			}
 			if _, o := b.Choose(tc.demand, all, start); o != tc.want {
@@ -367,6 +375,14 @@
 		b.Started(c.Flight, start)
 		writing[c.Replica.ID] = true
 	}
+	// All others are a little busier, and would be the second choice.
+	busy := Report{Replicas: map[goose.ReplicaID]Load{}}
+	for _, r := range all {
+		if !writing[r.ID] {
+			busy.Replicas[r.ID] = Load{Requests: 1, Waiting: 1, Prefill: 50 * time.Millisecond}
+		}
+	}
+	b.Heard("peer", busy, start)
 	archive := long()
 	archive.PromptTokens = 290_000
 	c, o := b.Choose(archive, all, start)
