--- a/internal/goosecommand/operations_test.go
+++ b/internal/goosecommand/operations_test.go
@@ -34,7 +34,7 @@
 // metricsOf returns the metrics that the Go files under root define.
 func metricsOf(t *testing.T, root string) []string {
 	t.Helper()
-	defines := regexp.MustCompile(`metrics\.(?:New|GetOrCreate)\w+\([^\n]*?(gooseberryhold_[a-z_]+)`)
+	defines := regexp.MustCompile(`(?:(?:metrics|set)\.(?:New|GetOrCreate)\w+|gauge)\([^\n]*?(gooseberryhold_[a-z_]+)`)
 	var all []string
 	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
