--- /dev/null
+++ b/internal/goosecommand/replay_test.go
@@ -0,0 +1,76 @@
+package goosecommand_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/goosecommand"
+	"github.com/gooseberryhold/gooseberryhold/internal/goosehosttest"
+)
+
+// Guards against a failed request whose cause its id does not lead to: a real instance
+// fails a request, and its log is asked as docs/OPERATIONS.md shows.
+func TestExplainReplays(t *testing.T) {
+	t.Parallel()
+	cut := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	decline := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	silent := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	tests := map[string]struct {
+		service, method, path string
+		replica               http.HandlerFunc
+		status                int
+		want                  []string
+	}{
+		"refused under overload": {
+			service: "a", method: http.MethodGet, path: "/x/1", replica: decline, status: http.StatusServiceUnavailable,
+			want: []string{"overloaded, not-run", "cause: the backend servers declined the request", "replica i-1: not-run", "status 503"},
+		},
+		"cut by a backend server": {
+			service: "a", method: http.MethodGet, path: "/x/1", replica: cut, status: http.StatusBadGateway,
+			want: []string{"backend-failed, unknown", "cause: the backend server gave no whole answer", "replica i-1: lost"},
+		},
+		"order with unknown outcome": {
+			service: "c", method: http.MethodPost, path: "/o/1", replica: silent, status: http.StatusGatewayTimeout,
+			want: []string{"deadline, unknown", "cause: the request's time is over; last attempt, replica i-1: deadline"},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			log := filepath.Join(t.TempDir(), "edge-1.log")
+			out, err := os.Create(log)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = out.Close() })
+			f := goosehosttest.New(t)
+			f.Routing(1, "a")
+			f.ReplicaFunc("i-1", tc.service, tc.replica)
+			e := f.Start("edge-1", out)
+			goosehosttest.Eventually(t, "the instance is ready", e.Ready)
+			if got, body := e.Send(tc.method, tc.path, "k1", "id-of-it"); got != tc.status {
+				t.Errorf("got status %d, body %s, want %d", got, body, tc.status)
+			}
+			var explained bytes.Buffer
+			goosehosttest.Eventually(t, "the log has the request", func() bool {
+				explained.Reset()
+				app := &goosecommand.App{Stdout: &explained, Stderr: &bytes.Buffer{}}
+				return app.Run(context.Background(), []string{"explain", "id-of-it", log}) == goosecommand.ExitDone &&
+					strings.Contains(explained.String(), "refused with code")
+			})
+			for _, want := range tc.want {
+				if !strings.Contains(explained.String(), want) {
+					t.Errorf("got explanation\n%swant %q in it", explained.String(), want)
+				}
+			}
+		})
+	}
+}
--- a/internal/gooseentry/request.go
+++ b/internal/gooseentry/request.go
@@ -160,7 +160,8 @@
 }
 
 func crashes() *goose.Refusal {
-	return refusal(goose.CodeCrashesBackend, "condemned", "this request crashed two backend servers", 0)
+	r := goose.Condemned()
+	return &r
 }
 
 func (q *request) setDeadline(e *Entry) {
--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -292,13 +292,22 @@
 // success: the replica's own failure if there is a whole one.
 func (c *call) giveUp(last result, o gooseplacement.Obstacle) {
 	if last.answer != nil && !c.committed {
+		c.noteFailure(answered(last))
 		c.answer(last.answer)
-		c.finish(last)
 		return
 	}
 	c.refuse(c.refusal(last, o))
 }
 
+// answered describes a replica's own failure, which the caller gets unchanged.
+func answered(last result) goose.Refusal {
+	if last.outcome == outcomeNotRun {
+		return goose.NotRun(goose.CodeOverloaded, "the backend servers declined the request").WithReason(string(last.outcome))
+	}
+	return goose.NotRun(goose.CodeBackendFailed, "the backend server answered a failure of its own").
+		WithReason(string(last.outcome)).WithRun(goose.RunDone)
+}
+
 func (c *call) refusal(last result, o gooseplacement.Obstacle) goose.Refusal {
 	ran := c.runs > 0 || last.outcome == outcomeDeadline
 	switch {
--- a/internal/gooseforward/refuse.go
+++ b/internal/gooseforward/refuse.go
@@ -13,10 +13,7 @@
 // refuse sends the refusal, or breaks the connection if an answer has begun: what
 // was sent so far must not look complete.
 func (c *call) refuse(r goose.Refusal) {
-	c.o.Metrics.count(c.service.Name, string(r.Code))
-	gooseevent.RequestFailed.Log(c.o.Log, append(c.fields(),
-		slog.String("code", string(r.Code)), slog.String("run", string(r.Run)), slog.String("reason", r.Reason),
-		slog.String("message", r.Message), slog.Bool("cut", c.committed), slog.Duration("retry-after", r.RetryAfter))...)
+	c.noteFailure(r)
 	if c.committed {
 		panic(http.ErrAbortHandler)
 	}
@@ -36,6 +33,14 @@
 	_, _ = c.w.Write(body)
 }
 
+// noteFailure counts and logs a request without a success.
+func (c *call) noteFailure(r goose.Refusal) {
+	c.o.Metrics.count(c.service.Name, string(r.Code))
+	gooseevent.RequestFailed.Log(c.o.Log, append(c.fields(),
+		slog.String("code", string(r.Code)), slog.String("run", string(r.Run)), slog.String("reason", r.Reason),
+		slog.String("message", r.Message), slog.Bool("cut", c.committed), slog.Duration("retry-after", r.RetryAfter))...)
+}
+
 // fields are the attributes of the line that ends a request.
 func (c *call) fields() []any {
 	return []any{
--- /dev/null
+++ b/internal/goosehosttest/fleet.go
@@ -0,0 +1,160 @@
+// Package goosehosttest runs instances of the users' platform before its stand-ins, for
+// the tests of several packages.
+package goosehosttest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/goosehost"
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseplatformtest"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	gooseplatform "github.com/gooseberryhold/gooseberryhold/platform"
+)
+
+// patience is far above what any test needs; it ends one that hangs.
+const patience = 60 * time.Second
+
+// Eventually waits until ok returns true.
+func Eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// freePort returns a port that nobody listens on.
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := l.Addr().(*net.TCPAddr).Port
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return port
+}
+
+// Fleet is a set of instances before the stand-ins of the platform.
+type Fleet struct {
+	t *testing.T
+	// Store is the stand-in of the platform's store.
+	Store *gooseplatformtest.Store
+	addr  string
+}
+
+// New starts the stand-ins.
+func New(t *testing.T) *Fleet {
+	t.Helper()
+	f := &Fleet{t: t, Store: gooseplatformtest.NewStore()}
+	server := httptest.NewServer(f.Store)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	f.addr = strings.TrimPrefix(server.URL, "http://")
+	return f
+}
+
+// Routing writes a version that leads /x/ to a service.
+func (f *Fleet) Routing(version int, service string) {
+	f.Store.Put("op/config", fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"desk.example","prefix":"/x/","type":"idempotent",
+"timeout-ms":30000,"goal-ms":30000,"service":%q,"attempts":2},
+{"name":"o","host":"desk.example","prefix":"/o/","type":"non_idempotent","timeout-ms":300,"goal-ms":300,"service":"c"}],"services":[{"name":"a"},{"name":"b"},{"name":"c"}],
+"tenants":[{"name":"guild","api-keys":["k1"]}]}`, version, service))
+}
+
+// Replica registers a replica that answers with its id.
+func (f *Fleet) Replica(id, service string) {
+	f.ReplicaFunc(id, service, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		_, _ = io.WriteString(w, id)
+	})
+}
+
+// ReplicaFunc registers a replica with answers of the test's own.
+func (f *Fleet) ReplicaFunc(id, service string, h http.HandlerFunc) {
+	server := httptest.NewServer(h)
+	f.t.Cleanup(server.Close)
+	entry, err := json.Marshal(map[string]any{
+		"service": service, "addr": strings.TrimPrefix(server.URL, "http://"), "zone": "leith", "slots": 8, "state": "ready", "born": 1,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.Store.Put("servers/"+id, string(entry))
+}
+
+// Entry is one running instance.
+type Entry struct {
+	settings gooseplatform.Settings
+	// Stop begins the planned stop.
+	Stop context.CancelFunc
+	done chan error
+}
+
+// Start runs an instance that logs to out until the test ends.
+func (f *Fleet) Start(name string, out io.Writer) *Entry {
+	f.t.Helper()
+	address := func() string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(freePort(f.t))) }
+	port := freePort(f.t)
+	e := &Entry{done: make(chan error, 1), settings: gooseplatform.Settings{
+		Instance: goose.InstanceID(name), DataCentre: "leith", Address: "127.0.0.1", CallerAddress: address(),
+		ReadyAddress: address(), FirstPort: port, LastPort: port, StoreAddress: f.addr,
+		DataCentres: []goose.DataCentre{"leith"}, StopTimeout: 10 * time.Second,
+		Retry: gooseplatform.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Burst: 100},
+	}}
+	var ctx context.Context
+	ctx, e.Stop = context.WithCancel(context.Background())
+	metricsPort := freePort(f.t)
+	go func() { e.done <- goosehost.Run(ctx, e.settings, metricsPort, out) }()
+	f.t.Cleanup(func() {
+		e.Stop()
+		if err := <-e.done; err != nil {
+			f.t.Errorf("instance %s: %v", name, err)
+		}
+	})
+	return e
+}
+
+// Ready reports what the instance answers the balancer.
+func (e *Entry) Ready() bool {
+	resp, err := http.Get("http://" + e.settings.ReadyAddress + "/v1/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Get returns the status and the body of an answer; 0 if there is none.
+func (e *Entry) Get(key string) (int, string) { return e.Send(http.MethodGet, "/x/1", key, "a1") }
+
+// Send is Get for any path and id of a request.
+func (e *Entry) Send(method, path, key, id string) (int, string) {
+	r, err := http.NewRequest(method, "http://"+e.settings.CallerAddress+path, nil)
+	if err != nil {
+		return 0, ""
+	}
+	r.Host = "desk.example"
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set("X-Attempt-Id", id)
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
--- a/pkg/goose/refusal.go
+++ b/pkg/goose/refusal.go
@@ -105,6 +105,12 @@
 	return Refusal{Code: c, Message: message, Run: RunNot}
 }
 
+// Condemned returns the refusal of a request that crashed two backend servers. It is
+// the same whoever refuses, an instance that has the mark or a dispatcher.
+func Condemned() Refusal {
+	return NotRun(CodeCrashesBackend, "this request crashed two backend servers").WithReason(string(SuspicionCondemned))
+}
+
 // WithRetryAfter returns the refusal with advice on when to come back.
 func (r Refusal) WithRetryAfter(d time.Duration) Refusal {
 	r.RetryAfter = d
--- a/pkg/goosedispatch/admission.go
+++ b/pkg/goosedispatch/admission.go
@@ -208,7 +208,7 @@
 func suspicious(f goose.Fingerprint, g goose.Suspicion) (goose.Refusal, bool) {
 	switch g {
 	case goose.SuspicionCondemned:
-		return goose.NotRun(goose.CodeCrashesBackend, "request "+f.String()+" crashed the backend servers that ran it"), true
+		return goose.Condemned(), true
 	case goose.SuspicionOnTrial:
 		return goose.NotRun(goose.CodeOverloaded, "request "+f.String()+" crashed a backend server and is tried alone on another one").
 			WithReason("suspect-on-trial").WithRetryAfter(retryAfterTrial), true
--- a/pkg/goosedispatch/failure_test.go
+++ b/pkg/goosedispatch/failure_test.go
@@ -392,6 +392,9 @@
 		t.Errorf("processes of the crash: got %q, want %q", got, process)
 	}
 	bad.Request, twin.Request = "bad2", "twin2"
+	// The engine of this test keeps its process, so a crash of the same replica would be
+	// taken for the first one.
+	bad.Avoid = []goose.ReplicaID{h.Replicas[0].Replica}
 	g = r.acquire(bad, goose.PermitGranted).Permit
 	alone := g.Replicas[0].Replica
 	if a := r.try(twin); a.Status != goose.PermitWaiting {
