--- a/internal/gooseengine/exchange.go
+++ b/internal/gooseengine/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/gooseberryhold/gooseberryhold/internal/goosedial"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
@@ -56,18 +57,6 @@
 	return &failure{kind: goose.ErrDisconnected, cause: cause}
 }
 
-// countingConn counts the bytes that the kernel took.
-type countingConn struct {
-	net.Conn
-	written int64
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.written += int64(n)
-	return n, err
-}
-
 // exchange is one request and its answer on a connection of their own; load
 // reports alone share a connection.
 type exchange struct {
@@ -186,9 +175,9 @@
 			return notSent(err)
 		}
 	}
-	cc := &countingConn{Conn: x.conn}
+	cc := &goosedial.CountingConn{Conn: x.conn}
 	writeErr := writeRequest(cc, req)
-	if writeErr != nil && cc.written == 0 {
+	if writeErr != nil && cc.Written == 0 {
 		return notSent(x.cause(writeErr))
 	}
 	// A backend server may answer and close before it has read the whole body,
--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -276,55 +275,3 @@
 		panic(http.ErrAbortHandler)
 	}
 }
-
-// Times after which a refused caller may come back.
-const (
-	memoryRetry = 500 * time.Millisecond
-	otherRetry  = 300 * time.Millisecond
-	// fullRetry to twice of it is when a short request may come back: bursts last for
-	// seconds, and those that come back do not come together.
-	fullRetry = 1500 * time.Millisecond
-	// hugeRetry to twice of it is when a huge prompt may come back.
-	hugeRetry = 2 * time.Second
-)
-
-// giveUp sends the final answer of a request that no replica has answered with
-// success: the replica's own failure if there is a whole one.
-func (c *call) giveUp(last result, o gooseplacement.Obstacle) {
-	if last.answer != nil && !c.committed {
-		c.noteFailure(answered(last))
-		c.answer(last.answer)
-		return
-	}
-	c.refuse(c.refusal(last, o))
-}
-
-// answered describes a replica's own failure, which the caller gets unchanged.
-func answered(last result) goose.Refusal {
-	if last.outcome == outcomeNotRun {
-		return goose.NotRun(goose.CodeOverloaded, "the backend servers declined the request").WithReason(string(last.outcome))
-	}
-	return goose.NotRun(goose.CodeBackendFailed, "the backend server answered a failure of its own").
-		WithReason(string(last.outcome)).WithRun(goose.RunDone)
-}
-
-func (c *call) refusal(last result, o gooseplacement.Obstacle) goose.Refusal {
-	ran := c.runs > 0 || last.outcome == outcomeDeadline
-	switch {
-	case last.outcome == outcomeDeadline:
-		return goose.NotRun(goose.CodeDeadline, "the request's time is over").WithRun(goose.RunUnknown)
-	case ran:
-		r := goose.NotRun(goose.CodeBackendFailed, "the backend server gave no whole answer").WithRun(goose.RunUnknown)
-		return r.WithReason(string(last.outcome))
-	case o == gooseplacement.ObstacleHuge:
-		return goose.NotRun(goose.CodeOverloaded, "too few backend servers are idle for a prompt of this length").
-			WithReason(string(o)).WithRetryAfter(hugeRetry + rand.N(hugeRetry))
-	case o == gooseplacement.ObstacleFull:
-		return goose.NotRun(goose.CodeOverloaded, "all backend servers are full").
-			WithReason(string(o)).WithRetryAfter(fullRetry + rand.N(fullRetry))
-	case o == gooseplacement.ObstacleMemory || o == gooseplacement.ObstacleLate:
-		return goose.NotRun(goose.CodeOverloaded, "no backend server can take the request in time").
-			WithReason(string(o)).WithRetryAfter(memoryRetry)
-	}
-	return goose.NotRun(goose.CodeNotReady, "no backend server took the request").WithReason(string(o)).WithRetryAfter(otherRetry)
-}
--- a/internal/gooseforward/upstream.go
+++ b/internal/gooseforward/upstream.go
@@ -8,12 +8,11 @@
 	"net"
 	"net/http"
 	"net/url"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
+	"github.com/gooseberryhold/gooseberryhold/internal/goosedial"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
@@ -28,8 +27,8 @@
 	readBuffer = 8 << 10
 )
 
-// keepAlive notices a silent replica's machine within about three seconds.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+// dialer opens the connections to replicas.
+var dialer = goosedial.New(connectTimeout, unacknowledged)
 
 // forwarded is one request as a replica gets it.
 type forwarded struct {
@@ -50,7 +49,6 @@
 // goose.ErrNotSent if no byte was sent, otherwise goose.ErrDisconnected. The end of
 // ctx breaks the connection.
 func send(ctx context.Context, address string, f forwarded) (*upstream, error) {
-	dialer := net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive, Control: boundUnacknowledged}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(goose.ErrNotSent, err.Error())
@@ -68,7 +66,7 @@
 // before it has read a long body.
 func (u *upstream) exchange(f forwarded) error {
 	req := f.request()
-	counting := &countingConn{Conn: u.conn}
+	counting := &goosedial.CountingConn{Conn: u.conn}
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
@@ -86,7 +84,7 @@
 	}
 	_ = u.conn.Close()
 	<-written
-	if counting.written == 0 {
+	if counting.Written == 0 {
 		return errors.Wrap(goose.ErrNotSent, err.Error())
 	}
 	return errors.Wrap(goose.ErrDisconnected, err.Error())
@@ -111,29 +109,3 @@
 	u.unwatch()
 	_ = u.conn.Close()
 }
-
-// countingConn counts the bytes that the kernel took.
-type countingConn struct {
-	net.Conn
-	written int64
-}
-
-// Write implements net.Conn.
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.written += int64(n)
-	return n, err
-}
-
-// boundUnacknowledged sets the time after which unacknowledged data ends a
-// connection.
-func boundUnacknowledged(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged/time.Millisecond))
-	})
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	return errors.WithStack(failed)
-}
