--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -172,6 +172,7 @@
 	c.first = 0
 	r := c.exchange(choice)
 	r.first = c.first
+	c.avoidFull(choice, r)
 	now := c.o.Clock.Now()
 	bad := r.outcome == outcomeNotSent || r.outcome == outcomeLost || r.outcome == outcomeSilent || r.outcome == outcomeFailed ||
 		r.outcome == outcomeNotRun
@@ -200,6 +201,19 @@
 	return r
 }
 
+// avoidFull leaves the helpers out that have no memory. The replica that would have
+// answered got nothing, and may be chosen again.
+func (c *call) avoidFull(choice gooseplacement.Choice, r result) {
+	var full *memoryError
+	if !errors.As(r.err, &full) {
+		return
+	}
+	delete(c.tried, choice.Replica.ID)
+	for _, id := range full.replicas {
+		c.tried[id] = true
+	}
+}
+
 func helperIDs(choice gooseplacement.Choice) []goose.ReplicaID {
 	var ids []goose.ReplicaID
 	for _, h := range choice.Helpers {
--- a/internal/gooseforward/forward_test.go
+++ b/internal/gooseforward/forward_test.go
@@ -46,25 +46,32 @@
 		Host: "desk.example", Timeout: time.Hour, Objective: time.Hour, Attempts: 2,
 		Services: []goose.WeightedService{{Service: "desk", Weight: 1}},
 	}
-	look, order, stream, whole, open, short := base, base, base, base, base, base
+	look, order, stream, whole, open, short, brief := base, base, base, base, base, base, base
 	look.Name, look.Prefix, look.Kind = "look", "/look/", goose.RouteIdempotent
 	order.Name, order.Prefix, order.Kind = "order", "/order/", goose.RouteNonIdempotent
 	stream.Name, stream.Prefix, stream.Kind, stream.Resumable = "stream", "/stream/", goose.RouteStream, true
 	whole.Name, whole.Prefix, whole.Kind = "whole", "/whole/", goose.RouteStream
 	open.Name, open.Prefix, open.Kind, open.Public = "open", "/open/", goose.RouteIdempotent, true
 	short.Name, short.Prefix, short.Kind, short.Timeout = "short", "/short/", goose.RouteNonIdempotent, 200*time.Millisecond
-	return []goose.Route{look, order, stream, whole, open, short}
+	brief.Name, brief.Prefix, brief.Kind, brief.Objective = "brief", "/brief/", goose.RouteStream, 80*time.Millisecond
+	return []goose.Route{look, order, stream, whole, open, short, brief}
 }
 
 // newStand starts a forwarder before one replica for each handler; requests go to the
 // first one first.
 func newStand(t *testing.T, replicas ...http.HandlerFunc) *stand {
+	t.Helper()
+	return newStandOf(t, goose.RoutedService{Name: "desk"}, replicas...)
+}
+
+// newStandOf is newStand for a service of the test's own.
+func newStandOf(t *testing.T, service goose.RoutedService, replicas ...http.HandlerFunc) *stand {
 	t.Helper()
 	s := &stand{t: t, seen: map[string][]*http.Request{}, bodies: map[string][]string{}}
 	d := goosedirectory.New()
 	d.Apply(goose.Change{Kind: goose.ChangeRouting, Routing: &goose.Routing{
 		Version: 1, Keyed: true, Routes: routes(),
-		Services:   []goose.RoutedService{{Name: "desk"}},
+		Services:   []goose.RoutedService{service},
 		Workspaces: []goose.RoutedWorkspace{{Name: "guild", Keys: []string{"k1"}}},
 		Limits:     goose.CallerLimits{BodyBytes: 1 << 10},
 	}}, time.Now())
--- a/internal/gooseforward/reserve.go
+++ b/internal/gooseforward/reserve.go
@@ -47,11 +47,9 @@
 		wg.Go(func() { failed[i] = c.order(ctx, h, r.WithTokens(h.Tokens)) })
 	}
 	wg.Wait()
-	for _, err := range failed {
-		if err != nil {
-			c.release(with, r)
-			return nil, err
-		}
+	if refused := refusedBy(with, failed); refused != nil {
+		c.release(with, r)
+		return nil, refused
 	}
 	renewing, stop := context.WithCancel(ctx)
 	var renewal conc.WaitGroup
@@ -63,6 +61,30 @@
 	}, nil
 }
 
+// memoryError tells which helpers did not reserve their part of the memory.
+type memoryError struct {
+	replicas []goose.ReplicaID
+	first    error
+}
+
+// Error returns the reason of the first helper.
+func (e *memoryError) Error() string { return e.first.Error() }
+
+// refusedBy returns nil if no reservation failed.
+func refusedBy(at []gooseplacement.Helper, failed []error) *memoryError {
+	var e *memoryError
+	for i, err := range failed {
+		if err == nil {
+			continue
+		}
+		if e == nil {
+			e = &memoryError{first: err}
+		}
+		e.replicas = append(e.replicas, at[i].Replica.ID)
+	}
+	return e
+}
+
 // renew keeps the memory reserved until ctx ends.
 func (c *call) renew(ctx context.Context, at []gooseplacement.Helper, r goose.Reservation) {
 	for goose.Sleep(ctx, renewEvery) {
--- /dev/null
+++ b/internal/gooseforward/reserve_test.go
@@ -0,0 +1,136 @@
+package gooseforward
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+)
+
+// memory is what replicas have set aside, by replica and ticket.
+type memory struct {
+	mu      sync.Mutex
+	tokens  map[string]int
+	renewed map[string]int
+	// refuse names a replica without free memory.
+	refuse string
+}
+
+func newMemory() *memory { return &memory{tokens: map[string]int{}, renewed: map[string]int{}} }
+
+// order serves a reservation or a release at a replica; false if it is none.
+func (m *memory) order(id string, w http.ResponseWriter, r *http.Request, body string) bool {
+	if r.URL.Path != "/v1/order" {
+		return false
+	}
+	var o struct {
+		Op, ID string
+		Tokens int
+	}
+	if err := json.Unmarshal([]byte(body), &o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := id + "/" + o.ID
+	switch {
+	case o.Op == "release":
+		delete(m.tokens, key)
+	case id == m.refuse:
+		w.WriteHeader(http.StatusConflict)
+	default:
+		m.tokens[key] = o.Tokens
+		m.renewed[key]++
+	}
+	return true
+}
+
+// held returns how many tickets are held, and how often the least renewed one was
+// reserved.
+func (m *memory) held() (tickets, least int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for key := range m.tokens {
+		if n := m.renewed[key]; least == 0 || n < least {
+			least = n
+		}
+	}
+	return len(m.tokens), least
+}
+
+// engines returns replicas with memory for 1,000 tokens each; answer streams.
+func engines(t *testing.T, m *memory, answer http.HandlerFunc) *stand {
+	t.Helper()
+	service := goose.RoutedService{Name: "desk", Engine: &goose.EngineProfile{
+		Slots: 16, MemoryTokens: 1000, Stride: 1, Step: time.Microsecond, ReadPerSecond: 177_000,
+	}}
+	var s *stand
+	handler := func(id string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			s.mu.Lock()
+			body := s.bodies[id][len(s.bodies[id])-1]
+			s.mu.Unlock()
+			if !m.order(id, w, r, body) {
+				answer(w, r)
+			}
+		}
+	}
+	s = newStandOf(t, service, handler("i-0"), handler("i-1"), handler("i-2"))
+	return s
+}
+
+// Guards against memory of a prompt over several replicas that lapses while it is used,
+// or stays set aside after the prompt has ended.
+func TestReservationIsRenewedAndReleased(t *testing.T) {
+	t.Parallel()
+	m := newMemory()
+	s := engines(t, m, func(w http.ResponseWriter, r *http.Request) {
+		if got := strings.Count(r.Header.Get("X-Helpers"), "/a1-"); got != 2 {
+			t.Errorf("got helpers %q, want two with tickets", r.Header.Get("X-Helpers"))
+		}
+		for deadline := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+			if tickets, least := m.held(); tickets == 2 && least >= 2 {
+				break
+			}
+			if time.Now().After(deadline) {
+				t.Error("the reservations were not renewed")
+				break
+			}
+		}
+		events(1, 2, false)(w, r)
+	})
+	r := s.request(t.Context(), "/stream/x", "")
+	r.Header.Set("X-Tokens", "2300,10")
+	if got := s.send(r); got.status != http.StatusOK || got.body != eventText(2) {
+		t.Errorf("got status %d, body %q", got.status, got.body)
+	}
+	if tickets, _ := m.held(); tickets != 0 {
+		t.Errorf("got %d tickets after the request, want none", tickets)
+	}
+}
+
+// Guards against a prompt that runs with a part of its memory, and against parts that
+// stay set aside when another one is refused.
+func TestReservationAllOrNothing(t *testing.T) {
+	t.Parallel()
+	m := newMemory()
+	m.refuse = "i-2"
+	s := engines(t, m, func(w http.ResponseWriter, _ *http.Request) {
+		t.Error("got a request without its memory")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	r := s.request(t.Context(), "/brief/x", "")
+	r.Header.Set("X-Tokens", "2300,10")
+	got := s.send(r)
+	if got.status != http.StatusServiceUnavailable && got.status != http.StatusTooManyRequests || !strings.Contains(got.body, `"run":"not-run"`) {
+		t.Errorf("got status %d, body %s, want a refusal as not run", got.status, got.body)
+	}
+	if tickets, _ := m.held(); tickets != 0 {
+		t.Errorf("got %d tickets after the refusal, want none", tickets)
+	}
+}
--- a/pkg/gooseplacement/long.go
+++ b/pkg/gooseplacement/long.go
@@ -130,7 +130,7 @@
 func plan(d Demand, all []candidate, prefill time.Duration, short bool) (placement, Obstacle) {
 	e := *d.Service.Engine
 	need := d.PromptTokens + d.OutputTokens
-	if short {
+	if short && need <= e.MemoryTokens {
 		return placement{replicas: all[:1]}, ObstacleNone
 	}
 	if prefill > max(leastHuge, hugePerReplica*time.Duration(len(all))) {
--- a/pkg/gooseplacement/placement_test.go
+++ b/pkg/gooseplacement/placement_test.go
@@ -131,6 +131,18 @@
 	}
 }
 
+// Guards against a prompt that is read in no time but exceeds the memory of a replica,
+// which would decline it for ever.
+func TestQuickPromptOverMemoryIsSpread(t *testing.T) {
+	t.Parallel()
+	d := short()
+	d.Service.Engine.MemoryTokens = 3_000
+	c, o := newBoard().Choose(d, replicas("desk", 4), start)
+	if o != ObstacleNone || len(c.Helpers) == 0 || c.Helpers[0].Tokens == 0 {
+		t.Errorf("got helpers %+v, obstacle %q, want reserved memory", c.Helpers, o)
+	}
+}
+
 // Guards against huge prompts that hold up everybody else: the load pattern of several
 // archives above the memory of a replica within moments.
 func TestHugeWaitsForNobody(t *testing.T) {
