--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -105,9 +105,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.dropSilent(now)
-	all, paced := b.candidates(d, replicas, now)
+	all, atBound := b.candidates(d, replicas, now)
 	if len(all) == 0 {
-		if paced {
+		if atBound {
 			return Choice{}, ObstacleCold
 		}
 		return Choice{}, ObstacleNoReplica
@@ -119,19 +119,19 @@
 }
 
 // candidates returns the replicas that were not tried and are not suspended; all
-// that were not tried if every one is suspended. paced tells that the cold bound
-// left some out.
+// that were not tried if every one is suspended. atBound tells that the cold bound left
+// some out.
 func (b *Board) candidates(d Demand, replicas []goosedirectory.Replica, now time.Time) ([]candidate, bool) {
 	long := b.longPool(d.Service, replicas, now)
 	var sound, suspended []candidate
-	paced := false
+	atBound := false
 	for _, r := range replicas {
 		if d.Avoid[r.ID] {
 			continue
 		}
 		s := b.state(r.Replica)
 		if b.atColdBound(d.Service, s, now.Before(r.ColdUntil.Add(coldMargin)), now) {
-			paced = true
+			atBound = true
 			continue
 		}
 		c := candidate{Replica: r, load: b.load(r.ID, now), state: s, long: long[r.ID]}
@@ -142,9 +142,9 @@
 		sound = append(sound, c)
 	}
 	if len(sound) == 0 {
-		return suspended, paced
+		return suspended, atBound
 	}
-	return sound, paced
+	return sound, atBound
 }
 
 const (
