--- a/internal/goosecommand/command.go
+++ b/internal/goosecommand/command.go
@@ -67,7 +67,7 @@
 func commands() []command {
 	return []command{
 		serveCommand(), forwardCommand(), checkCommand(), applyCommand(), getCommand(), labelCommand(),
-		leaveCommand(), returnCommand(), loadCommand(), roleCommand(), statusCommand(), ordersCommand(), auditCommand(),
+		leaveCommand(), returnCommand(), loadCommand(), roleCommand(), statusCommand(), ordersCommand(), auditCommand(), explainCommand(),
 		certCommand(), versionCommand(),
 	}
 }
--- /dev/null
+++ b/internal/goosecommand/explain.go
@@ -0,0 +1,201 @@
+package goosecommand
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
+
+	"github.com/pkg/errors"
+)
+
+// maxLogLine bounds one line of a log.
+const maxLogLine = 1 << 20
+
+func explainCommand() command {
+	return command{
+		name: "explain", usage: "<request id> [log file...]", short: "show from logs what became of a request",
+		long:     "Reads the logs of any number of instances, from files or standard input, and prints what they\nsay about one request in the order of time, with the cause of its end last. Anything before\nthe first brace of a line is passed over.",
+		examples: []string{"explain 9c41d07be2a35f68 edge-leith-1.log edge-leith-2.log", "explain 9c41d07be2a35f68 < all.log"},
+		flags: func(f *flag.FlagSet) run {
+			output := outputFlag(f)
+			return func(_ context.Context, a *App, args []string) error {
+				if len(args) == 0 {
+					return usagef("give the id of a request")
+				}
+				return a.explain(args[0], args[1:], *output)
+			}
+		},
+	}
+}
+
+// logLine is a line about a request. Fields that a kind of line does not have are
+// empty.
+type logLine struct {
+	Time     time.Time `json:"time"`
+	Message  string    `json:"msg"`
+	Instance string    `json:"instance"`
+	Event    int       `json:"event"`
+	Request  string    `json:"request"`
+
+	Route       string        `json:"route,omitempty"`
+	Service     string        `json:"service,omitempty"`
+	Workspace   string        `json:"workspace,omitempty"`
+	Version     int64         `json:"version,omitempty"`
+	Code        string        `json:"code,omitempty"`
+	Run         string        `json:"run,omitempty"`
+	Reason      string        `json:"reason,omitempty"`
+	Explanation string        `json:"message,omitempty"`
+	Outcome     string        `json:"outcome,omitempty"`
+	After       time.Duration `json:"after,omitempty"`
+	RetryAfter  time.Duration `json:"retry-after,omitempty"`
+	Attempt     *logAttempt   `json:"attempt,omitempty"`
+	Attempts    []logAttempt  `json:"attempts,omitempty"`
+}
+
+// logAttempt is one attempt at a replica.
+type logAttempt struct {
+	Replica  string   `json:"replica"`
+	Outcome  string   `json:"outcome"`
+	Status   int      `json:"status,omitempty"`
+	Helpers  []string `json:"helpers,omitempty"`
+	Load     int      `json:"load"`
+	Expected string   `json:"expected,omitempty"`
+	First    string   `json:"first,omitempty"`
+	After    string   `json:"after"`
+	FaultAt  string   `json:"fault-at,omitempty"`
+	Error    string   `json:"error,omitempty"`
+}
+
+func (a logAttempt) String() string {
+	s := fmt.Sprintf("replica %s: %s after %s", a.Replica, a.Outcome, a.After)
+	if a.Status != 0 {
+		s += fmt.Sprintf(", status %d", a.Status)
+	}
+	s += fmt.Sprintf("; it had %d requests", a.Load)
+	if a.Expected != "" {
+		s += ", first event expected after " + a.Expected
+	}
+	if a.First != "" {
+		s += ", came after " + a.First
+	}
+	if len(a.Helpers) > 0 {
+		s += fmt.Sprintf(", prompt read with %d helpers", len(a.Helpers))
+	}
+	if a.FaultAt != "" {
+		s += ", fault at " + a.FaultAt
+	}
+	if a.Error != "" {
+		s += "; " + a.Error
+	}
+	return s
+}
+
+// explanation is what the logs say about a request.
+type explanation struct {
+	Request string    `json:"request"`
+	Lines   []logLine `json:"lines"`
+	Cause   string    `json:"cause"`
+}
+
+func (a *App) explain(id string, files []string, output string) error {
+	var lines []logLine
+	if len(files) == 0 {
+		files = []string{"-"}
+	}
+	for _, name := range files {
+		found, err := a.linesOf(id, name)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, found...)
+	}
+	if len(lines) == 0 {
+		return errors.Errorf("no line about request %s in %s; the instance that took it may have died before it ended", id, strings.Join(files, ", "))
+	}
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time.Before(lines[j].Time) })
+	e := explanation{Request: id, Lines: lines, Cause: cause(lines[len(lines)-1])}
+	return a.print(output, e, func(w io.Writer) {
+		for _, l := range e.Lines {
+			fmt.Fprintf(w, "%s %s: %s\n", l.Time.Format("15:04:05.000"), l.Instance, describeLine(l))
+		}
+		fmt.Fprintf(w, "cause: %s\n", e.Cause)
+	})
+}
+
+func (a *App) linesOf(id, file string) ([]logLine, error) {
+	in := a.Stdin
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		defer func() { _ = f.Close() }()
+		in = f
+	}
+	var lines []logLine
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(make([]byte, 0, bufio.MaxScanTokenSize), maxLogLine)
+	for scanner.Scan() {
+		start := bytes.IndexByte(scanner.Bytes(), '{')
+		if start < 0 || !bytes.Contains(scanner.Bytes(), []byte(id)) {
+			continue
+		}
+		var l logLine
+		if err := json.Unmarshal(scanner.Bytes()[start:], &l); err == nil && l.Request == id {
+			lines = append(lines, l)
+		}
+	}
+	return lines, errors.Wrapf(scanner.Err(), "log %s", file)
+}
+
+func describeLine(l logLine) string {
+	switch l.Event {
+	case gooseevent.AttemptFailed.Number:
+		if l.Attempt != nil {
+			return "attempt failed, " + l.Attempt.String()
+		}
+	case gooseevent.RequestForwarded.Number:
+		return fmt.Sprintf("answered (%s) after %s, route %s, service %s, routing version %d", l.Outcome, l.After, l.Route, l.Service, l.Version)
+	case gooseevent.RequestFailed.Number:
+		s := fmt.Sprintf("refused with code %s, %s, after %s, route %s, service %s, routing version %d", l.Code, l.Run, l.After, l.Route, l.Service, l.Version)
+		if l.RetryAfter > 0 {
+			s += fmt.Sprintf(", may come back after %s", l.RetryAfter.Round(time.Millisecond))
+		}
+		return s
+	}
+	return l.Message
+}
+
+// cause says in words why the request ended as it did.
+func cause(l logLine) string {
+	if l.Event == gooseevent.RequestForwarded.Number {
+		if n := len(l.Attempts); n > 1 {
+			return fmt.Sprintf("answered by the last of %d replicas; before it, %s", n, l.Attempts[n-2])
+		}
+		if len(l.Attempts) == 1 {
+			return l.Attempts[0].String()
+		}
+		return l.Outcome
+	}
+	s := l.Explanation
+	if s == "" {
+		s = l.Message
+	}
+	if l.Reason != "" {
+		s += " (" + l.Reason + ")"
+	}
+	if n := len(l.Attempts); n > 0 {
+		s += "; last attempt, " + l.Attempts[n-1].String()
+	}
+	return s
+}
--- a/internal/gooseevent/events_forward.go
+++ b/internal/gooseevent/events_forward.go
@@ -18,5 +18,6 @@
 	PeerSilent        = define(721, slog.LevelWarn, "peer silent", "Another instance has not told its load for a while; its requests no longer count.")
 	MemberRegistered  = define(722, slog.LevelInfo, "instance registered", "The instance is listed in the platform's store under its lease.")
 	MemberLost        = define(723, slog.LevelWarn, "registration lost", "The instance's entry in the platform's store could not be renewed; it is written again.")
+	LinesThinned      = define(731, slog.LevelWarn, "routine log lines left out", "There were more lines of served requests than the budget of a second; count are missing since the last such line, those of failures are not.")
 	LinesDropped      = define(730, slog.LevelWarn, "log lines dropped", "Standard output did not take the lines in time, or there were more than the budget; count lines are missing since the last such line.")
 )
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -56,6 +57,7 @@
 	settings  gooseplatform.Settings
 	log       *slog.Logger
 	lines     *gooselog.Writer
+	handler   *gooselog.Handler
 	clock     goose.Clock
 	store     goose.Store
 	directory *goosedirectory.Directory
@@ -65,7 +67,9 @@
 	member    *goosegossip.Registration
 	forwarder *gooseforward.Forwarder
 	metrics   *metrics.Set
-	draining  atomic.Bool
+	// dropped counts the log lines that were not written.
+	dropped  *metrics.Counter
+	draining atomic.Bool
 }
 
 // Run serves until ctx ends, then drains: the balancer takes the instance out, and
@@ -75,9 +79,9 @@
 	debug.SetMemoryLimit(memoryLimit)
 	lines := gooselog.NewWriter(out)
 	defer lines.Close(stopMargin / 3)
-	log := slog.New(slog.NewJSONHandler(lines, nil)).With(
-		slog.String("instance", string(s.Instance)), slog.String("data-centre", string(s.DataCentre)))
-	h, err := build(s, lines, log)
+	handler := gooselog.NewHandler(slog.NewJSONHandler(lines, nil))
+	log := slog.New(handler).With(slog.String("instance", string(s.Instance)), slog.String("data-centre", string(s.DataCentre)))
+	h, err := build(s, lines, handler, log)
 	if err != nil {
 		return err
 	}
@@ -85,16 +89,20 @@
 }
 
 // build makes the parts in the order of their dependencies.
-func build(s gooseplatform.Settings, lines *gooselog.Writer, log *slog.Logger) (*host, error) {
-	h := &host{settings: s, log: log, lines: lines, clock: goose.SystemClock{}, metrics: metrics.NewSet()}
+func build(s gooseplatform.Settings, lines *gooselog.Writer, handler *gooselog.Handler, log *slog.Logger) (*host, error) {
+	h := &host{settings: s, log: log, lines: lines, handler: handler, clock: goose.SystemClock{}, metrics: metrics.NewSet()}
 	store, err := gooseplatform.NewStore(s.StoreAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "setting platform.addr")
 	}
-	h.store = store
+	h.store = store.WithObserver(func(path string, status int, d time.Duration) {
+		h.metrics.GetOrCreateHistogram(fmt.Sprintf(`gooseberryhold_store_call_seconds{call=%q,status="%d"}`, path, status)).Update(d.Seconds())
+	})
+	h.dropped = h.metrics.NewCounter("gooseberryhold_log_lines_dropped_total")
+	h.gauges()
 	h.directory = goosedirectory.New()
 	h.follower = goosedirectory.NewFollower(goosedirectory.FollowOptions{
-		Store: store, Registry: goosegossip.NewRegistry(gooseplatform.NewRegistry(s.DataCentres)),
+		Store: h.store, Registry: goosegossip.NewRegistry(gooseplatform.NewRegistry(s.DataCentres)),
 		Directory: h.directory, ReturnGrace: s.ReturnGrace, Log: log, Clock: h.clock,
 		PeerReach: func(now time.Time) time.Duration { return h.gossip.PeerReach(now) },
 	})
@@ -210,6 +218,32 @@
 	})
 }
 
+// gauges add what the instance believes to the metrics.
+func (h *host) gauges() {
+	gauge := func(name string, value func(s *goosedirectory.Snapshot) float64) {
+		h.metrics.NewGauge(name, func() float64 { return value(h.directory.Current()) })
+	}
+	gauge("gooseberryhold_routing_version", func(s *goosedirectory.Snapshot) float64 {
+		if s.Table == nil {
+			return 0
+		}
+		return float64(s.Table.Version())
+	})
+	gauge("gooseberryhold_replicas", func(s *goosedirectory.Snapshot) float64 { return float64(s.Len()) })
+	gauge("gooseberryhold_instances", func(*goosedirectory.Snapshot) float64 {
+		return float64(h.board.Instances(h.clock.Now()))
+	})
+	gauge("gooseberryhold_store_reach_seconds", func(*goosedirectory.Snapshot) float64 {
+		return h.follower.Reach(h.clock.Now()).Seconds()
+	})
+	gauge("gooseberryhold_ready", func(*goosedirectory.Snapshot) float64 {
+		if h.ready() {
+			return 1
+		}
+		return 0
+	})
+}
+
 // upkeep drops what is not needed any more and renews the log's budget.
 func (h *host) upkeep(ctx context.Context) {
 	for goose.Sleep(ctx, upkeepEvery) {
@@ -219,8 +253,14 @@
 			return ok
 		})
 		h.lines.Refill(upkeepEvery)
+		h.handler.Refill(upkeepEvery)
 		if n := h.lines.Dropped(); n > 0 {
+			h.dropped.Add(int(n))
 			gooseevent.LinesDropped.Log(h.log, slog.Int64("count", n))
 		}
+		if n := h.handler.Thinned(); n > 0 {
+			h.dropped.Add(int(n))
+			gooseevent.LinesThinned.Log(h.log, slog.Int64("count", n))
+		}
 	}
 }
