Add a fault soak of separate processes, and mend what it found

TestSoak runs four entry instances as processes before the store and nine replicas, disturbs them at random for some seconds (signals, proxies that delay, reset, cut one way or silence connections, a faulty store, faulty replicas, routing changes, evacuations) and checks what callers and replicas saw.

Found by it, each traced: - A refusal before the route was known (404) or by an instance without a routing (503) had no id in its log line, since the headers were read later. They are read first now, and refusals return the id. - A second SIGTERM ended the process and cut the requests it was finishing. Only a second SIGINT does now. - SIGHUP ended a process that had not read its settings yet.

--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,11 @@
 DAYS ?= 40
 JOBS ?= 4
 WHY ?=
+FIRST ?= 1000
+SEEDS ?= 10
+SOAK_TIME ?= 12s
 
-.PHONY: all build demo $(BENCHES) rounds hunt test lint fmt vet unit fleet prove fuzz fuzz-fixed known-red tools
+.PHONY: all build demo $(BENCHES) rounds hunt test lint fmt vet unit fleet prove fuzz fuzz-fixed soak known-red tools
 
 all: build
 
@@ -104,5 +107,11 @@
 fuzz:
 	FUZZ_TIME=$(FUZZ_TIME) sh scripts/fuzz.sh
 
+# Plays SEEDS seeds of the fault soak from FIRST on, each with SOAK_TIME of disturbances;
+# the logs of a seed that fails stay in out/soak. CI plays the fixed seeds alone.
+soak:
+	mkdir -p out/soak
+	$(GO) test -race -timeout 60m -v -run '^TestSoak$$' ./internal/goosesoak -soak.first $(FIRST) -soak.seeds $(SEEDS) -soak.length $(SOAK_TIME) -soak.keep $(CURDIR)/out/soak
+
 known-red:
 	@test ! -s KNOWN-RED.txt || { echo "known failures:"; cat KNOWN-RED.txt; }
--- a/internal/goosecommand/command_test.go
+++ b/internal/goosecommand/command_test.go
@@ -101,13 +101,17 @@
 	}
 }
 
-// Guards against an instance that ends on SIGTERM without a graceful shutdown.
+// Guards against an instance that ends on SIGTERM without a graceful shutdown, and
+// against one whose shutdown a further SIGTERM breaks off.
 func TestServeStopsOnSignal(t *testing.T) {
 	started, stopped := make(chan struct{}), false
 	app := &goosecommand.App{
 		Serve: func(ctx context.Context, _ goosesettings.Settings, _ *slog.Logger) error {
 			close(started)
 			<-ctx.Done()
+			if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+				t.Error(err)
+			}
 			stopped = true
 			return nil
 		},
--- a/internal/goosecommand/forward.go
+++ b/internal/goosecommand/forward.go
@@ -17,7 +17,7 @@
 func forwardCommand() command {
 	return command{
 		name: "forward", usage: "[--settings file] [--metrics-port port]", short: "run one entry instance on the users' platform",
-		long:     "Runs one entry instance that forwards callers' requests by the routing and the replicas in\nthe platform's store, until SIGTERM or SIGINT. It then lets the balancer take it out, finishes\nits requests and exits; a second signal ends it at once. Logs go to standard output.",
+		long:     "Runs one entry instance that forwards callers' requests by the routing and the replicas in\nthe platform's store, until SIGTERM or SIGINT. It then lets the balancer take it out, finishes\nits requests and exits; a second SIGINT ends it at once. Logs go to standard output.",
 		examples: []string{"forward --settings boot.toml"},
 		flags: func(f *flag.FlagSet) run {
 			file := f.String("settings", "", "the platform's settings `file` (default $"+gooseplatform.SettingsVariable+")")
@@ -36,6 +36,8 @@
 }
 
 func (a *App) forward(ctx context.Context, file string, metricsPort int) error {
+	// The platform announces changed settings so, also to a process that just starts.
+	signal.Ignore(syscall.SIGHUP)
 	if file == "" {
 		file = a.env(gooseplatform.SettingsVariable)
 	}
@@ -44,10 +46,7 @@
 		gooseevent.SettingsInvalid.Log(slog.New(slog.NewJSONHandler(a.Stdout, nil)), slog.String("file", file), slog.Any("error", err))
 		return err
 	}
-	signal.Ignore(syscall.SIGHUP)
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := untilStopped(ctx)
 	defer stop()
-	// The next signal has its default effect again.
-	context.AfterFunc(ctx, stop)
 	return a.Forward(ctx, s, metricsPort, a.Stdout)
 }
--- a/internal/goosecommand/local.go
+++ b/internal/goosecommand/local.go
@@ -25,7 +25,7 @@
 func serveCommand() command {
 	return command{
 		name: "serve", usage: "[--settings file]", short: "run one entry instance",
-		long:     "Runs one entry instance until SIGTERM or SIGINT. It then stops accepting, finishes its\nrequests and exits; a second signal ends it at once. Each setting can be overridden by an\nenvironment variable, such as GOOSEBERRYHOLD_LISTEN.",
+		long:     "Runs one entry instance until SIGTERM or SIGINT. It then stops accepting, finishes its\nrequests and exits; a second SIGINT ends it at once. Each setting can be overridden by an\nenvironment variable, such as GOOSEBERRYHOLD_LISTEN.",
 		examples: []string{"serve --settings leith-entry-1.yaml"},
 		flags: func(f *flag.FlagSet) run {
 			file := f.String("settings", "", "settings `file` (default $"+envSettings+")")
@@ -49,13 +49,28 @@
 		return err
 	}
 	logger := slog.New(slog.NewJSONHandler(a.Stderr, &slog.HandlerOptions{Level: s.Level()}))
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := untilStopped(ctx)
 	defer stop()
-	// The next signal has its default effect again.
-	context.AfterFunc(ctx, stop)
 	return a.Serve(ctx, s, logger)
 }
 
+// untilStopped returns a context that ends with SIGTERM or SIGINT. A further SIGTERM
+// changes nothing up to the end of the process; a further SIGINT ends it at once.
+func untilStopped(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+		signal.Reset(syscall.SIGINT)
+	}()
+	return ctx, cancel
+}
+
 // checked is one file that was found valid.
 type checked struct {
 	File           string `json:"file"`
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -107,6 +107,9 @@
 
 // admit finds out what the request asks for, or why it is refused.
 func (c *call) admit() (goose.Refusal, bool) {
+	// The line of a refusal has the request's id, so the headers are read first.
+	routed, malformed := c.o.Dialect.Request(c.r.Header)
+	c.routed, c.lastEvent = routed, routed.LastEvent
 	table := c.snapshot.Table
 	if table == nil {
 		return goose.NotRun(goose.CodeNotReady, "this instance knows no routing yet").WithRetryAfter(notReadyRetry), false
@@ -116,12 +119,9 @@
 		return goose.NotRun(goose.CodeNotFound, "no route for this host and path"), false
 	}
 	c.route = route
-	routed, err := c.o.Dialect.Request(c.r.Header)
-	if err != nil {
-		return goose.NotRun(goose.CodeBadRequest, err.Error()), false
+	if malformed != nil {
+		return goose.NotRun(goose.CodeBadRequest, malformed.Error()), false
 	}
-	c.routed = routed
-	c.lastEvent = routed.LastEvent
 	if table.Keyed() && !route.Public {
 		w, ok := table.Workspace(routed.Key)
 		if !ok {
--- a/internal/gooseforward/forward_test.go
+++ b/internal/gooseforward/forward_test.go
@@ -32,6 +32,7 @@
 	url      string
 	board    *gooseplacement.Board
 	draining atomic.Bool
+	log      lines
 
 	mu sync.Mutex
 	// seen are the requests that reached each replica.
@@ -40,6 +41,25 @@
 	bodies map[string][]string
 }
 
+// lines keeps a log.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 // routes of every stand, by path.
 func routes() []goose.Route {
 	base := goose.Route{
@@ -85,7 +105,7 @@
 			Window: time.Minute, Burst: 10, Use: 1, Instances: func(time.Time) int { return 1 },
 		}),
 		Draining: s.draining.Load, LongestHold: time.Minute, Metrics: NewMetrics(metrics.NewSet()),
-		Log: slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
+		Log: slog.New(slog.NewJSONHandler(&s.log, nil)), Clock: goose.SystemClock{},
 	})
 	server := httptest.NewServer(f)
 	t.Cleanup(server.Close)
@@ -337,6 +357,10 @@
 			if !strings.Contains(got.body, `"run":"not-run"`) || s.reached("i-0") != 0 {
 				t.Errorf("got body %s with %d requests at the replica, want not-run and none", got.body, s.reached("i-0"))
 			}
+			// The line of the failure may be found by the id that the caller has.
+			if id := got.header.Get("X-Attempt-Id"); id != "a1" || !strings.Contains(s.log.String(), `"request":"a1"`) {
+				t.Errorf("got id %q in the answer and the log %s, want a1 in both", id, s.log.String())
+			}
 		})
 	}
 }
--- a/internal/gooseforward/refuse.go
+++ b/internal/gooseforward/refuse.go
@@ -21,6 +21,7 @@
 	}
 	body := r.Body()
 	h := c.w.Header()
+	c.o.Dialect.Refused(h, c.routed.Attempt)
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	if r.RetryAfter > 0 {
--- a/internal/gooseprogramtest/program.go
+++ b/internal/gooseprogramtest/program.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/goosecommand"
+	"github.com/gooseberryhold/gooseberryhold/internal/goosehost"
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseserve"
 	"github.com/gooseberryhold/gooseberryhold/internal/goosestand"
 )
@@ -29,7 +30,7 @@
 	case Stand:
 		os.Exit(goosestand.Run(context.Background(), os.Args[1:], os.Stderr))
 	case Entry:
-		app := &goosecommand.App{Serve: gooseserve.Run, Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Environ: os.Environ()}
+		app := &goosecommand.App{Serve: gooseserve.Run, Forward: goosehost.Run, Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Environ: os.Environ()}
 		os.Exit(app.Run(context.Background(), os.Args[1:]))
 	}
 	os.Exit(m.Run())
--- a/pkg/goose/routing.go
+++ b/pkg/goose/routing.go
@@ -205,6 +205,9 @@
 	Forward(caller http.Header, f ForwardHeader) http.Header
 	// Answer reads the headers of a replica's answer.
 	Answer(status int, h http.Header) AnswerHeader
+	// Refused adds the id of the request to the headers of an answer that no replica
+	// has given.
+	Refused(answer http.Header, id AttemptID)
 	// Reservation returns the call that reserves or, with zero tokens, releases
 	// memory of a replica for a prompt that needs several.
 	Reservation(r Reservation) (path string, body []byte, err error)
