Place short prompts by what peers have not told yet

In the logs 135 of 212 late ones in a burst shared their replica with a prompt of 20,000 to 24,000 tokens, and up to 12 requests met on one replica within 150 ms: 85 instances tell their loads every 425 ms, and all took the replica that looked cheapest.

Change: a short prompt that takes more than 90 ms to read is read by two replicas. The replica of a short prompt is drawn by the work that peers are expected to have sent since their last reports: it is poured over the replicas from the cheapest up, and each is drawn by its part.

Ruled out: long prompts beside short ones, which are in one of 104 cases of late pauses.

--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -210,7 +210,6 @@
 // are hardly worse.
 const (
 	plainSpread = 10 * time.Millisecond
-	shortSpread = 25 * time.Millisecond
 	longSpread  = 60 * time.Millisecond
 )
 
@@ -246,8 +245,11 @@
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].cost < all[j].cost })
 	if short {
-		i := b.anyOfCheapest(all, shortSpread)
-		all[0], all[i] = all[i], all[0]
+		work := b.unseen(d.Service.Name, now)
+		for n := range shortWidth(all, prefill) {
+			i := n + b.draw(all[n:], work)
+			all[n], all[i] = all[i], all[n]
+		}
 	}
 	parts, obstacle := plan(d, all, prefill, short)
 	if obstacle != ObstacleNone {
--- a/pkg/gooseplacement/long.go
+++ b/pkg/gooseplacement/long.go
@@ -18,6 +18,9 @@
 	// shortPrefill is the longest prefill that delays streams beside it by less than
 	// the shortest pause that callers bear, about 250 ms, with a pass of the engine.
 	shortPrefill = 190 * time.Millisecond
+	// shortPart is the part of a short prompt that one replica reads: two of them fit
+	// into a pass beside streams that bear shortPrefill.
+	shortPart = 90 * time.Millisecond
 	// tightPause is the longest pause of a stream that a long prefill makes late.
 	tightPause = 400 * time.Millisecond
 	// mediumPause is the longest pause of a stream that parts above mediumPart make
@@ -95,6 +98,17 @@
 	return min(int((prefill+partPrefill-1)/partPrefill), maxParts, len(all), max(countLong(all), 1))
 }
 
+// shortWidth is the number of replicas that read a short prompt. The longest of the
+// short ones, read by one replica, make all its streams pause too long as soon as
+// another prompt comes; replicas for long prompts do not help, they would hold it up.
+func shortWidth(all []candidate, prefill time.Duration) int {
+	n := 1
+	for n < len(all) && !all[n].long && time.Duration(n)*shortPart < prefill {
+		n++
+	}
+	return n
+}
+
 // idle returns the replicas that may read a huge prompt: enough of the idle ones to
 // answer it within its objective, else before its deadline, and none if others would
 // have to wait for it.
@@ -131,7 +145,7 @@
 	e := *d.Service.Engine
 	need := d.PromptTokens + d.OutputTokens
 	if short && need <= e.MemoryTokens {
-		return placement{replicas: all[:1]}, ObstacleNone
+		return placement{replicas: all[:shortWidth(all, prefill)]}, ObstacleNone
 	}
 	if prefill > max(leastHuge, hugePerReplica*time.Duration(len(all))) {
 		if all = idle(d, all, prefill); len(all) == 0 {
--- a/pkg/gooseplacement/placement_test.go
+++ b/pkg/gooseplacement/placement_test.go
@@ -430,6 +430,77 @@
 	}
 }
 
+// Guards against instances that all send to the replica that was idle at their peers' last
+// reports: the load pattern of a burst at many instances whose reports lag.
+func TestUnseenWorkIsSpread(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		// rate is the engine time that short requests of all peers bring in a second, and
+		// age that of their reports.
+		rate float64
+		age  time.Duration
+		// most is the largest number of 100 requests on the idle replica.
+		most, least int
+	}{
+		"burst, old reports": {rate: 9, age: 250 * time.Millisecond, least: 2, most: 15},
+		"burst, new reports": {rate: 9, age: 2 * time.Millisecond, least: 90, most: 100},
+		"calm, old reports":  {rate: 0.1, age: 250 * time.Millisecond, least: 90, most: 100},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			all := replicas("desk", 40)
+			random := rand.New(rand.NewPCG(1, 2))
+			got := 0
+			for range 100 {
+				b := New(Options{DataCentre: "leith", ColdFactor: 1.5, ColdSlack: 5, Rand: random.IntN})
+				r := Report{Replicas: map[goose.ReplicaID]Load{}, Work: map[goose.ServiceName]Work{"desk": {Short: tc.rate}}}
+				for _, c := range all[1:] {
+					r.Replicas[c.ID] = Load{Requests: 7, Waiting: 2, Tight: 7, Prefill: 70 * time.Millisecond, Tokens: 20_000}
+				}
+				b.Heard("peer", r, start.Add(-tc.age))
+				c, o := b.Choose(short(), all, start)
+				if o != ObstacleNone {
+					t.Fatalf("got obstacle %q", o)
+				}
+				if c.Replica.ID == all[0].ID {
+					got++
+				}
+			}
+			if got < tc.least || got > tc.most {
+				t.Errorf("got %d of 100 requests on the idle replica, want %d to %d", got, tc.least, tc.most)
+			}
+		})
+	}
+}
+
+// Guards against the longest of the short prompts that make the streams of one replica
+// pause too long: the load pattern of a few prompts several times the usual length.
+func TestLongestShortsAreReadByTwo(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct{ tokens, want int }{
+		"usual":   {tokens: 5_000, want: 0},
+		"longer":  {tokens: 11_000, want: 0},
+		"longest": {tokens: 23_000, want: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b, d := newBoard(), short()
+			d.PromptTokens = tc.tokens
+			c, o := b.Choose(d, replicas("desk", 23), start)
+			if o != ObstacleNone || len(c.Helpers) != tc.want {
+				t.Fatalf("got %d helpers, obstacle %q, want %d", len(c.Helpers), o, tc.want)
+			}
+			for _, h := range c.Helpers {
+				if h.Replica.ID == c.Replica.ID || h.Tokens != 0 {
+					t.Errorf("got helper %s with %d tokens beside replica %s", h.Replica.ID, h.Tokens, c.Replica.ID)
+				}
+			}
+		})
+	}
+}
+
 // Guards against pools that leave one kind of prompts without a replica.
 func TestLongPoolSize(t *testing.T) {
 	t.Parallel()
