--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -130,9 +130,9 @@
 	h.gossip = goosegossip.New(goosegossip.Options{
 		Instance: h.settings.Instance, Incarnation: time.Now().UnixNano(), Conn: conn,
 		Instances: func() map[goose.InstanceID]string { return h.directory.Current().Instances() },
-		Board:     h.board, Reach: h.follower.Reach, Log: h.log, Clock: h.clock,
+		Board:     h.board, Store: h.follower.View, Heard: h.follower.Heard, Log: h.log, Clock: h.clock,
 	})
-	h.member = goosegossip.NewRegistration(h.store, h.settings.Instance, address, h.log)
+	h.member = goosegossip.NewRegistration(h.store, h.settings.Instance, address, h.follower.Suspect, h.log)
 	return nil
 }
 
--- a/internal/goosestoretest/store.go
+++ b/internal/goosestoretest/store.go
@@ -179,7 +179,7 @@
 
 // KeepAlive implements goose.Store.
 func (s *Store) KeepAlive(context.Context, goose.LeaseID) (time.Duration, error) {
-	return time.Minute, nil
+	return time.Minute, s.do("keep-alive", func() {})
 }
 
 // Revoke implements goose.Store.
@@ -243,3 +243,11 @@
 	delete(w.store.watchers, w)
 	w.end(context.Canceled)
 }
+
+// Silence makes the running watches deliver nothing more without ending them, as an
+// outage can do.
+func (s *Store) Silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.watchers)
+}
--- a/pkg/goosedirectory/follow.go
+++ b/pkg/goosedirectory/follow.go
@@ -22,8 +22,16 @@
 	// returnMargin is added to the time in which lapsed entries come back: the
 	// outage may have ended a little later than the first answer here.
 	returnMargin = 200 * time.Millisecond
+	// behindAfter is how long peers may know a newer revision before the watch counts as
+	// silent: they learn of changes up to a second apart.
+	behindAfter = 1200 * time.Millisecond
+	// renewPause is the time between two watches that are begun anew because of peers.
+	renewPause = 3 * time.Second
 )
 
+// errRenew ends a watch that may have gone silent.
+var errRenew = errors.New("the watch may be silent")
+
 // FollowOptions are the dependencies of a Follower; all are required.
 type FollowOptions struct {
 	Store     goose.Store
@@ -39,6 +47,16 @@
 	Clock     goose.Clock
 }
 
+// View is what an instance knows of the store, as it tells its peers.
+type View struct {
+	// Reach is for how long every call has succeeded; zero if the last one failed.
+	Reach time.Duration `cbor:"1,keyasint,omitempty"`
+	// Found is since when the store answers again after a failure; zero if none was seen.
+	Found time.Duration `cbor:"2,keyasint,omitempty"`
+	// Revision is the newest one that was read.
+	Revision int64 `cbor:"3,keyasint,omitempty"`
+}
+
 // Follower keeps a directory equal to the store.
 type Follower struct {
 	o FollowOptions
@@ -48,13 +66,26 @@
 	synced map[string]bool
 	// lost has the prefixes whose last call failed.
 	lost map[string]bool
-	// since is when the store was lost or came back.
+	// since is when the store was lost or came back; found tells that it came back.
 	since time.Time
+	found bool
+	// watches end the running ones, by prefix.
+	watches map[string]context.CancelCauseFunc
+	// revision is the newest one that was read, and heard when a watch has last begun or
+	// delivered something.
+	revision int64
+	heard    time.Time
+	// ahead is since when a peer has known a newer revision; zero if none does.
+	ahead time.Time
+	// renewed is when the watches were last begun anew because of peers.
+	renewed time.Time
 }
 
 // NewFollower returns a follower that does not run yet.
 func NewFollower(o FollowOptions) *Follower {
-	return &Follower{o: o, synced: map[string]bool{}, lost: map[string]bool{}, since: o.Clock.Now()}
+	return &Follower{
+		o: o, synced: map[string]bool{}, lost: map[string]bool{}, since: o.Clock.Now(), watches: map[string]context.CancelCauseFunc{},
+	}
 }
 
 // Synced reports whether the whole store was read once.
@@ -69,12 +100,61 @@
 func (f *Follower) Reach(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.reach(now)
+}
+
+func (f *Follower) reach(now time.Time) time.Duration {
 	if len(f.lost) > 0 || len(f.synced) == 0 {
 		return 0
 	}
 	return now.Sub(f.since)
 }
 
+// View returns what this instance knows of the store.
+func (f *Follower) View(now time.Time) View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := View{Revision: f.revision, Reach: f.reach(now)}
+	if f.found {
+		v.Found = v.Reach
+	}
+	return v
+}
+
+// Suspect reads the store again after a call outside of the watches has failed: a watch
+// that waits when the store goes away may never be answered.
+func (f *Follower) Suspect(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endWatches(err)
+}
+
+// Heard compares what a peer knows. The watches begin anew if the peer has had a newer
+// revision for some time, or has lost the store and found it again while they were waiting.
+func (f *Follower) Heard(peer View) {
+	now := f.o.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case peer.Revision <= f.revision:
+		f.ahead = time.Time{}
+	case f.ahead.IsZero():
+		f.ahead = now
+	}
+	behind := !f.ahead.IsZero() && now.Sub(f.ahead) > behindAfter
+	outage := peer.Found > 0 && now.Add(-peer.Found).After(f.heard)
+	if (behind || outage) && now.Sub(f.renewed) > renewPause {
+		f.renewed, f.ahead = now, time.Time{}
+		f.endWatches(errRenew)
+	}
+}
+
+func (f *Follower) endWatches(cause error) {
+	for _, end := range f.watches {
+		end(cause)
+	}
+}
+
 // Run follows all prefixes until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var wg conc.WaitGroup
@@ -99,7 +179,12 @@
 		revision, err := f.read(ctx, prefix)
 		if err == nil {
 			pause = firstRetry
-			err = f.watch(ctx, prefix, revision+1)
+		}
+		for err == nil {
+			revision, err = f.watch(ctx, prefix, revision)
+			if errors.Is(err, errRenew) {
+				err = nil
+			}
 		}
 		if ctx.Err() != nil {
 			return
@@ -131,7 +216,7 @@
 	after := len(f.lost)
 	age := now.Sub(f.since)
 	if (before == 0) != (after == 0) {
-		f.since = now
+		f.since, f.found = now, after == 0 && age > 0 && len(f.synced) > 0
 	}
 	f.mu.Unlock()
 	switch {
@@ -158,9 +243,17 @@
 	f.mu.Lock()
 	f.synced[prefix] = true
 	f.mu.Unlock()
+	f.seen(revision)
 	return revision, nil
 }
 
+// seen notes that the store has answered with a revision.
+func (f *Follower) seen(revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision, f.heard = max(f.revision, revision), f.o.Clock.Now()
+}
+
 // kindsBelow returns the kinds of changes that a prefix holds in whole.
 func kindsBelow(prefix string, r goose.Registry) []goose.ChangeKind {
 	var kinds []goose.ChangeKind
@@ -172,20 +265,43 @@
 	return kinds
 }
 
-func (f *Follower) watch(ctx context.Context, prefix string, from int64) error {
-	w, err := f.o.Store.Watch(ctx, prefix, from)
+// watch applies the changes after a revision until the watch ends, and returns the
+// revision of the last one.
+func (f *Follower) watch(ctx context.Context, prefix string, revision int64) (int64, error) {
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	f.mu.Lock()
+	f.watches[prefix], f.heard = end, f.o.Clock.Now()
+	f.mu.Unlock()
+	w, err := f.o.Store.Watch(ctx, prefix, revision+1)
 	if err != nil {
-		return err
+		return revision, err
 	}
 	defer w.Close()
-	for e := range w.Events() {
-		c := f.decode(e.Entry, e.Deleted)
-		if f.o.Directory.Apply(c, f.o.Clock.Now()) {
-			f.logRouting([]goose.Change{c})
-			f.logReplica(c)
+	for {
+		select {
+		case e, ok := <-w.Events():
+			if !ok && ctx.Err() == nil {
+				return revision, w.Err()
+			}
+			if !ok {
+				return revision, context.Cause(ctx)
+			}
+			revision = max(revision, e.Entry.ModRevision)
+			f.seen(revision)
+			f.apply(e)
+		case <-ctx.Done():
+			return revision, context.Cause(ctx)
 		}
 	}
-	return w.Err()
+}
+
+func (f *Follower) apply(e goose.WatchEvent) {
+	c := f.decode(e.Entry, e.Deleted)
+	if f.o.Directory.Apply(c, f.o.Clock.Now()) {
+		f.logRouting([]goose.Change{c})
+		f.logReplica(c)
+	}
 }
 
 // decode logs an entry that cannot be read; it then names no replica to use.
--- a/pkg/goosedirectory/follow_test.go
+++ b/pkg/goosedirectory/follow_test.go
@@ -36,6 +36,13 @@
 
 // follow starts a follower of a new store.
 func follow(t *testing.T, peerReach time.Duration) (*goosestoretest.Store, *Directory) {
+	t.Helper()
+	store, d, _ := followWith(t, peerReach)
+	return store, d
+}
+
+// followWith is follow with the follower.
+func followWith(t *testing.T, peerReach time.Duration) (*goosestoretest.Store, *Directory, *Follower) {
 	t.Helper()
 	store, d := goosestoretest.New(), New()
 	f := NewFollower(FollowOptions{
@@ -53,7 +60,7 @@
 		stop()
 		<-done
 	})
-	return store, d
+	return store, d, f
 }
 
 func commit(t *testing.T, s *goosestoretest.Store, ops ...goose.Op) {
@@ -121,3 +128,60 @@
 		})
 	}
 }
+
+// Guards against a watch that an outage has left without an answer and that hides later
+// changes: it has to begin anew well within 3 s of a sign of the outage.
+func TestSilentWatch(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		// sign is called every 500 ms after the watch has gone silent.
+		sign func(f *Follower, revision int64, found time.Duration)
+		want int
+	}{
+		"no sign":                        {sign: func(*Follower, int64, time.Duration) {}, want: 1},
+		"a lease is not renewed":         {sign: func(f *Follower, _ int64, _ time.Duration) { f.Suspect(goose.ErrUncertain) }, want: 2},
+		"a peer knows more":              {sign: func(f *Follower, r int64, _ time.Duration) { f.Heard(View{Reach: time.Hour, Revision: r}) }, want: 2},
+		"a peer has seen the outage":     {sign: func(f *Follower, _ int64, found time.Duration) { f.Heard(View{Reach: found, Found: found}) }, want: 2},
+		"a peer has seen an earlier one": {sign: func(f *Follower, _ int64, _ time.Duration) { f.Heard(View{Reach: time.Hour, Found: time.Hour}) }, want: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				store, d, f := followWith(t, time.Hour)
+				commit(t, store, goose.Put("r/a", nil))
+				time.Sleep(settle)
+				store.Silence()
+				time.Sleep(time.Second)
+				commit(t, store, goose.Put("r/b", nil))
+				begun := time.Now()
+				for time.Since(begun) < 2500*time.Millisecond {
+					tc.sign(f, 2, time.Since(begun)+500*time.Millisecond)
+					time.Sleep(500 * time.Millisecond)
+				}
+				if got := usable(d); len(got) != tc.want {
+					t.Errorf("got replicas %v, want %d", got, tc.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against peers that make each other begin watches anew without end: each costs a
+// call to the store.
+func TestRenewalsAreBounded(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		store, _, f := followWith(t, time.Hour)
+		commit(t, store, goose.Put("r/a", nil))
+		time.Sleep(settle)
+		before := store.Calls("watch")
+		for range 100 {
+			f.Heard(View{Reach: time.Hour, Revision: 1 << 40})
+			time.Sleep(100 * time.Millisecond)
+		}
+		if got := store.Calls("watch") - before; got < 2 || got > 4 {
+			t.Errorf("got %d new watches in 10 s, want 2 to 4", got)
+		}
+	})
+}
--- a/pkg/goosegossip/gossip.go
+++ b/pkg/goosegossip/gossip.go
@@ -15,6 +15,7 @@
 
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosedirectory"
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooseplacement"
 )
 
@@ -48,8 +49,8 @@
 	Part        int                   `cbor:"4,keyasint,omitempty"`
 	Parts       int                   `cbor:"5,keyasint"`
 	Report      gooseplacement.Report `cbor:"6,keyasint"`
-	// Reach is for how long the sender has reached the store without a failure.
-	Reach time.Duration `cbor:"7,keyasint,omitempty"`
+	// Store is what the sender knows of the store.
+	Store goosedirectory.View `cbor:"7,keyasint"`
 }
 
 // Options are the dependencies of a Gossip; all are required.
@@ -61,8 +62,9 @@
 	// Instances returns the registered instances with their addresses.
 	Instances func() map[goose.InstanceID]string
 	Board     *gooseplacement.Board
-	// Reach returns for how long this instance has reached the store.
-	Reach func(now time.Time) time.Duration
+	// Store returns what this instance knows of the store, and Heard gets what a peer does.
+	Store func(now time.Time) goosedirectory.View
+	Heard func(goosedirectory.View)
 	Log   *slog.Logger
 	Clock goose.Clock
 }
@@ -157,7 +159,7 @@
 	for i, replicas := range parts {
 		m := message{
 			From: g.o.Instance, Incarnation: g.o.Incarnation, Sequence: sequence, Part: i, Parts: len(parts),
-			Report: gooseplacement.Report{Replicas: replicas, Work: r.Work}, Reach: g.o.Reach(now),
+			Report: gooseplacement.Report{Replicas: replicas, Work: r.Work}, Store: g.o.Store(now),
 		}
 		b, err := cbor.Marshal(m)
 		if err != nil {
@@ -227,7 +229,7 @@
 		p.partial = gooseplacement.Report{Replicas: map[goose.ReplicaID]gooseplacement.Load{}}
 		p.parts = map[int]bool{}
 	}
-	p.incarnation, p.sequence, p.address, p.at, p.reach = m.Incarnation, m.Sequence, from, now, m.Reach
+	p.incarnation, p.sequence, p.address, p.at, p.reach = m.Incarnation, m.Sequence, from, now, m.Store.Reach
 	p.parts[m.Part] = true
 	for id, l := range m.Report.Replicas {
 		p.partial.Replicas[id] = l
@@ -243,6 +245,7 @@
 	}
 	if complete {
 		g.o.Board.Heard(m.From, report, now)
+		g.o.Heard(m.Store)
 	}
 }
 
--- a/pkg/goosegossip/gossip_test.go
+++ b/pkg/goosegossip/gossip_test.go
@@ -78,7 +78,8 @@
 	g := New(Options{
 		Instance: goose.InstanceID(name), Incarnation: time.Now().UnixNano(), Conn: n.listen(address),
 		Instances: func() map[goose.InstanceID]string { return *listed.Load() }, Board: b,
-		Reach: func(time.Time) time.Duration { return time.Minute },
+		Store: func(time.Time) goosedirectory.View { return goosedirectory.View{Reach: time.Minute} },
+		Heard: func(goosedirectory.View) {},
 		Log:   slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
 	})
 	ctx, stop := context.WithCancel(context.Background())
@@ -164,7 +165,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			b := board()
-			g := New(Options{Board: b, Log: slog.New(slog.DiscardHandler), Clock: goose.SystemClock{}})
+			g := New(Options{Board: b, Heard: func(goosedirectory.View) {}, Log: slog.New(slog.DiscardHandler), Clock: goose.SystemClock{}})
 			for _, m := range tc.messages {
 				g.heard(m, &net.UDPAddr{})
 			}
@@ -195,7 +196,7 @@
 		id := goose.ReplicaID("i-" + strings.Repeat("f", 8) + string(rune('0'+i/10)) + string(rune('0'+i%10)))
 		r.Replicas[id] = gooseplacement.Load{Requests: 16, Waiting: 16, Tokens: 315_000, Prefill: 9_999_999_999, Tight: 16}
 	}
-	g := New(Options{Instance: "edge-musselburgh-1", Reach: func(time.Time) time.Duration { return time.Hour }})
+	g := New(Options{Instance: "edge-musselburgh-1", Store: func(time.Time) goosedirectory.View { return goosedirectory.View{Reach: time.Hour} }})
 	datagrams := g.encode(r, 1, time.Now())
 	if len(datagrams) < 2 {
 		t.Fatalf("got %d datagrams, want several", len(datagrams))
@@ -212,7 +213,8 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		store := goosestoretest.New()
-		r := NewRegistration(store, "a", "10.0.0.1:7", slog.New(slog.DiscardHandler))
+		var failures atomic.Int64
+		r := NewRegistration(store, "a", "10.0.0.1:7", func(error) { failures.Add(1) }, slog.New(slog.DiscardHandler))
 		store.Down(true)
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan struct{})
@@ -227,6 +229,15 @@
 		if err != nil || !ok || string(e.Value) != "10.0.0.1:7" {
 			t.Errorf("got entry %q, %t, error %v, want the address", e.Value, ok, err)
 		}
+		if got := failures.Load(); got != 0 {
+			t.Errorf("got %d failed renewals while the store answers, want none", got)
+		}
+		store.Down(true)
+		time.Sleep(4 * time.Second)
+		if failures.Load() == 0 {
+			t.Error("got no failed renewal 4 s after the store went away")
+		}
+		store.Down(false)
 		stop()
 		<-done
 	})
--- a/pkg/goosegossip/instance.go
+++ b/pkg/goosegossip/instance.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
 	"time"
@@ -20,10 +21,11 @@
 const instancePrefix = "gooseberryhold/instances/"
 
 const (
-	// leaseTTL is how long a dead instance stays registered, and renewEvery the time
-	// between renewals, each of which is counted and priced.
+	// leaseTTL is how long a dead instance stays registered, and renewEvery the mean time
+	// between renewals. They cost a tenth of a read, and also show whether the store
+	// answers while a watch waits.
 	leaseTTL   = 15 * time.Second
-	renewEvery = 5 * time.Second
+	renewEvery = 2 * time.Second
 	// retryEvery is the pause after a failed registration.
 	retryEvery = time.Second
 )
@@ -65,12 +67,16 @@
 	store    goose.Store
 	instance goose.InstanceID
 	address  string
+	failed   func(error)
 	log      *slog.Logger
 }
 
-// NewRegistration returns a registration that Run keeps.
-func NewRegistration(store goose.Store, instance goose.InstanceID, address string, log *slog.Logger) *Registration {
-	return &Registration{store: store, instance: instance, address: address, log: log}
+// NewRegistration returns a registration that Run keeps; failed gets the errors of
+// renewals that the store has not answered.
+func NewRegistration(
+	store goose.Store, instance goose.InstanceID, address string, failed func(error), log *slog.Logger,
+) *Registration {
+	return &Registration{store: store, instance: instance, address: address, failed: failed, log: log}
 }
 
 // Run registers the instance and renews its lease until ctx ends; then it ends the
@@ -105,9 +111,15 @@
 // renew returns once the lease is gone or ctx ends. While the store is away the lease
 // may pause, so it is renewed until the store says that it is gone.
 func (r *Registration) renew(ctx context.Context, lease goose.LeaseID) error {
-	for goose.Sleep(ctx, renewEvery) {
-		if _, err := r.store.KeepAlive(ctx, lease); errors.Is(err, goose.ErrLeaseGone) {
+	// Instances that started together renew at different times, so that one of them
+	// notices a short outage.
+	for goose.Sleep(ctx, renewEvery/2+rand.N(renewEvery)) {
+		_, err := r.store.KeepAlive(ctx, lease)
+		switch {
+		case errors.Is(err, goose.ErrLeaseGone):
 			return err
+		case err != nil && ctx.Err() == nil:
+			r.failed(err)
 		}
 	}
 	return ctx.Err()
