End a silent stream only if another replica can go on

Cause: an attempt without an event for 1.2 s was ended before another replica was looked for.

Change: the attempt is ended only if the board offers a replica now, and looked at again every 200 ms. A request that ran or has a part of its answer is not refused for being late.

--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -128,6 +128,11 @@
 		Service: c.service, PromptTokens: c.routed.PromptTokens, OutputTokens: c.output(),
 		LongestPause: c.route.LongestPause, Objective: c.route.Objective, TimeLeft: c.deadline.Sub(now), Avoid: c.tried,
 	}
+	if c.committed || c.runs > 0 {
+		// The caller has waited, or has a part of the answer: the rest is better late than
+		// never.
+		d.Objective = 0
+	}
 	return d
 }
 
--- a/internal/gooseforward/silence.go
+++ b/internal/gooseforward/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -29,6 +30,9 @@
 	expectedSilence = 4
 	// objectiveSilence is the multiple of the objective of a plain request.
 	objectiveSilence = 2
+	// silenceRecheck is the pause before a silent replica is looked at again that no other
+	// one could follow.
+	silenceRecheck = 200 * time.Millisecond
 )
 
 // streamSilence is how long a replica may pause inside a stream of the route.
@@ -44,17 +48,23 @@
 	cancel context.CancelCauseFunc
 	// last is set if no further replica may get the request.
 	last bool
+	// demand is what another replica would have to serve.
+	demand gooseplacement.Demand
 
-	mu    sync.Mutex
-	limit time.Duration
-	timer *time.Timer
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
 }
 
 // watchSilence watches an attempt from its start.
 func (c *call) watchSilence(choice gooseplacement.Choice, cancel context.CancelCauseFunc) *silenceWatch {
-	w := &silenceWatch{c: c, cancel: cancel, limit: c.firstSilence(choice)}
+	w := &silenceWatch{c: c, cancel: cancel, demand: c.demand(c.begun)}
+	// The call notes the replicas that it has tried while the timer may still run.
+	w.demand.Avoid = maps.Clone(c.tried)
 	w.last = !c.route.Repeatable() || c.runs+1 >= c.route.Attempts
-	w.timer = time.AfterFunc(w.limit, w.expired)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(c.firstSilence(choice), w.expired)
 	return w
 }
 
@@ -66,22 +76,38 @@
 	return objectiveSilence * max(c.route.Objective, time.Millisecond)
 }
 
-// expired ends the attempt, or goes on waiting where another one cannot follow: a
-// replica's silence alone is no reason to end an answer.
+// expired ends the attempt, or goes on waiting while another one cannot follow: a
+// replica's silence alone is no reason to end an answer. If all replicas are full it is
+// the load that makes this one silent, and another one would only add to it.
 func (w *silenceWatch) expired() {
-	c := w.c
-	if !w.last && c.o.Budget.Retry(c.service.Name, c.o.Clock.Now()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.last || w.stopped {
+		return
+	}
+	c, now := w.c, w.c.o.Clock.Now()
+	w.demand.TimeLeft = c.deadline.Sub(now)
+	replicas := c.o.Directory.Current().Replicas(c.service.Name)
+	if c.o.Board.Offers(w.demand, replicas, now) && c.o.Budget.Retry(c.service.Name, now) {
 		w.cancel(errSilent)
+		return
 	}
+	w.timer.Reset(silenceRecheck)
 }
 
 // heard starts the watch anew after an event.
 func (w *silenceWatch) heard() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.limit = streamSilence(w.c.route)
-	w.timer.Reset(w.limit)
+	if !w.stopped {
+		w.timer.Reset(streamSilence(w.c.route))
+	}
 }
 
 // Stop ends the watch.
-func (w *silenceWatch) Stop() { w.timer.Stop() }
+func (w *silenceWatch) Stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -16,7 +16,7 @@
 	// LongestPause is the pause between events above which the stream is late.
 	LongestPause time.Duration
 	// Objective is the time to the first event within which an answer has its full
-	// value.
+	// value; zero if a late answer is better than none.
 	Objective time.Duration
 	// TimeLeft is the time to the deadline.
 	TimeLeft time.Duration
@@ -104,18 +104,35 @@
 func (b *Board) Choose(d Demand, replicas []goosedirectory.Replica, now time.Time) (Choice, Obstacle) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	p, o := b.place(d, replicas, now)
+	if o != ObstacleNone {
+		return Choice{}, o
+	}
+	return b.take(d, p, now), ObstacleNone
+}
+
+// Offers reports whether Choose would find replicas; it counts nothing.
+func (b *Board) Offers(d Demand, replicas []goosedirectory.Replica, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, o := b.place(d, replicas, now)
+	return o == ObstacleNone
+}
+
+// place picks the replicas of a request without counting it.
+func (b *Board) place(d Demand, replicas []goosedirectory.Replica, now time.Time) (placement, Obstacle) {
 	b.dropSilent(now)
 	all, atBound := b.candidates(d, replicas, now)
 	if len(all) == 0 {
 		if atBound {
-			return Choice{}, ObstacleCold
+			return placement{}, ObstacleCold
 		}
-		return Choice{}, ObstacleNoReplica
+		return placement{}, ObstacleNoReplica
 	}
 	if d.Service.Engine == nil {
-		return b.choosePlain(d, all, now), ObstacleNone
+		return b.placePlain(all, now), ObstacleNone
 	}
-	return b.chooseEngine(d, all, now)
+	return b.placeEngine(d, all, now)
 }
 
 // candidates returns the replicas that were not tried and are not suspended; all
@@ -184,15 +201,15 @@
 	return len(r.sent) >= int(share)
 }
 
-// choosePlain takes the replica with the fewest requests for its slots.
-func (b *Board) choosePlain(d Demand, all []candidate, now time.Time) Choice {
+// placePlain picks the replica with the fewest requests for its slots.
+func (b *Board) placePlain(all []candidate, now time.Time) placement {
 	for i := range all {
 		c := &all[i]
 		used := float64(c.load.Requests+1) / float64(max(c.Slots, 1))
 		c.cost = time.Duration(used*c.state.health.factor(now)*float64(plainUnit)) +
 			time.Duration(c.state.health.failures*float64(failurePenalty)) + b.distance(c.DataCentre)
 	}
-	return b.take(d, []candidate{all[b.anyOfCheapest(all, plainSpread)]}, nil, 0, now)
+	return placement{replicas: []candidate{all[b.anyOfCheapest(all, plainSpread)]}}
 }
 
 // plainUnit weighs a full set of slots against the other penalties.
@@ -229,8 +246,8 @@
 	return near[b.o.Rand(len(near))]
 }
 
-// chooseEngine places short prompts on one replica and reads long ones on several.
-func (b *Board) chooseEngine(d Demand, all []candidate, now time.Time) (Choice, Obstacle) {
+// placeEngine places short prompts on one or two replicas and reads long ones on several.
+func (b *Board) placeEngine(d Demand, all []candidate, now time.Time) (placement, Obstacle) {
 	e := *d.Service.Engine
 	prefill := e.Prefill(d.PromptTokens)
 	short := isShort(prefill)
@@ -251,24 +268,22 @@
 			all[n], all[i] = all[i], all[n]
 		}
 	}
-	parts, obstacle := plan(d, all, prefill, short)
+	p, obstacle := plan(d, all, prefill, short)
 	if obstacle != ObstacleNone {
-		return Choice{}, obstacle
+		return placement{}, obstacle
 	}
-	expected := time.Duration(0)
-	share := prefill / time.Duration(len(parts.replicas))
-	for _, c := range parts.replicas {
+	share := prefill / time.Duration(len(p.replicas))
+	for _, c := range p.replicas {
 		wait := c.load.Prefill + share + pass(e, c.load)
-		expected = max(expected, time.Duration(float64(wait)*c.state.health.factor(now)))
+		p.expected = max(p.expected, time.Duration(float64(wait)*c.state.health.factor(now)))
 	}
-	if d.TimeLeft > 0 && expected > d.TimeLeft {
-		return Choice{}, ObstacleLate
+	if d.TimeLeft > 0 && p.expected > d.TimeLeft {
+		return placement{}, ObstacleLate
 	}
-	if short && b.wouldQueue(d, parts.replicas[0], expected) {
-		return Choice{}, ObstacleFull
+	if short && b.wouldQueue(d, p.replicas[0], p.expected) {
+		return placement{}, ObstacleFull
 	}
-	choice := b.take(d, parts.replicas, parts.tokens, expected, now)
-	return choice, ObstacleNone
+	return p, ObstacleNone
 }
 
 // queueSlots is the number of requests that may wait for a slot of a replica: one
@@ -321,7 +336,8 @@
 }
 
 // take counts the attempt on its replicas; the first one answers.
-func (b *Board) take(d Demand, on []candidate, reserved []int, expected time.Duration, now time.Time) Choice {
+func (b *Board) take(d Demand, p placement, now time.Time) Choice {
+	on, reserved, expected := p.replicas, p.tokens, p.expected
 	prefill := time.Duration(0)
 	if d.Service.Engine != nil {
 		prefill = d.Service.Engine.Prefill(d.PromptTokens)
--- a/pkg/gooseplacement/long.go
+++ b/pkg/gooseplacement/long.go
@@ -138,6 +138,8 @@
 type placement struct {
 	replicas []candidate
 	tokens   []int
+	// expected is the estimated time to the first event; zero for plain requests.
+	expected time.Duration
 }
 
 // plan picks the replicas of a request; all are ordered by cost.
