Note each watch that begins anew, and hold what any peer knows

A report of a peer that is behind as well no longer hides that another one has known a newer revision (found in reading; TestSilentWatch has the case). Event 707 tells why a watch begins anew.

--- a/internal/gooseevent/events_forward.go
+++ b/internal/gooseevent/events_forward.go
@@ -10,6 +10,7 @@
 	RoutingInForce    = define(704, slog.LevelInfo, "routing in force", "A newer version of routes, services and workspaces is used from now on.")
 	ReplicaChanged    = define(705, slog.LevelInfo, "replica changed", "A replica registered, changed its state or left.")
 	EvacuationChanged = define(706, slog.LevelInfo, "evacuation changed", "Operators take a data centre's replicas out of service or back.")
+	WatchRenewed      = define(707, slog.LevelInfo, "watch renewed", "Peers know more of the store, or have seen an outage: the watch may be silent and begins anew.")
 	RequestForwarded  = define(710, slog.LevelInfo, "request forwarded", "A caller has its answer; attempts lists the replicas in order with the outcome of each.")
 	RequestFailed     = define(711, slog.LevelWarn, "request failed", "A caller got no whole answer of a replica; code, run and attempts tell why and what ran.")
 	AttemptFailed     = define(712, slog.LevelInfo, "attempt failed", "A replica did not answer an attempt as it should; error tells how, age how old the information about the replica was.")
--- a/pkg/goosedirectory/follow.go
+++ b/pkg/goosedirectory/follow.go
@@ -22,16 +22,8 @@
 	// returnMargin is added to the time in which lapsed entries come back: the
 	// outage may have ended a little later than the first answer here.
 	returnMargin = 200 * time.Millisecond
-	// behindAfter is how long peers may know a newer revision before the watch counts as
-	// silent: they learn of changes up to a second apart.
-	behindAfter = 1200 * time.Millisecond
-	// renewPause is the time between two watches that are begun anew because of peers.
-	renewPause = 3 * time.Second
 )
 
-// errRenew ends a watch that may have gone silent.
-var errRenew = errors.New("the watch may be silent")
-
 // FollowOptions are the dependencies of a Follower; all are required.
 type FollowOptions struct {
 	Store     goose.Store
@@ -47,16 +39,6 @@
 	Clock     goose.Clock
 }
 
-// View is what an instance knows of the store, as it tells its peers.
-type View struct {
-	// Reach is for how long every call has succeeded; zero if the last one failed.
-	Reach time.Duration `cbor:"1,keyasint,omitempty"`
-	// Found is since when the store answers again after a failure; zero if none was seen.
-	Found time.Duration `cbor:"2,keyasint,omitempty"`
-	// Revision is the newest one that was read.
-	Revision int64 `cbor:"3,keyasint,omitempty"`
-}
-
 // Follower keeps a directory equal to the store.
 type Follower struct {
 	o FollowOptions
@@ -75,8 +57,10 @@
 	// delivered something.
 	revision int64
 	heard    time.Time
-	// ahead is since when a peer has known a newer revision; zero if none does.
-	ahead time.Time
+	// newest is the newest revision that a peer knows, and ahead since when it has been
+	// newer than the own one without anything new here; zero if it is not.
+	newest int64
+	ahead  time.Time
 	// renewed is when the watches were last begun anew because of peers.
 	renewed time.Time
 }
@@ -110,51 +94,6 @@
 	return now.Sub(f.since)
 }
 
-// View returns what this instance knows of the store.
-func (f *Follower) View(now time.Time) View {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	v := View{Revision: f.revision, Reach: f.reach(now)}
-	if f.found {
-		v.Found = v.Reach
-	}
-	return v
-}
-
-// Suspect reads the store again after a call outside of the watches has failed: a watch
-// that waits when the store goes away may never be answered.
-func (f *Follower) Suspect(err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.endWatches(err)
-}
-
-// Heard compares what a peer knows. The watches begin anew if the peer has had a newer
-// revision for some time, or has lost the store and found it again while they were waiting.
-func (f *Follower) Heard(peer View) {
-	now := f.o.Clock.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch {
-	case peer.Revision <= f.revision:
-		f.ahead = time.Time{}
-	case f.ahead.IsZero():
-		f.ahead = now
-	}
-	behind := !f.ahead.IsZero() && now.Sub(f.ahead) > behindAfter
-	outage := peer.Found > 0 && now.Add(-peer.Found).After(f.heard)
-	if (behind || outage) && now.Sub(f.renewed) > renewPause {
-		f.renewed, f.ahead = now, time.Time{}
-		f.endWatches(errRenew)
-	}
-}
-
-func (f *Follower) endWatches(cause error) {
-	for _, end := range f.watches {
-		end(cause)
-	}
-}
-
 // Run follows all prefixes until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var wg conc.WaitGroup
@@ -216,7 +155,7 @@
 	after := len(f.lost)
 	age := now.Sub(f.since)
 	if (before == 0) != (after == 0) {
-		f.since, f.found = now, after == 0 && age > 0 && len(f.synced) > 0
+		f.since, f.found = now, after == 0 && len(f.synced) > 0
 	}
 	f.mu.Unlock()
 	switch {
@@ -251,7 +190,7 @@
 func (f *Follower) seen(revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision, f.heard = max(f.revision, revision), f.o.Clock.Now()
+	f.revision, f.heard, f.ahead = max(f.revision, revision), f.o.Clock.Now(), time.Time{}
 }
 
 // kindsBelow returns the kinds of changes that a prefix holds in whole.
--- a/pkg/goosedirectory/follow_test.go
+++ b/pkg/goosedirectory/follow_test.go
@@ -138,9 +138,13 @@
 		sign func(f *Follower, revision int64, found time.Duration)
 		want int
 	}{
-		"no sign":                        {sign: func(*Follower, int64, time.Duration) {}, want: 1},
-		"a lease is not renewed":         {sign: func(f *Follower, _ int64, _ time.Duration) { f.Suspect(goose.ErrUncertain) }, want: 2},
-		"a peer knows more":              {sign: func(f *Follower, r int64, _ time.Duration) { f.Heard(View{Reach: time.Hour, Revision: r}) }, want: 2},
+		"no sign":                {sign: func(*Follower, int64, time.Duration) {}, want: 1},
+		"a lease is not renewed": {sign: func(f *Follower, _ int64, _ time.Duration) { f.Suspect(goose.ErrUncertain) }, want: 2},
+		"a peer knows more":      {sign: func(f *Follower, r int64, _ time.Duration) { f.Heard(View{Reach: time.Hour, Revision: r}) }, want: 2},
+		"one of many peers knows more": {sign: func(f *Follower, r int64, _ time.Duration) {
+			f.Heard(View{Reach: time.Hour, Revision: r})
+			f.Heard(View{Reach: time.Hour, Revision: r - 1})
+		}, want: 2},
 		"a peer has seen the outage":     {sign: func(f *Follower, _ int64, found time.Duration) { f.Heard(View{Reach: found, Found: found}) }, want: 2},
 		"a peer has seen an earlier one": {sign: func(f *Follower, _ int64, _ time.Duration) { f.Heard(View{Reach: time.Hour, Found: time.Hour}) }, want: 1},
 	}
