--- a/Makefile
+++ b/Makefile
@@ -109,7 +109,7 @@
 fuzz:
 	FUZZ_TIME=$(FUZZ_TIME) sh scripts/fuzz.sh
 
-# Plays SEEDS seeds of the fault soak from FIRST on, each with SOAK_TIME of disturbances;
+# Plays SEEDS seeds of the fault soak from FIRST on, each with SOAK_TIME of faults;
 # the logs of a seed that fails stay in out/soak. CI plays the fixed seeds alone.
 soak:
 	mkdir -p out/soak
--- a/internal/goosecommand/explain.go
+++ b/internal/goosecommand/explain.go
@@ -47,36 +47,22 @@
 	Event    int       `json:"event"`
 	Request  string    `json:"request"`
 
-	Route       string        `json:"route,omitempty"`
-	Service     string        `json:"service,omitempty"`
-	Workspace   string        `json:"workspace,omitempty"`
-	Version     int64         `json:"version,omitempty"`
-	Code        string        `json:"code,omitempty"`
-	Run         string        `json:"run,omitempty"`
-	Reason      string        `json:"reason,omitempty"`
-	Explanation string        `json:"message,omitempty"`
-	Outcome     string        `json:"outcome,omitempty"`
-	After       time.Duration `json:"after,omitempty"`
-	RetryAfter  time.Duration `json:"retry-after,omitempty"`
-	Attempt     *logAttempt   `json:"attempt,omitempty"`
-	Attempts    []logAttempt  `json:"attempts,omitempty"`
+	Route       string               `json:"route,omitempty"`
+	Service     string               `json:"service,omitempty"`
+	Workspace   string               `json:"workspace,omitempty"`
+	Version     int64                `json:"version,omitempty"`
+	Code        string               `json:"code,omitempty"`
+	Run         string               `json:"run,omitempty"`
+	Reason      string               `json:"reason,omitempty"`
+	Explanation string               `json:"message,omitempty"`
+	Outcome     string               `json:"outcome,omitempty"`
+	After       time.Duration        `json:"after,omitempty"`
+	RetryAfter  time.Duration        `json:"retry-after,omitempty"`
+	Attempt     *gooseevent.Attempt  `json:"attempt,omitempty"`
+	Attempts    []gooseevent.Attempt `json:"attempts,omitempty"`
 }
 
-// logAttempt is one attempt at a replica.
-type logAttempt struct {
-	Replica  string   `json:"replica"`
-	Outcome  string   `json:"outcome"`
-	Status   int      `json:"status,omitempty"`
-	Helpers  []string `json:"helpers,omitempty"`
-	Load     int      `json:"load"`
-	Expected string   `json:"expected,omitempty"`
-	First    string   `json:"first,omitempty"`
-	After    string   `json:"after"`
-	FaultAt  string   `json:"fault-at,omitempty"`
-	Error    string   `json:"error,omitempty"`
-}
-
-func (a logAttempt) String() string {
+func describeAttempt(a gooseevent.Attempt) string {
 	s := fmt.Sprintf("replica %s: %s after %s", a.Replica, a.Outcome, a.After)
 	if a.Status != 0 {
 		s += fmt.Sprintf(", status %d", a.Status)
@@ -162,7 +148,7 @@
 	switch l.Event {
 	case gooseevent.AttemptFailed.Number:
 		if l.Attempt != nil {
-			return "attempt failed, " + l.Attempt.String()
+			return "attempt failed, " + describeAttempt(*l.Attempt)
 		}
 	case gooseevent.RequestForwarded.Number:
 		return fmt.Sprintf("answered (%s) after %s, route %s, service %s, routing version %d", l.Outcome, l.After, l.Route, l.Service, l.Version)
@@ -180,10 +166,10 @@
 func cause(l logLine) string {
 	if l.Event == gooseevent.RequestForwarded.Number {
 		if n := len(l.Attempts); n > 1 {
-			return fmt.Sprintf("answered by the last of %d replicas; before it, %s", n, l.Attempts[n-2])
+			return fmt.Sprintf("answered by the last of %d replicas; before it, %s", n, describeAttempt(l.Attempts[n-2]))
 		}
 		if len(l.Attempts) == 1 {
-			return l.Attempts[0].String()
+			return describeAttempt(l.Attempts[0])
 		}
 		return l.Outcome
 	}
@@ -195,7 +181,7 @@
 		s += " (" + l.Reason + ")"
 	}
 	if n := len(l.Attempts); n > 0 {
-		s += "; last attempt, " + l.Attempts[n-1].String()
+		s += "; last attempt, " + describeAttempt(l.Attempts[n-1])
 	}
 	return s
 }
--- a/internal/gooseforward/answer.go
+++ b/internal/gooseforward/answer.go
@@ -60,16 +60,10 @@
 	_, _ = c.w.Write(a.body)
 }
 
-// hopHeaders concern the connection to the replica alone.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Connection": true, "Te": true,
-	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
-}
-
 func (c *call) copyHeader(from http.Header) {
 	to := c.w.Header()
 	for name, values := range from {
-		if !hopHeaders[name] {
+		if !goose.IsHopHeader(name) {
 			to[name] = values
 		}
 	}
--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -39,23 +39,6 @@
 	outcomeDeadline outcome = "deadline"
 )
 
-// attempt is one try at a replica, as the log shows it.
-type attempt struct {
-	Replica goose.ReplicaID `json:"replica"`
-	Outcome outcome         `json:"outcome"`
-	Status  int             `json:"status,omitempty"`
-	// Helpers read parts of the prompt.
-	Helpers []goose.ReplicaID `json:"helpers,omitempty"`
-	// Load is the number of requests that the replica was known to have before.
-	Load     int    `json:"load"`
-	Expected string `json:"expected,omitempty"`
-	// First is the time to the first event; empty if none came.
-	First   string `json:"first,omitempty"`
-	After   string `json:"after"`
-	FaultAt string `json:"fault-at,omitempty"`
-	Error   string `json:"error,omitempty"`
-}
-
 // result is the end of an attempt.
 type result struct {
 	outcome outcome
@@ -182,8 +165,8 @@
 	bad := r.outcome == outcomeNotSent || r.outcome == outcomeLost || r.outcome == outcomeSilent || r.outcome == outcomeFailed ||
 		r.outcome == outcomeNotRun
 	pause := c.o.Board.Ended(choice.Flight, bad, r.outcome == outcomeNotSent, now)
-	a := attempt{
-		Replica: choice.Replica.ID, Outcome: r.outcome, Status: r.status, Helpers: helperIDs(choice),
+	a := gooseevent.Attempt{
+		Replica: choice.Replica.ID, Outcome: string(r.outcome), Status: r.status, Helpers: helperIDs(choice),
 		Load: choice.Load.Requests, FaultAt: r.faultAt, After: now.Sub(c.begun).Round(time.Microsecond).String(),
 	}
 	if choice.Expected > 0 {
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"time"
 
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosedirectory"
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooseplacement"
@@ -92,7 +93,7 @@
 	tried map[goose.ReplicaID]bool
 	// runs counts the attempts that may have run.
 	runs     int
-	attempts []attempt
+	attempts []gooseevent.Attempt
 	// begun is the start of the current attempt, first its time to the first event.
 	begun time.Time
 	first time.Duration
--- a/internal/gooseforward/forward_test.go
+++ b/internal/gooseforward/forward_test.go
@@ -486,9 +486,13 @@
 			}}
 			pausing := func(w http.ResponseWriter, r *http.Request) {
 				events(1, 3, false)(w, r)
+				var resumes <-chan time.Time
+				if tc.full > 0 {
+					resumes = time.After(2 * streamSilence(goose.Route{}))
+				}
 				select {
 				case <-r.Context().Done():
-				case <-time.After(2 * streamSilence(goose.Route{})):
+				case <-resumes:
 					events(4, 6, false)(w, r)
 				}
 			}
--- a/internal/goosesoak/disturb_test.go
+++ b/internal/goosesoak/inject_test.go
@@ -7,13 +7,13 @@
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseplatformtest"
 )
 
-// disturb brings one fault about and ends it; it returns once the fault is over.
-func (f *fleet) disturb(d disturbance) {
+// inject brings one fault about and ends it; it returns once the fault is over.
+func (f *fleet) inject(d fault) {
 	i := f.instances[d.target%len(f.instances)]
 	s := f.seats[d.target%len(f.seats)]
 	switch d.kind {
 	case faultKill, faultTerminate, faultFreeze, faultHangup:
-		f.disturbProcess(i, d)
+		f.injectProcess(i, d)
 	case faultCallers:
 		throughout(d, func() { i.callers.set(d.link, true) }, func() { i.callers.set(linkFine, d.heals) })
 	case faultStoreLink:
@@ -23,11 +23,11 @@
 	case faultRefused:
 		throughout(d, func() { i.refused.set(true) }, func() { i.refused.set(false) })
 	case faultStoreBusy:
-		f.disturbStore(d, gooseplatformtest.FaultBusy)
+		f.injectStore(d, gooseplatformtest.FaultBusy)
 	case faultStoreLost:
-		f.disturbStore(d, gooseplatformtest.FaultLost)
+		f.injectStore(d, gooseplatformtest.FaultLost)
 	case faultStoreReset:
-		f.disturbStore(d, gooseplatformtest.FaultReset)
+		f.injectStore(d, gooseplatformtest.FaultReset)
 	case faultCompact:
 		f.store.Compact()
 	case faultLapse:
@@ -36,7 +36,7 @@
 		r := s.current()
 		throughout(d, func() { r.set(d.answer) }, func() { r.set(replicaFine) })
 	case faultCrash, faultReuse, faultDrain:
-		f.disturbReplica(s, d)
+		f.injectReplica(s, d)
 	case faultVersion:
 		f.write()
 	case faultEvacuate:
@@ -47,19 +47,19 @@
 	}
 }
 
-func throughout(d disturbance, begin, end func()) {
+func throughout(d fault, begin, end func()) {
 	begin()
 	time.Sleep(d.lasts)
 	end()
 }
 
-func (f *fleet) disturbStore(d disturbance, fault gooseplatformtest.Fault) {
+func (f *fleet) injectStore(d fault, fault gooseplatformtest.Fault) {
 	throughout(d, func() { f.store.SetFault(func(string) gooseplatformtest.Fault { return fault }) }, func() { f.store.SetFault(nil) })
 }
 
-// disturbProcess sends signals to the process that the instance has now. One that ends
+// injectProcess sends signals to the process that the instance has now. One that ends
 // is followed by the next.
-func (f *fleet) disturbProcess(i *instance, d disturbance) {
+func (f *fleet) injectProcess(i *instance, d fault) {
 	l := i.current()
 	switch d.kind {
 	case faultHangup:
@@ -79,7 +79,7 @@
 	i.follow(l, f.bin)
 }
 
-// follow starts the process after l, unless another disturbance has done so.
+// follow starts the process after l, unless another fault has led to it.
 func (i *instance) follow(l *lifetime, bin string) {
 	i.next.Lock()
 	defer i.next.Unlock()
@@ -88,9 +88,9 @@
 	}
 }
 
-// disturbReplica ends the replica of a seat and puts another one there: the address is
+// injectReplica ends the replica of a seat and puts another one there: the address is
 // used again.
-func (f *fleet) disturbReplica(s *seat, d disturbance) {
+func (f *fleet) injectReplica(s *seat, d fault) {
 	s.turn.Lock()
 	defer s.turn.Unlock()
 	r := s.current()
--- a/internal/goosesoak/journal_test.go
+++ b/internal/goosesoak/journal_test.go
@@ -64,9 +64,16 @@
 	broken   []string
 	// working counts the replicas' running requests.
 	working int
+	// lastMayEnd is closed once streams of lastPath may go on after their first event.
+	lastMayEnd chan struct{}
 }
 
-func newJournal() *journal { return &journal{requests: map[string]*request{}} }
+// lastPath is that of the streams that run while the instances stop.
+const lastPath = "/stream/last"
+
+func newJournal() *journal {
+	return &journal{requests: map[string]*request{}, lastMayEnd: make(chan struct{})}
+}
 
 // breach notes a broken rule.
 func (j *journal) breach(rule, format string, args ...any) {
--- a/internal/goosesoak/plan_test.go
+++ b/internal/goosesoak/plan_test.go
@@ -7,10 +7,10 @@
 	"time"
 )
 
-// faultKind is a kind of disturbance.
+// faultKind is a kind of fault.
 type faultKind string
 
-// Kinds of disturbances.
+// Kinds of faults.
 const (
 	faultKill       faultKind = "kill"
 	faultTerminate  faultKind = "terminate"
@@ -46,8 +46,8 @@
 	replicaFull, replicaFailing, replicaBreaking, replicaHanging, replicaForeign, replicaWriting,
 }
 
-// disturbance is one fault of a plan.
-type disturbance struct {
+// fault is one fault of a plan.
+type fault struct {
 	kind   faultKind
 	at     time.Duration
 	lasts  time.Duration
@@ -58,27 +58,27 @@
 	heals bool
 }
 
-func (d disturbance) String() string {
+func (d fault) String() string {
 	return fmt.Sprintf("%s %s for %s, target %d %s%s heals %t", d.at.Round(time.Millisecond), d.kind, d.lasts.Round(time.Millisecond), d.target, d.link, d.answer, d.heals)
 }
 
 const (
-	// faultEvery is the mean time between the beginnings of two disturbances.
+	// faultEvery is the mean time between the beginnings of two faults.
 	faultEvery = 350 * time.Millisecond
-	// shortestFault and longestFault bound a disturbance.
+	// shortestFault and longestFault bound a fault.
 	shortestFault = 50 * time.Millisecond
 	longestFault  = 2500 * time.Millisecond
-	// seriesShare of the disturbances come several times, seriesGap apart.
+	// seriesShare of the faults come several times, seriesGap apart.
 	seriesShare  = 0.3
 	longestSerie = 4
 	seriesGap    = 400 * time.Millisecond
 )
 
-// plan draws disturbances over a time: series, and such that overlap.
-func plan(random *rand.Rand, over time.Duration) []disturbance {
-	var all []disturbance
+// plan draws faults over a time: series, and such that overlap.
+func plan(random *rand.Rand, over time.Duration) []fault {
+	var all []fault
 	for len(all) < int(over/faultEvery) {
-		d := disturbance{
+		d := fault{
 			kind:   faultKinds[random.IntN(len(faultKinds))],
 			at:     time.Duration(random.Int64N(int64(over))),
 			lasts:  shortestFault + time.Duration(random.Int64N(int64(longestFault-shortestFault))),
--- a/internal/goosesoak/proxy_test.go
+++ b/internal/goosesoak/proxy_test.go
@@ -29,7 +29,7 @@
 // slowPiece is the delay of a piece on a slow link.
 const slowPiece = 60 * time.Millisecond
 
-// proxy forwards the connections to its address to a target, and disturbs them.
+// proxy forwards the connections to its address to a target, and injects faults.
 type proxy struct {
 	listener net.Listener
 
--- a/internal/goosesoak/replica_test.go
+++ b/internal/goosesoak/replica_test.go
@@ -244,6 +244,13 @@
 		if _, err := io.WriteString(w, e); err != nil || http.NewResponseController(w).Flush() != nil {
 			return
 		}
+		if c.path == lastPath {
+			select {
+			case <-r.journal.lastMayEnd:
+			case <-q.Context().Done():
+				return
+			}
+		}
 	}
 	r.journal.with(func() { one.whole = true })
 }
--- a/internal/goosesoak/soak_test.go
+++ b/internal/goosesoak/soak_test.go
@@ -1,5 +1,5 @@
-// Package goosesoak runs entry instances as separate processes, disturbs them from
-// outside at random and checks what callers and backend servers see. Its plans follow
+// Package goosesoak runs entry instances as separate processes, injects faults from outside
+// at random and checks what callers and backend servers see. Its plans follow
 // from a seed, its timing does not.
 package goosesoak
 
@@ -26,7 +26,7 @@
 var (
 	firstSeed = flag.Uint64("soak.first", 0, "first `seed` of TestSoak by hand")
 	seeds     = flag.Int("soak.seeds", 0, "`number` of seeds that TestSoak plays beside the fixed ones")
-	length    = flag.Duration("soak.length", 5*time.Second, "`time` of disturbances for each seed")
+	length    = flag.Duration("soak.length", 5*time.Second, "`time` of faults for each seed")
 	instances = flag.Int("soak.instances", 4, "`number` of instances")
 	callers   = flag.Int("soak.callers", 12, "`number` of callers")
 	keep      = flag.String("soak.keep", "", "`directory` for the logs of failed seeds")
@@ -40,7 +40,7 @@
 	"two stops in a row": 111,
 }
 
-// Guards against broken promises under disturbances that nobody thought of together.
+// Guards against broken promises under faults that nobody thought of together.
 func TestSoak(t *testing.T) {
 	for name, seed := range fixed {
 		t.Run(name, func(t *testing.T) { soak(t, seed) })
@@ -80,7 +80,7 @@
 	begun := time.Now()
 	for _, d := range all {
 		time.Sleep(time.Until(begun.Add(d.at)))
-		faults.Go(func() { f.disturb(d) })
+		faults.Go(func() { f.inject(d) })
 	}
 	faults.Wait()
 	f.calm()
@@ -139,7 +139,7 @@
 	answers := make([]*request, len(f.instances))
 	for n, i := range f.instances {
 		c := newCaller("last-"+i.name, uint64(n), f.j)
-		streams.Go(func() { answers[n] = c.send(context.Background(), i, kindStream, "/stream/last", "k1", 0) })
+		streams.Go(func() { answers[n] = c.send(context.Background(), i, kindStream, lastPath, "k1", 0) })
 	}
 	eventually(f.t, "a stream runs at every instance", func() bool {
 		f.j.mu.Lock()
@@ -149,6 +149,15 @@
 	for _, i := range f.instances {
 		stops.Go(func() { i.current().terminate(f.j) })
 	}
+	eventually(f.t, "every process was told to stop", func() bool {
+		for _, i := range f.instances {
+			if _, told := i.current().planned(); !told {
+				return false
+			}
+		}
+		return true
+	})
+	close(f.j.lastMayEnd)
 	streams.Wait()
 	stops.Wait()
 	for _, r := range answers {
--- a/pkg/goosedirectory/directory.go
+++ b/pkg/goosedirectory/directory.go
@@ -37,16 +37,6 @@
 // their ids; not to be changed.
 func (s *Snapshot) Replicas(service goose.ServiceName) []Replica { return s.services[service] }
 
-// Usable reports whether the replica, in the same life, may get new work.
-func (s *Snapshot) Usable(r goose.Replica) bool {
-	for _, known := range s.services[r.Service] {
-		if known.ID == r.ID {
-			return known.Born == r.Born && known.Address == r.Address
-		}
-	}
-	return false
-}
-
 // Known returns what the directory has about a replica.
 func (s *Snapshot) Known(id goose.ReplicaID) (Replica, bool) {
 	r, ok := s.known[id]
--- a/pkg/goosedirectory/directory_test.go
+++ b/pkg/goosedirectory/directory_test.go
@@ -80,8 +80,8 @@
 	if r, _ := d.Current().Known("a"); r.Born != 2 {
 		t.Errorf("got process born %d, want 2", r.Born)
 	}
-	if d.Current().Usable(goose.Replica{ID: "a", Service: "desk", Address: "10.0.0.1:80", Born: 1}) {
-		t.Error("got an earlier process as usable")
+	if all := d.Current().Replicas("desk"); len(all) != 1 || all[0].Born != 2 {
+		t.Errorf("got replicas %v for new work, want the later process alone", all)
 	}
 }
 
--- a/pkg/goosegossip/gossip.go
+++ b/pkg/goosegossip/gossip.go
@@ -221,7 +221,10 @@
 		p = &known{silent: true}
 		g.peers[m.From] = p
 	}
-	if m.Incarnation < p.incarnation || m.Incarnation == p.incarnation && m.Sequence < p.sequence {
+	// A process that starts after the time of day was set back looks like an earlier one;
+	// once nothing is heard any more from the one before it, it counts.
+	earlier := m.Incarnation < p.incarnation && now.Sub(p.at) <= gooseplacement.PeerSilence
+	if earlier || m.Incarnation == p.incarnation && m.Sequence < p.sequence {
 		g.mu.Unlock()
 		return
 	}
--- a/pkg/goosegossip/gossip_test.go
+++ b/pkg/goosegossip/gossip_test.go
@@ -177,6 +177,25 @@
 	}
 }
 
+// Guards against a restarted instance whose reports are dropped because the time of day was
+// set back meanwhile.
+func TestClockSetBack(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		b := board()
+		g := New(Options{Board: b, Heard: func(goosedirectory.View) {}, Log: slog.New(slog.DiscardHandler), Clock: goose.SystemClock{}})
+		one := message{From: "b", Incarnation: 9, Sequence: 7, Parts: 1}
+		g.heard(one, &net.UDPAddr{})
+		time.Sleep(gooseplacement.PeerSilence + time.Millisecond)
+		one.Incarnation, one.Sequence = 5, 1
+		one.Report.Replicas = map[goose.ReplicaID]gooseplacement.Load{"i-0": {Requests: 9}}
+		g.heard(one, &net.UDPAddr{})
+		if c, _ := b.Choose(gooseplacement.Demand{}, twoReplicas(), time.Now()); c.Replica.ID != "i-1" {
+			t.Errorf("got replica %s, want the one that the restarted peer has not loaded", c.Replica.ID)
+		}
+	})
+}
+
 // twoReplicas are plain replicas with few slots, i-0 before i-1.
 func twoReplicas() []goosedirectory.Replica {
 	all := make([]goosedirectory.Replica, 2)
--- a/pkg/gooseplacement/board.go
+++ b/pkg/gooseplacement/board.go
@@ -12,7 +12,7 @@
 // peer's connections break, and replicas drop its requests.
 const PeerSilence = 2 * time.Second
 
-// Options are the figures that a board needs; all are required but DataCentre.
+// Options are the figures that a board needs; all are required but Rand.
 type Options struct {
 	// DataCentre is that of this instance; its replicas are preferred slightly.
 	DataCentre goose.DataCentre
--- a/pkg/gooseplacement/stale.go
+++ b/pkg/gooseplacement/stale.go
@@ -8,8 +8,8 @@
 
 // What peers have sent since their last reports is not in the loads. If all instances
 // took the replica that looks cheapest, the requests of that time would meet there. Each
-// one therefore assumes that the unseen work fills the replicas from the cheapest up, like
-// water, and draws among them by what each would get.
+// one therefore assumes that the unseen work is spread so that it brings the cheapest
+// replicas to the same cost, and draws among them by the part that each would get.
 
 // leastUnseen is assumed at least: a request of another instance may always be on its way.
 const leastUnseen = 25 * time.Millisecond
--- a/pkg/gooseretry/budget.go
+++ b/pkg/gooseretry/budget.go
@@ -31,6 +31,9 @@
 type Budget struct {
 	o  Options
 	mu sync.Mutex
+	// origin is the time of the first step. Steps count from it by the steady clock: the
+	// time of day may jump, and would forget retries or count them twice.
+	origin time.Time
 	// services has the counts of each service, a step at a time.
 	services map[goose.ServiceName]*counts
 }
@@ -73,7 +76,10 @@
 
 // step numbers the parts of time.
 func (b *Budget) step(now time.Time) int64 {
-	return now.UnixNano() / max(int64(b.o.Window)/steps, 1)
+	if b.origin.IsZero() {
+		b.origin = now
+	}
+	return int64(now.Sub(b.origin) / max(b.o.Window/steps, 1))
 }
 
 func (b *Budget) slot(s goose.ServiceName, now time.Time) (*counts, int) {
