--- a/scripts/hunt.sh
+++ b/scripts/hunt.sh
@@ -1,14 +1,25 @@
 #!/bin/sh
 # Plays days with other seeds and mixed troubles on a site of the users' platform, and
 # fails if a rule is broken. The whole table stays in out/.
-# usage: KIT=<folder of the kit> JOBS=<cores> scripts/hunt.sh <site> <days>
+# usage: KIT=<folder of the kit> JOBS=<cores> scripts/hunt.sh <site> <days> [variant]
+# With a variant (goosesite --help) it plays a site that is derived from the users' one.
 set -eu
 site=$1
 days=$2
+variant=${3:-}
 test -x "$KIT/bin/fleetbench" || { echo "hunt: the users' kit is not in $KIT; nothing was played" >&2; exit 1; }
 file=$(find "$KIT" -name "$site.toml" | head -1)
 test -n "$file" || { echo "hunt: the kit has no site $site" >&2; exit 1; }
 mkdir -p out
+if [ -n "$variant" ]; then
+	# The site is written for the run alone: the users' files are no part of the repository.
+	derived=$(mktemp -d)
+	trap 'rm -rf "$derived"' EXIT
+	cp "$(dirname "$file")/wire.json" "$derived/"
+	go run ./cmd/goosesite --from "$file" --variant "$variant" >"$derived/$site-$variant.toml"
+	file=$derived/$site-$variant.toml
+	site=$site-$variant
+fi
 "$KIT/bin/fleetbench" hunt "$file" --days "$days" --jobs "$JOBS" --why "hunt" >"out/hunt-$site.txt" 2>&1 || true
 grep -vE 'is played, after' "out/hunt-$site.txt"
 grep -qE '^[0-9]+ days on .*, 0 with a rule broken' "out/hunt-$site.txt"
