--- a/internal/goosebench/client.go
+++ b/internal/goosebench/client.go
@@ -27,7 +27,7 @@
 	ResultRefused Result = "refused"
 	// ResultFailed is a streamed response that ended with an error frame.
 	ResultFailed Result = "failed"
-	// ResultCut is a response that broke off without an error frame or never came.
+	// ResultCut is a response that broke off without an error frame or never arrived.
 	ResultCut Result = "cut"
 	// ResultWrong is a response that differs from the expected output of the request.
 	ResultWrong Result = "wrong"
--- a/internal/gooseengine/events.go
+++ b/internal/gooseengine/events.go
@@ -30,21 +30,21 @@
 
 // markNew marks the last event as new, which allows the backend server to send
 // maxEventBytes more until the next new one. Dropped events are not new.
-func (d *eventReader) markNew() { d.sinceNewEvent = 0 }
+func (r *eventReader) markNew() { r.sinceNewEvent = 0 }
 
 // next returns the data of the next event that has data; the slice is valid
 // until the next call.
-func (d *eventReader) next() ([]byte, error) {
-	d.data = d.data[:0]
+func (r *eventReader) next() ([]byte, error) {
+	r.data = r.data[:0]
 	hasData := false
 	for {
-		line, err := d.readLine()
+		line, err := r.readLine()
 		if err != nil {
 			return nil, err
 		}
 		if len(line) == 0 {
 			if hasData {
-				return d.data, nil
+				return r.data, nil
 			}
 			continue
 		}
@@ -53,25 +53,25 @@
 			continue
 		}
 		if hasData {
-			d.data = append(d.data, '\n')
+			r.data = append(r.data, '\n')
 		}
 		hasData = true
-		d.data = append(d.data, value...)
+		r.data = append(r.data, value...)
 	}
 }
 
 // readLine returns one line without its line ending.
-func (d *eventReader) readLine() ([]byte, error) {
-	d.line = d.line[:0]
+func (r *eventReader) readLine() ([]byte, error) {
+	r.line = r.line[:0]
 	for {
-		part, err := d.r.ReadSlice('\n')
-		d.line = append(d.line, part...)
-		d.sinceNewEvent += len(part)
+		part, err := r.r.ReadSlice('\n')
+		r.line = append(r.line, part...)
+		r.sinceNewEvent += len(part)
 		switch {
-		case d.sinceNewEvent > maxEventBytes:
+		case r.sinceNewEvent > maxEventBytes:
 			return nil, errNoNewEvent
 		case err == nil:
-			return bytes.TrimSuffix(bytes.TrimSuffix(d.line, []byte("\n")), []byte("\r")), nil
+			return bytes.TrimSuffix(bytes.TrimSuffix(r.line, []byte("\n")), []byte("\r")), nil
 		case !errors.Is(err, bufio.ErrBufferFull):
 			return nil, err
 		}
--- a/internal/gooseentry/bench_test.go
+++ b/internal/gooseentry/bench_test.go
@@ -19,9 +19,9 @@
 		goosetest.Chunks(w, r.Header.Get("X-Request-Id"), 0, 1)
 		goosetest.EndOfStream(w)
 	})
-	r := newTestEntry(b, func(o *Options, r *testEntry) {
-		for i := range r.catalogue.Servers {
-			r.catalogue.Servers[i].MemoryTokens = 2_000_000
+	e := newTestEntry(b, func(o *Options, e *testEntry) {
+		for i := range e.catalogue.Servers {
+			e.catalogue.Servers[i].MemoryTokens = 2_000_000
 		}
 	}, engine)
 	body := strings.Replace(chatBody, "sharpen", strings.Repeat("sharpen the die ", 4<<20/16), 1)
@@ -29,7 +29,7 @@
 	b.ReportAllocs()
 	b.SetBytes(int64(len(body)))
 	for b.Loop() {
-		if got := r.post(b, "/v1/chat/completions", body).status; got != http.StatusOK {
+		if got := e.post(b, "/v1/chat/completions", body).status; got != http.StatusOK {
 			b.Fatalf("status %d", got)
 		}
 	}
@@ -44,10 +44,10 @@
 		}
 		goosetest.EndOfStream(w)
 	})
-	r := newTestEntry(b, nil, engine)
+	e := newTestEntry(b, nil, engine)
 	b.ReportAllocs()
 	b.ResetTimer()
-	resp := r.post(b, "/v1/chat/completions", chatBody)
+	resp := e.post(b, "/v1/chat/completions", chatBody)
 	b.StopTimer()
 	if !strings.HasSuffix(resp.body, "data: [DONE]\n\n") {
 		b.Errorf("response ended early: %.200q", resp.body[max(0, len(resp.body)-200):])
@@ -65,8 +65,8 @@
 		goosetest.Chunks(w, r.Header.Get("X-Request-Id"), 0, 1)
 		goosetest.EndOfStream(w)
 	})
-	r := newTestEntry(b, nil, engine)
-	for name, url := range map[string]string{"through": r.url, "direct": engine.URL} {
+	e := newTestEntry(b, nil, engine)
+	for name, url := range map[string]string{"through": e.url, "direct": engine.URL} {
 		b.Run(name, func(b *testing.B) {
 			target := &testEntry{url: url}
 			b.ReportAllocs()
--- a/internal/gooseentry/entry_test.go
+++ b/internal/gooseentry/entry_test.go
@@ -16,8 +16,8 @@
 // to the engine that does not ask for a stream.
 func TestModelResponse(t *testing.T) {
 	engine := goosetest.NewBackend(t, goosetest.Answering(5))
-	r := newTestEntry(t, nil, engine)
-	events := r.post(t, "/v1/chat/completions", chatBody).body
+	e := newTestEntry(t, nil, engine)
+	events := e.post(t, "/v1/chat/completions", chatBody).body
 	if got, want := streamText(events), "t0 t1 t2 t3 t4 "; got != want {
 		t.Errorf("streamed text: got %q, want %q", got, want)
 	}
@@ -30,7 +30,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var completion completionResponse
-			if err := json.Unmarshal([]byte(r.post(t, "/v1/chat/completions", body).body), &completion); err != nil {
+			if err := json.Unmarshal([]byte(e.post(t, "/v1/chat/completions", body).body), &completion); err != nil {
 				t.Fatal(err)
 			}
 			if got, want := completion.Choices[0].Message.Content, "t0 t1 t2 t3 t4 "; got != want {
@@ -42,8 +42,8 @@
 			}
 		})
 	}
-	r.waitDrained(t)
-	if got, want := r.permits.Outcomes(), "finished finished finished"; got != want {
+	e.waitDrained(t)
+	if got, want := e.permits.Outcomes(), "finished finished finished"; got != want {
 		t.Errorf("outcomes: got %q, want %q", got, want)
 	}
 }
@@ -57,12 +57,12 @@
 		w.WriteHeader(http.StatusTeapot)
 		_, _ = w.Write([]byte("12 left"))
 	})
-	r := newTestEntry(t, func(_ *Options, r *testEntry) {
-		for i := range r.catalogue.Servers {
-			r.catalogue.Servers[i].MemoryTokens = 0
+	e := newTestEntry(t, func(_ *Options, e *testEntry) {
+		for i := range e.catalogue.Servers {
+			e.catalogue.Servers[i].MemoryTokens = 0
 		}
 	}, shop)
-	resp := r.post(t, "/services/stock/count/a%20b?n=1", "payload")
+	resp := e.post(t, "/services/stock/count/a%20b?n=1", "payload")
 	if got, want := resp.status, http.StatusTeapot; got != want {
 		t.Errorf("status: got %d, want %d", got, want)
 	}
@@ -75,8 +75,8 @@
 	if got, want := string(shop.Bodies[0]), "payload"; got != want {
 		t.Errorf("request body: got %q, want %q", got, want)
 	}
-	r.post(t, "/services/stock/count/other", "payload")
-	first, second := r.permits.Requests[0], r.permits.Requests[1]
+	e.post(t, "/services/stock/count/other", "payload")
+	first, second := e.permits.Requests[0], e.permits.Requests[1]
 	if first.Class != goose.ClassShort || first.Fingerprint == second.Fingerprint {
 		t.Errorf("permit requests: got %+v and %+v, want short ones with fingerprints of their own", first, second)
 	}
--- a/internal/gooseentry/failure_test.go
+++ b/internal/gooseentry/failure_test.go
@@ -42,15 +42,15 @@
 			goosetest.EndOfStream(w)
 		}
 	})
-	r := newTestEntry(t, nil, engine)
-	if got, want := r.chatText(t, chatBody), "t0 t1 t2 t3 "; got != want {
+	e := newTestEntry(t, nil, engine)
+	if got, want := e.chatText(t, chatBody), "t0 t1 t2 t3 "; got != want {
 		t.Errorf("text: got %q, want %q", got, want)
 	}
-	r.waitDrained(t)
+	e.waitDrained(t)
 	if got := engine.Seen("POST"); got != 1 {
 		t.Errorf("requests at the engine: got %d, want 1", got)
 	}
-	if got, want := r.permits.Outcomes(), "finished"; got != want {
+	if got, want := e.permits.Outcomes(), "finished"; got != want {
 		t.Errorf("outcomes: got %q, want %q", got, want)
 	}
 }
@@ -61,21 +61,21 @@
 func TestDeadEngineIsReplaced(t *testing.T) {
 	for name, tokens := range map[string]int{"before the first token": 0, "after two tokens": 2} {
 		t.Run(name, func(t *testing.T) {
-			r := newTestEntry(t, nil, goosetest.NewBackend(t, goosetest.Dying(tokens)), goosetest.NewBackend(t, goosetest.Answering(4)))
-			if got, want := r.chatText(t, chatBody), "t0 t1 t2 t3 "; got != want {
+			e := newTestEntry(t, nil, goosetest.NewBackend(t, goosetest.Dying(tokens)), goosetest.NewBackend(t, goosetest.Answering(4)))
+			if got, want := e.chatText(t, chatBody), "t0 t1 t2 t3 "; got != want {
 				t.Errorf("text: got %q, want %q", got, want)
 			}
-			r.waitDrained(t)
-			if got, want := r.permits.Outcomes(), "crashed finished"; got != want {
+			e.waitDrained(t)
+			if got, want := e.permits.Outcomes(), "crashed finished"; got != want {
 				t.Errorf("outcomes: got %q, want %q", got, want)
 			}
-			if got := r.permits.Requests[1]; got.Suspicion != goose.SuspicionSuspect || len(got.Avoid) != 1 {
+			if got := e.permits.Requests[1]; got.Suspicion != goose.SuspicionSuspect || len(got.Avoid) != 1 {
 				t.Errorf("second permit request: got %+v, want a suspect that avoids the dead engine", got)
 			}
-			if got := r.suspects.Clearances; got != 1 {
+			if got := e.suspects.Clearances; got != 1 {
 				t.Errorf("suspects cleared: got %d, want 1", got)
 			}
-			if got := r.suspects.Trials; got != 1 {
+			if got := e.suspects.Trials; got != 1 {
 				t.Errorf("trials of a suspect: got %d, want 1", got)
 			}
 		})
@@ -89,16 +89,16 @@
 	for range 4 {
 		all = append(all, goosetest.NewBackend(t, goosetest.Dying(0)))
 	}
-	r := newTestEntry(t, nil, all...)
-	resp := r.post(t, "/v1/chat/completions", chatBody)
+	e := newTestEntry(t, nil, all...)
+	resp := e.post(t, "/v1/chat/completions", chatBody)
 	if got := decodeRefusal(t, resp.body); got.Code != goose.CodeCrashesBackend || got.Run != goose.RunStateUnknown {
 		t.Errorf("refusal of the running request: got %+v", got)
 	}
-	resp = r.post(t, "/v1/chat/completions", chatBody)
+	resp = e.post(t, "/v1/chat/completions", chatBody)
 	if got := decodeRefusal(t, resp.body); got.Code != goose.CodeCrashesBackend || got.Run != goose.RunStateNotRun {
 		t.Errorf("refusal of its repeat: got %+v", got)
 	}
-	r.waitDrained(t)
+	e.waitDrained(t)
 	if got := all[0].Seen("POST") + all[1].Seen("POST") + all[2].Seen("POST"); got != 2 {
 		t.Errorf("engines that got the request: got %d, want 2", got)
 	}
@@ -123,11 +123,11 @@
 		_ = b.Listener.Close()
 		goosetest.HangUp(w)
 	})
-	r := newTestEntry(t, nil, engine, goosetest.NewBackend(t, goosetest.Answering(2)))
+	e := newTestEntry(t, nil, engine, goosetest.NewBackend(t, goosetest.Answering(2)))
 	var group conc.WaitGroup
 	for i := range n {
 		group.Go(func() {
-			if got, want := r.chatText(t, strings.Replace(chatBody, "sharpen", "sharpen "+strconv.Itoa(i), 1)), "t0 t1 "; got != want {
+			if got, want := e.chatText(t, strings.Replace(chatBody, "sharpen", "sharpen "+strconv.Itoa(i), 1)), "t0 t1 "; got != want {
 				t.Errorf("text: got %q, want %q", got, want)
 			}
 		})
@@ -148,23 +148,23 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			engine := goosetest.NewBackend(t, goosetest.Stuck(2))
-			r := newTestEntry(t, func(o *Options, r *testEntry) {
-				r.permits.HoldRequests = c.queued
+			e := newTestEntry(t, func(o *Options, e *testEntry) {
+				e.permits.HoldRequests = c.queued
 				o.Limits.HeaderDelay = time.Hour
 			}, engine)
-			conn := r.sendRaw(t, "/v1/chat/completions", strings.Replace(chatBody, "true", strconv.FormatBool(c.stream), 1))
+			conn := e.sendRaw(t, "/v1/chat/completions", strings.Replace(chatBody, "true", strconv.FormatBool(c.stream), 1))
 			// An attempt that ends before the engine has responded is cancelled
 			// twice, so the test waits for the first token.
-			for r.permits.Asked() == 0 || !c.queued && r.permits.Prefills() == 0 {
+			for e.permits.Asked() == 0 || !c.queued && e.permits.Prefills() == 0 {
 				time.Sleep(time.Millisecond)
 			}
 			_ = conn.Close()
-			r.waitDrained(t)
+			e.waitDrained(t)
 			want := "cancelled"
 			if c.queued {
 				want = ""
 			}
-			if got := r.permits.Outcomes(); got != want {
+			if got := e.permits.Outcomes(); got != want {
 				t.Errorf("outcomes: got %q, want %q", got, want)
 			}
 			if got := engine.Seen("DELETE /v1/streams/permit-1"); got != engine.Seen("POST") {
@@ -187,8 +187,8 @@
 		goosetest.Chunks(w, streamID(r), 0, 4)
 		goosetest.EndOfStream(w)
 	})
-	r := newTestEntry(t, nil, engine)
-	if got, want := r.chatText(t, chatBody), "t0 t1 t2 t3 "; got != want {
+	e := newTestEntry(t, nil, engine)
+	if got, want := e.chatText(t, chatBody), "t0 t1 t2 t3 "; got != want {
 		t.Errorf("text: got %q, want %q", got, want)
 	}
 }
@@ -209,8 +209,8 @@
 				http.NotFound(w, r)
 			})
 			other := goosetest.NewBackend(t, goosetest.Answering(3))
-			r := newTestEntry(t, nil, forgetful, other)
-			resp := r.post(t, "/v1/chat/completions", strings.Replace(chatBody, "16", c.max, 1))
+			e := newTestEntry(t, nil, forgetful, other)
+			resp := e.post(t, "/v1/chat/completions", strings.Replace(chatBody, "16", c.max, 1))
 			if got := streamText(resp.body); got != c.want || !strings.HasSuffix(resp.body, "[DONE]\n\n") {
 				t.Errorf("text: got %q, want %q and an end marker", got, c.want)
 			}
@@ -245,13 +245,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			engine := goosetest.NewBackend(t, goosetest.Stuck(c.tokens))
-			r := newTestEntry(t, func(o *Options, r *testEntry) {
-				r.permits.HoldRequests = c.hold
+			e := newTestEntry(t, func(o *Options, e *testEntry) {
+				e.permits.HoldRequests = c.hold
 				o.Limits.HeaderDelay = time.Minute
 			}, engine)
 			wasted := metrics.GetOrCreateCounter(`gooseberryhold_wasted_tokens_total{cause="deadline"}`)
 			before := wasted.Get()
-			resp := r.post(t, "/v1/chat/completions", strings.Replace(chatBody, "true", strconv.FormatBool(c.stream), 1), "X-Request-Timeout", "1s")
+			resp := e.post(t, "/v1/chat/completions", strings.Replace(chatBody, "true", strconv.FormatBool(c.stream), 1), "X-Request-Timeout", "1s")
 			_, last, _ := strings.Cut(resp.body, "event: error\ndata: ")
 			if last == "" {
 				last = resp.body
@@ -262,8 +262,8 @@
 			if strings.Contains(resp.body, "[DONE]") {
 				t.Error("end marker after an error")
 			}
-			r.waitDrained(t)
-			if got := r.permits.Outcomes(); got != c.outcomes {
+			e.waitDrained(t)
+			if got := e.permits.Outcomes(); got != c.outcomes {
 				t.Errorf("outcomes: got %q, want %q", got, c.outcomes)
 			}
 			if got := engine.Seen("DELETE /v1/streams/permit-1"); got != c.cancels {
@@ -279,11 +279,11 @@
 // Guards against a waiting stream without keep-alive comments, and against a
 // refusal without an error event after the stream has begun.
 func TestKeepAliveThenError(t *testing.T) {
-	r := newTestEntry(t, func(o *Options, r *testEntry) {
-		r.permits.HoldRequests = true
+	e := newTestEntry(t, func(o *Options, e *testEntry) {
+		e.permits.HoldRequests = true
 		o.Limits.HeaderDelay = time.Millisecond
 	}, goosetest.NewBackend(t, nil))
-	resp := r.post(t, "/v1/chat/completions", chatBody, "X-Request-Timeout", "2s")
+	resp := e.post(t, "/v1/chat/completions", chatBody, "X-Request-Timeout", "2s")
 	if resp.status != http.StatusOK || !strings.HasPrefix(resp.body, ": keep-alive\n\n") || !strings.Contains(resp.body, "event: error\ndata: {") {
 		t.Errorf("got %d %q, want comments and an error event", resp.status, resp.body)
 	}
@@ -303,10 +303,10 @@
 					w.WriteHeader(http.StatusServiceUnavailable)
 				}))
 			}
-			r := newTestEntry(t, func(o *Options, r *testEntry) {
+			e := newTestEntry(t, func(o *Options, e *testEntry) {
 				o.Limits.RetryBurst = c.burst
 			}, all...)
-			got := decodeRefusal(t, r.post(t, "/v1/chat/completions", chatBody).body)
+			got := decodeRefusal(t, e.post(t, "/v1/chat/completions", chatBody).body)
 			if got.Code != goose.CodeBackendFailed || got.Run != goose.RunStateUnknown {
 				t.Errorf("refusal: got %+v, want backend-failed, unknown", got)
 			}
@@ -326,11 +326,11 @@
 // has.
 func TestOtherDataCentre(t *testing.T) {
 	full := map[goose.DataCentre]time.Duration{"leith": 3 * time.Second}
-	r := newTestEntry(t, func(_ *Options, r *testEntry) {
-		away := r.catalogue.Servers[0]
+	e := newTestEntry(t, func(_ *Options, e *testEntry) {
+		away := e.catalogue.Servers[0]
 		away.DataCentre = "dalkeith"
-		r.catalogue.Servers = append(r.catalogue.Servers, away)
-		r.permits.Refuse = func(req goose.PermitRequest) *goose.Refusal {
+		e.catalogue.Servers = append(e.catalogue.Servers, away)
+		e.permits.Refuse = func(req goose.PermitRequest) *goose.Refusal {
 			after, ok := full[req.Pool.DataCentre]
 			if !ok {
 				return nil
@@ -339,13 +339,13 @@
 			return &n
 		}
 	}, goosetest.NewBackend(t, goosetest.Answering(1)))
-	if got := r.chatText(t, chatBody); got != "t0 " {
+	if got := e.chatText(t, chatBody); got != "t0 " {
 		t.Errorf("text: got %q, want the other data centre's", got)
 	}
-	r.permits.Mu.Lock()
+	e.permits.Mu.Lock()
 	full["dalkeith"] = 9 * time.Second
-	r.permits.Mu.Unlock()
-	if got := r.post(t, "/v1/chat/completions", chatBody).header.Get("Retry-After"); got != "3" {
+	e.permits.Mu.Unlock()
+	if got := e.post(t, "/v1/chat/completions", chatBody).header.Get("Retry-After"); got != "3" {
 		t.Errorf("Retry-After: got %q, want the own data centre's 3", got)
 	}
 }
@@ -353,11 +353,11 @@
 // Guards against a refusal that says not-run because the last attempt was not
 // sent, although an earlier one ran.
 func TestEarlierAttemptCounts(t *testing.T) {
-	r := newTestEntry(t, func(_ *Options, r *testEntry) {
-		r.catalogue.Servers = append(r.catalogue.Servers, r.catalogue.Servers[0])
-		r.catalogue.Servers[len(r.catalogue.Servers)-1].Name, r.catalogue.Servers[len(r.catalogue.Servers)-1].Address = "none", "127.0.0.1:1"
+	e := newTestEntry(t, func(_ *Options, e *testEntry) {
+		e.catalogue.Servers = append(e.catalogue.Servers, e.catalogue.Servers[0])
+		e.catalogue.Servers[len(e.catalogue.Servers)-1].Name, e.catalogue.Servers[len(e.catalogue.Servers)-1].Address = "none", "127.0.0.1:1"
 	}, goosetest.NewBackend(t, goosetest.Dying(1)))
-	if got := decodeRefusal(t, r.post(t, "/v1/chat/completions", strings.Replace(chatBody, "true", "false", 1)).body); got.Run != goose.RunStateUnknown {
+	if got := decodeRefusal(t, e.post(t, "/v1/chat/completions", strings.Replace(chatBody, "true", "false", 1)).body); got.Run != goose.RunStateUnknown {
 		t.Errorf("refusal: got %+v, want run unknown", got)
 	}
 }
@@ -385,8 +385,8 @@
 // at its deadline, and against a write deadline that such a stream leaves for
 // the next response.
 func TestConnectionIsReusedAfterDeadline(t *testing.T) {
-	r := newTestEntry(t, nil, goosetest.NewBackend(t, goosetest.Stuck(2)))
-	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	e := newTestEntry(t, nil, goosetest.NewBackend(t, goosetest.Stuck(2)))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -418,7 +418,7 @@
 // because a check of the connection directly after the deadline treats the
 // caller as gone.
 func TestProbeAfterDeadline(t *testing.T) {
-	r := newTestEntry(t, nil)
+	e := newTestEntry(t, nil)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -434,14 +434,14 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = conn.Close() }()
-	j := r.newJob(&request{id: "r", deadline: time.Now()})
+	j := e.newJob(&request{id: "r", deadline: time.Now()})
 	<-j.ctx.Done()
-	s := &streamWriter{entry: r.Entry, job: j, conn: conn}
+	s := &streamWriter{entry: e.Entry, job: j, conn: conn}
 	s.guard.deadlineFunc(conn)()
 	if err := caller.(*net.TCPConn).CloseWrite(); err != nil {
 		t.Fatal(err)
 	}
-	for !callerGone(conn) {
+	for !callerDisconnected(conn) {
 		time.Sleep(time.Millisecond)
 	}
 	var out bytes.Buffer
--- a/internal/gooseentry/giant_test.go
+++ b/internal/gooseentry/giant_test.go
@@ -46,25 +46,25 @@
 			for _, handle := range c.engines {
 				all = append(all, goosetest.NewBackend(t, handle))
 			}
-			r := newTestEntry(t, func(o *Options, r *testEntry) {
-				r.permits.GiantPermits = true
+			e := newTestEntry(t, func(o *Options, e *testEntry) {
+				e.permits.GiantPermits = true
 				o.Limits.RetryBurst = 0.5
-				for i := range r.catalogue.Servers {
-					r.catalogue.Servers[i].MemoryTokens = 1999
+				for i := range e.catalogue.Servers {
+					e.catalogue.Servers[i].MemoryTokens = 1999
 				}
 			}, all...)
 			body, err := json.Marshal(map[string]any{"model": "mend", "stream": true, "messages": []any{map[string]string{"role": "user", "content": text}}})
 			if err != nil {
 				t.Fatal(err)
 			}
-			if got := r.chatText(t, string(body)); got != c.text {
+			if got := e.chatText(t, string(body)); got != c.text {
 				t.Errorf("text: got %q, want %q", got, c.text)
 			}
-			r.waitDrained(t)
-			if got := r.permits.Requests[0].Class; got != goose.ClassGiant {
+			e.waitDrained(t)
+			if got := e.permits.Requests[0].Class; got != goose.ClassGiant {
 				t.Errorf("class: got %s, want %s", got, goose.ClassGiant)
 			}
-			if got := r.permits.Outcomes(); got != c.outcomes {
+			if got := e.permits.Outcomes(); got != c.outcomes {
 				t.Errorf("outcomes: got %q, want %q", got, c.outcomes)
 			}
 			deleted := 0
--- a/internal/gooseentry/helpers_test.go
+++ b/internal/gooseentry/helpers_test.go
@@ -49,22 +49,22 @@
 			})
 		}
 	}
-	r := &testEntry{
+	e := &testEntry{
 		catalogue: catalogue, permits: &goosetest.PermitClient{Servers: catalogue}, ledger: &goosetest.Ledger{},
-		suspects: goosetest.NewSuspects(), logs: &bytes.Buffer{},
+		suspects: goosetest.NewSuspectTracker(), logs: &bytes.Buffer{},
 	}
 	o := Options{
-		Instance: "leith-1", DataCentre: "leith", Configuration: catalogue, Permits: r.permits, Ledger: r.ledger,
-		Suspects: r.suspects, Membership: goosetest.Membership{}, Protocol: goose.NewProtocol,
+		Instance: "leith-1", DataCentre: "leith", Configuration: catalogue, Permits: e.permits, Ledger: e.ledger,
+		Suspects: e.suspects, Membership: goosetest.Membership{}, Protocol: goose.NewProtocol,
 		Limits: Limits{ProbeInterval: 20 * time.Millisecond, KeepAliveInterval: 40 * time.Millisecond, HeaderDelay: time.Minute, CancelTimeout: time.Second},
-		Logger: slog.New(slog.NewJSONHandler(r.logs, nil)),
+		Logger: slog.New(slog.NewJSONHandler(e.logs, nil)),
 	}
 	if change != nil {
-		change(&o, r)
+		change(&o, e)
 	}
-	r.Entry = New(o)
-	app := fiber.New(r.FiberConfig())
-	r.Register(app)
+	e.Entry = New(o)
+	app := fiber.New(e.FiberConfig())
+	e.Register(app)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -81,8 +81,8 @@
 		_ = ln.Close()
 		<-served
 	})
-	r.url = "http://" + ln.Addr().String()
-	return r
+	e.url = "http://" + ln.Addr().String()
+	return e
 }
 
 // response is a complete response of the entry instance.
@@ -94,9 +94,9 @@
 
 // post sends a request with the workspace's key. header holds alternating names
 // and values.
-func (r *testEntry) post(t testing.TB, path, body string, header ...string) response {
+func (e *testEntry) post(t testing.TB, path, body string, header ...string) response {
 	t.Helper()
-	resp, err := r.send(context.Background(), path, body, header...)
+	resp, err := e.send(context.Background(), path, body, header...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -108,8 +108,8 @@
 	return response{resp.StatusCode, resp.Header, string(b)}
 }
 
-func (r *testEntry) send(ctx context.Context, path, body string, header ...string) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+path, strings.NewReader(body))
+func (e *testEntry) send(ctx context.Context, path, body string, header ...string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.url+path, strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -122,11 +122,11 @@
 
 // waitDrained drains the Entry and waits until all work has ended, so that the
 // released permits can be checked.
-func (r *testEntry) waitDrained(t testing.TB) {
+func (e *testEntry) waitDrained(t testing.TB) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	if err := r.Drain(ctx); err != nil {
+	if err := e.Drain(ctx); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -159,15 +159,15 @@
 }
 
 // chatText sends a streamed chat request and returns the text of the response.
-func (r *testEntry) chatText(t testing.TB, body string) string {
+func (e *testEntry) chatText(t testing.TB, body string) string {
 	t.Helper()
-	return streamText(r.post(t, "/v1/chat/completions", body).body)
+	return streamText(e.post(t, "/v1/chat/completions", body).body)
 }
 
 // sendRaw sends a request over a connection that the test can close.
-func (r *testEntry) sendRaw(t testing.TB, path, body string) net.Conn {
+func (e *testEntry) sendRaw(t testing.TB, path, body string) net.Conn {
 	t.Helper()
-	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gooseentry/job.go
+++ b/internal/gooseentry/job.go
@@ -13,10 +13,10 @@
 )
 
 var (
-	errCallerGone     = errors.New("caller gone")
-	errDeadline       = errors.New("deadline of the request passed")
-	errNotRunReported = errors.New("the caller was already told that the request did not run")
-	errPermitExpired  = errors.New("permit expired before use")
+	errCallerDisconnected = errors.New("caller gone")
+	errDeadline           = errors.New("deadline of the request passed")
+	errNotRunReported     = errors.New("the caller was already told that the request did not run")
+	errPermitExpired      = errors.New("permit expired before use")
 )
 
 // frameBufferSize is the number of frames that the worker may be ahead of the
@@ -143,13 +143,13 @@
 	if j.flushedTokens.Load() < j.passedTokens.Load() {
 		countWastedTokens(j.wasteCause(), int(j.passedTokens.Load()-j.flushedTokens.Load()))
 	}
-	j.cancel(errCallerGone)
+	j.cancel(errCallerDisconnected)
 	j.unref()
 }
 
 func (j *job) wasteCause() string {
 	switch cause := context.Cause(j.ctx); {
-	case errors.Is(cause, errCallerGone):
+	case errors.Is(cause, errCallerDisconnected):
 		return "caller-gone"
 	case errors.Is(cause, errDeadline):
 		return "deadline"
@@ -160,8 +160,8 @@
 // contextRefusal returns the refusal for a request whose context has ended.
 func (j *job) contextRefusal() *goose.Refusal {
 	run := j.gate.close()
-	if errors.Is(context.Cause(j.ctx), errCallerGone) {
-		return &goose.Refusal{Code: goose.CodeDeadline, Message: errCallerGone.Error(), Run: run, Reason: "caller-gone"}
+	if errors.Is(context.Cause(j.ctx), errCallerDisconnected) {
+		return &goose.Refusal{Code: goose.CodeDeadline, Message: errCallerDisconnected.Error(), Run: run, Reason: "caller-gone"}
 	}
 	r := goose.Refusal{Code: goose.CodeDeadline, Message: errDeadline.Error(), Run: run}
 	if run == goose.RunStateNotRun {
@@ -202,8 +202,8 @@
 )
 
 // sendCheck returns the check that runs directly before the first byte is sent:
-// the permit must be valid, and the caller must not have been told yet that the
-// request did not run.
+// the permit must be valid, and the caller must not have received a refusal yet
+// that states that the request did not run.
 func (j *job) sendCheck(p *goose.Permit) func() error {
 	return func() error {
 		if !p.Valid(j.entry.clock.Now()) {
--- a/internal/gooseentry/order_test.go
+++ b/internal/gooseentry/order_test.go
@@ -24,12 +24,12 @@
 		_, _ = w.Write([]byte("booked"))
 	}
 	expiring := func(n int) func(*Options, *testEntry) {
-		return func(_ *Options, r *testEntry) {
-			r.permits.Lifetime = map[int]time.Duration{}
+		return func(_ *Options, e *testEntry) {
+			e.permits.Lifetime = map[int]time.Duration{}
 			for i := 1; i <= n; i++ {
-				r.permits.Lifetime[i] = 500 * time.Millisecond
+				e.permits.Lifetime[i] = 500 * time.Millisecond
 			}
-			r.ledger.Delay = time.Second
+			e.ledger.Delay = time.Second
 		}
 	}
 	for name, c := range map[string]struct {
@@ -67,15 +67,15 @@
 			first: "deadline not-run", repeat: "deadline not-run", state: goose.OrderNotRun, claims: 2, outcomes: "not-sent not-sent",
 		},
 		"backend server unreachable": {
-			change: func(_ *Options, r *testEntry) { r.catalogue.Servers[2].Address = "127.0.0.1:1" }, handle: booking,
+			change: func(_ *Options, e *testEntry) { e.catalogue.Servers[2].Address = "127.0.0.1:1" }, handle: booking,
 			first: "overloaded not-run", repeat: "overloaded not-run", state: goose.OrderNotRun, claims: 2, outcomes: "not-sent not-sent",
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			shop := goosetest.NewBackend(t, c.handle)
-			r := newTestEntry(t, c.change, shop)
+			e := newTestEntry(t, c.change, shop)
 			for i, want := range []string{c.first, c.repeat} {
-				resp := r.post(t, orderPath, orderBody, append(c.header, "Idempotency-Key", "k")...)
+				resp := e.post(t, orderPath, orderBody, append(c.header, "Idempotency-Key", "k")...)
 				got := resp.body
 				if resp.status != http.StatusCreated {
 					ref := decodeRefusal(t, got)
@@ -84,19 +84,19 @@
 				if got != want {
 					t.Errorf("response %d: got %q, want %q", i+1, got, want)
 				}
-				r.waitIdle(t)
+				e.waitIdle(t)
 			}
-			r.waitDrained(t)
+			e.waitDrained(t)
 			if got := shop.Seen("POST"); got != c.sent {
 				t.Errorf("requests at the backend server: got %d, want %d", got, c.sent)
 			}
-			if got := r.ledger.Orders["k"].State; got != c.state {
+			if got := e.ledger.Orders["k"].State; got != c.state {
 				t.Errorf("state: got %q, want %q", got, c.state)
 			}
-			if got := r.ledger.Claims.Load(); got != c.claims {
+			if got := e.ledger.Claims.Load(); got != c.claims {
 				t.Errorf("claims: got %d, want %d", got, c.claims)
 			}
-			if got := r.permits.Outcomes(); got != c.outcomes {
+			if got := e.permits.Outcomes(); got != c.outcomes {
 				t.Errorf("outcomes: got %q, want %q", got, c.outcomes)
 			}
 		})
@@ -116,13 +116,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			one, other := goosetest.NewBackend(t, c.handle), goosetest.NewBackend(t, c.handle)
-			r := newTestEntry(t, func(_ *Options, r *testEntry) { r.catalogue.Services[0].Idempotent = false }, one, other)
+			e := newTestEntry(t, func(_ *Options, e *testEntry) { e.catalogue.Services[0].Idempotent = false }, one, other)
 			for i, want := range []string{c.first, c.repeat} {
-				resp := r.post(t, "/v1/chat/completions", chatBody, "Idempotency-Key", "k")
+				resp := e.post(t, "/v1/chat/completions", chatBody, "Idempotency-Key", "k")
 				if !strings.Contains(streamText(resp.body)+resp.body, want) {
 					t.Errorf("response %d: got %q, want %q in it", i+1, resp.body, want)
 				}
-				r.waitIdle(t)
+				e.waitIdle(t)
 			}
 			if got := one.Seen("POST") + other.Seen("POST"); got != 1 {
 				t.Errorf("attempts: got %d, want 1", got)
@@ -132,10 +132,10 @@
 }
 
 // waitIdle waits until no request is in flight.
-func (r *testEntry) waitIdle(t testing.TB) {
+func (e *testEntry) waitIdle(t testing.TB) {
 	t.Helper()
 	for range 5000 {
-		if r.RequestsInFlight() == 0 {
+		if e.RequestsInFlight() == 0 {
 			return
 		}
 		time.Sleep(time.Millisecond)
@@ -154,11 +154,11 @@
 		<-release
 		_, _ = w.Write([]byte("booked"))
 	})
-	r := newTestEntry(t, nil, shop)
+	e := newTestEntry(t, nil, shop)
 	ctx, leave := context.WithCancel(t.Context())
 	left := make(chan error)
 	go func() {
-		resp, err := r.send(ctx, orderPath, orderBody, "Idempotency-Key", "k")
+		resp, err := e.send(ctx, orderPath, orderBody, "Idempotency-Key", "k")
 		if err == nil {
 			_ = resp.Body.Close()
 		}
@@ -166,8 +166,8 @@
 	}()
 	<-running
 	joined := make(chan response)
-	go func() { joined <- r.post(t, orderPath, orderBody, "Idempotency-Key", "k") }()
-	for r.ledger.Claims.Load() < 2 {
+	go func() { joined <- e.post(t, orderPath, orderBody, "Idempotency-Key", "k") }()
+	for e.ledger.Claims.Load() < 2 {
 		time.Sleep(time.Millisecond)
 	}
 	leave()
@@ -176,18 +176,18 @@
 	}
 	// The first caller's handler ends. Its worker and the second caller's
 	// handler and worker continue.
-	for r.RequestsInFlight() > 3 {
+	for e.RequestsInFlight() > 3 {
 		time.Sleep(time.Millisecond)
 	}
 	close(release)
 	if got := (<-joined).body; got != "booked" {
 		t.Errorf("second caller: got %q, want %q", got, "booked")
 	}
-	r.waitDrained(t)
+	e.waitDrained(t)
 	if got := shop.Seen("POST"); got != 1 {
 		t.Errorf("requests at the backend server: got %d, want 1", got)
 	}
-	if got, want := r.permits.Outcomes(), "not-sent finished"; got != want {
+	if got, want := e.permits.Outcomes(), "not-sent finished"; got != want {
 		t.Errorf("outcomes: got %q, want %q", got, want)
 	}
 }
@@ -197,21 +197,21 @@
 // permit.
 func TestRefusedRepeatReportsEarlierRun(t *testing.T) {
 	shop := goosetest.NewBackend(t, func(_ *goosetest.Backend, w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("booked")) })
-	r := newTestEntry(t, func(o *Options, r *testEntry) { o.Ledger = lookupLedger{r.ledger} }, shop)
-	r.post(t, orderPath, orderBody, "Idempotency-Key", "k")
-	r.permits.Mu.Lock()
-	r.permits.Refuse = func(goose.PermitRequest) *goose.Refusal {
+	e := newTestEntry(t, func(o *Options, e *testEntry) { o.Ledger = lookupLedger{e.ledger} }, shop)
+	e.post(t, orderPath, orderBody, "Idempotency-Key", "k")
+	e.permits.Mu.Lock()
+	e.permits.Refuse = func(goose.PermitRequest) *goose.Refusal {
 		n := goose.NotRunRefusal(goose.CodeOverloaded, "full")
 		return &n
 	}
-	r.permits.Mu.Unlock()
+	e.permits.Mu.Unlock()
 	for name, c := range map[string]struct{ key, body, want string }{
 		"repeat":                   {key: "k", body: orderBody, want: "booked"},
 		"different body, same key": {key: "k", body: "{}", want: `"run":"ran"`},
 		"new order":                {key: "new", body: orderBody, want: `"run":"not-run"`},
 		"repeat, not admitted":     {key: "k", body: strings.Repeat("x", 9<<20), want: `"run":"ran"`},
 	} {
-		if got := r.post(t, orderPath, c.body, "Idempotency-Key", c.key).body; !strings.Contains(got, c.want) {
+		if got := e.post(t, orderPath, c.body, "Idempotency-Key", c.key).body; !strings.Contains(got, c.want) {
 			t.Errorf("%s: got %q, want %q in it", name, got, c.want)
 		}
 	}
--- a/internal/gooseentry/plain.go
+++ b/internal/gooseentry/plain.go
@@ -69,8 +69,8 @@
 	for {
 		ev, _, res := j.nextEvent(tick.C, nil)
 		if ev == jobEventProbe {
-			if callerGone(conn) {
-				j.cancel(errCallerGone)
+			if callerDisconnected(conn) {
+				j.cancel(errCallerDisconnected)
 			}
 			continue
 		}
--- a/internal/gooseentry/probe.go
+++ b/internal/gooseentry/probe.go
@@ -5,12 +5,12 @@
 	"syscall"
 )
 
-// callerGone reports whether the caller has closed the connection. It only
-// peeks at incoming bytes and leaves them unread, because fasthttp does not
-// read while a request runs. A caller that only shut down its sending side
-// counts as gone, as with net/http. A connection that is not a socket never
-// counts as gone; its event stream still ends when a write fails.
-func callerGone(c net.Conn) bool {
+// callerDisconnected reports whether the caller has closed the connection. It only
+// peeks at incoming bytes and leaves them unread, because fasthttp does not read
+// while a request runs. A caller that only shut down its sending side counts as
+// disconnected, as with net/http. A connection that is not a socket never counts
+// as disconnected; its event stream still ends when a write fails.
+func callerDisconnected(c net.Conn) bool {
 	if w, ok := c.(interface{ NetConn() net.Conn }); ok {
 		c = w.NetConn()
 	}
--- a/internal/gooseentry/refuse_test.go
+++ b/internal/gooseentry/refuse_test.go
@@ -22,8 +22,8 @@
 // server although the refusal says not-run.
 func TestRefusals(t *testing.T) {
 	refusing := func(code goose.RefusalCode, after time.Duration) func(*Options, *testEntry) {
-		return func(_ *Options, r *testEntry) {
-			r.permits.Refuse = func(goose.PermitRequest) *goose.Refusal {
+		return func(_ *Options, e *testEntry) {
+			e.permits.Refuse = func(goose.PermitRequest) *goose.Refusal {
 				n := goose.NotRunRefusal(code, "no").WithRetryAfter(after)
 				return &n
 			}
@@ -51,25 +51,25 @@
 		"overloaded":                {change: refusing(goose.CodeOverloaded, 1500*time.Millisecond), path: model, body: chatBody, code: goose.CodeOverloaded, after: 2},
 		"prompt too long":           {change: refusing(goose.CodePromptTooLong, 0), path: model, body: chatBody, code: goose.CodePromptTooLong},
 		"overloaded, non-streaming": {change: refusing(goose.CodeOverloaded, time.Second), path: model, body: strings.Replace(chatBody, "true", "false", 1), code: goose.CodeOverloaded, after: 1},
-		"no configuration":          {change: func(_ *Options, r *testEntry) { r.catalogue.InForce = 0 }, path: model, body: chatBody, code: goose.CodeNotReady, after: 1},
-		"instance leaving":          {change: func(_ *Options, r *testEntry) { r.catalogue.Leaving = true }, path: model, body: chatBody, code: goose.CodeLeaving, after: 1},
-		"no selector allows it":     {change: func(_ *Options, r *testEntry) { r.catalogue.Servers = nil }, path: model, body: chatBody, code: goose.CodeNoRoute},
-		"all servers leaving":       {change: func(_ *Options, r *testEntry) { r.catalogue.Servers[0].State = goose.StateLeaving }, path: model, body: chatBody, code: goose.CodeLeaving, after: 5},
-		"condemned": {change: func(_ *Options, r *testEntry) {
-			r.suspects.Crashes[goose.NewFingerprint("forge", "mend", []byte(chatBody))] = 2
+		"no configuration":          {change: func(_ *Options, e *testEntry) { e.catalogue.InForce = 0 }, path: model, body: chatBody, code: goose.CodeNotReady, after: 1},
+		"instance leaving":          {change: func(_ *Options, e *testEntry) { e.catalogue.Leaving = true }, path: model, body: chatBody, code: goose.CodeLeaving, after: 1},
+		"no selector allows it":     {change: func(_ *Options, e *testEntry) { e.catalogue.Servers = nil }, path: model, body: chatBody, code: goose.CodeNoRoute},
+		"all servers leaving":       {change: func(_ *Options, e *testEntry) { e.catalogue.Servers[0].State = goose.StateLeaving }, path: model, body: chatBody, code: goose.CodeLeaving, after: 5},
+		"condemned": {change: func(_ *Options, e *testEntry) {
+			e.suspects.Crashes[goose.NewFingerprint("forge", "mend", []byte(chatBody))] = 2
 		}, path: model, body: chatBody, code: goose.CodeCrashesBackend},
 		"body too large":        {change: func(o *Options, _ *testEntry) { o.Limits.MaxBodyBytes = 10 }, path: model, body: chatBody, code: goose.CodePromptTooLong},
 		"body bytes in flight":  {change: func(o *Options, _ *testEntry) { o.Limits.MaxBodyBytesInFlight = 10 }, path: model, body: chatBody, code: goose.CodeOverloaded, after: 1},
-		"deadline in the queue": {change: func(_ *Options, r *testEntry) { r.permits.HoldRequests = true }, path: order, body: "{}", header: []string{"Idempotency-Key", "k", "X-Request-Timeout", "300ms"}, code: goose.CodeDeadline, after: 1},
-		"store unavailable":     {change: func(_ *Options, r *testEntry) { r.ledger.Down = true }, path: order, body: "{}", header: []string{"Idempotency-Key", "k"}, code: goose.CodeStoreUnavailable, run: goose.RunStateUnknown, after: 2},
-		"key reused": {change: func(_ *Options, r *testEntry) {
-			r.ledger.Orders = map[string]goose.Order{"k": {BodyHash: "other", State: goose.OrderDone}}
+		"deadline in the queue": {change: func(_ *Options, e *testEntry) { e.permits.HoldRequests = true }, path: order, body: "{}", header: []string{"Idempotency-Key", "k", "X-Request-Timeout", "300ms"}, code: goose.CodeDeadline, after: 1},
+		"store unavailable":     {change: func(_ *Options, e *testEntry) { e.ledger.Down = true }, path: order, body: "{}", header: []string{"Idempotency-Key", "k"}, code: goose.CodeStoreUnavailable, run: goose.RunStateUnknown, after: 2},
+		"key reused": {change: func(_ *Options, e *testEntry) {
+			e.ledger.Orders = map[string]goose.Order{"k": {BodyHash: "other", State: goose.OrderDone}}
 		}, path: order, body: "{}", header: []string{"Idempotency-Key", "k"}, code: goose.CodeKeyReused, run: goose.RunStateRan},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := goosetest.NewBackend(t, func(_ *goosetest.Backend, w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-			r := newTestEntry(t, c.change, b)
-			resp := r.post(t, c.path, c.body, c.header...)
+			e := newTestEntry(t, c.change, b)
+			resp := e.post(t, c.path, c.body, c.header...)
 			got := decodeRefusal(t, resp.body)
 			if c.run == "" {
 				c.run = goose.RunStateNotRun
@@ -86,16 +86,16 @@
 			if resp.header.Get("X-Request-Id") == "" {
 				t.Error("no X-Request-Id")
 			}
-			r.waitDrained(t)
+			e.waitDrained(t)
 			if got := b.Seen("POST"); got != 0 {
 				t.Errorf("backend server got %d requests, want 0", got)
 			}
-			if got := r.bodies.used.Load(); got != 0 {
+			if got := e.bodies.used.Load(); got != 0 {
 				t.Errorf("body bytes in flight: got %d after all work ended, want 0", got)
 			}
 			line := map[string]any{}
-			if err := json.Unmarshal(r.logs.Bytes(), &line); err != nil || line["event"] != 501.0 || line["code"] != string(c.code) {
-				t.Errorf("log: got %q, want one event 501 with the code", r.logs)
+			if err := json.Unmarshal(e.logs.Bytes(), &line); err != nil || line["event"] != 501.0 || line["code"] != string(c.code) {
+				t.Errorf("log: got %q, want one event 501 with the code", e.logs)
 			}
 		})
 	}
@@ -105,8 +105,8 @@
 // the caller is still sending a long body, and against one that is sent only
 // after the body.
 func TestRefusalBeforeLongBody(t *testing.T) {
-	r := newTestEntry(t, func(o *Options, _ *testEntry) { o.Limits.MaxBodyBytes = 1 << 20 }, goosetest.NewBackend(t, nil))
-	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	e := newTestEntry(t, func(o *Options, _ *testEntry) { o.Limits.MaxBodyBytes = 1 << 20 }, goosetest.NewBackend(t, nil))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -142,8 +142,8 @@
 		"long header":    {http.MethodGet, "/" + strings.Repeat("a", 32<<10), http.StatusRequestHeaderFieldsTooLarge, goose.CodeBadRequest},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := newTestEntry(t, nil)
-			req, err := http.NewRequestWithContext(t.Context(), tt.method, r.url+tt.path, strings.NewReader(chatBody))
+			e := newTestEntry(t, nil)
+			req, err := http.NewRequestWithContext(t.Context(), tt.method, e.url+tt.path, strings.NewReader(chatBody))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -161,8 +161,8 @@
 			}
 			id := resp.Header.Get("X-Request-Id")
 			line := map[string]any{}
-			if err := json.Unmarshal(r.logs.Bytes(), &line); err != nil || id == "" || line["request"] != id || line["event"] != 501.0 {
-				t.Errorf("got X-Request-Id %q and log %q, want one event 501 with this id", id, r.logs)
+			if err := json.Unmarshal(e.logs.Bytes(), &line); err != nil || id == "" || line["request"] != id || line["event"] != 501.0 {
+				t.Errorf("got X-Request-Id %q and log %q, want one event 501 with this id", id, e.logs)
 			}
 		})
 	}
@@ -180,16 +180,16 @@
 		goosetest.Chunks(w, r.Header.Get("X-Request-Id"), 1, 2)
 		goosetest.EndOfStream(w)
 	})
-	r := newTestEntry(t, nil, engine)
+	e := newTestEntry(t, nil, engine)
 	first := make(chan response)
-	go func() { first <- r.post(t, "/v1/chat/completions", chatBody) }()
+	go func() { first <- e.post(t, "/v1/chat/completions", chatBody) }()
 	<-started
 	drained := make(chan error)
-	go func() { drained <- r.Drain(context.Background()) }()
+	go func() { drained <- e.Drain(context.Background()) }()
 	var refused response
 	for refused.status != http.StatusServiceUnavailable {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		resp, err := r.send(ctx, "/services/none", "")
+		resp, err := e.send(ctx, "/services/none", "")
 		if err == nil {
 			refused.status = resp.StatusCode
 			_ = resp.Body.Close()
@@ -210,10 +210,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	if !r.running.tryAdd() {
-		r.running.add()
+	if !e.running.tryAdd() {
+		e.running.add()
 	}
-	if err := r.Drain(ctx); err == nil || !strings.Contains(fmt.Sprint(err), "1 requests") {
+	if err := e.Drain(ctx); err == nil || !strings.Contains(fmt.Sprint(err), "1 requests") {
 		t.Errorf("drain out of time: got %v, want an error with the count", err)
 	}
 }
--- a/internal/gooseentry/response.go
+++ b/internal/gooseentry/response.go
@@ -176,8 +176,8 @@
 			builder.addFrame(f)
 			continue
 		case jobEventProbe:
-			if callerGone(conn) {
-				j.cancel(errCallerGone)
+			if callerDisconnected(conn) {
+				j.cancel(errCallerDisconnected)
 			}
 			continue
 		}
@@ -213,8 +213,8 @@
 		ev, f, res := j.nextEvent(tick.C, header.C)
 		switch ev {
 		case jobEventProbe:
-			if callerGone(conn) {
-				j.cancel(errCallerGone)
+			if callerDisconnected(conn) {
+				j.cancel(errCallerDisconnected)
 			}
 			continue
 		case jobEventFrame:
@@ -341,8 +341,8 @@
 
 func (s *streamWriter) flush(w *bufio.Writer) error {
 	if err := w.Flush(); err != nil {
-		s.job.cancel(errCallerGone)
-		return errCallerGone
+		s.job.cancel(errCallerDisconnected)
+		return errCallerDisconnected
 	}
 	s.job.flushedTokens.Add(int64(s.unflushedTokens))
 	s.unflushedTokens = 0
@@ -352,9 +352,9 @@
 func (s *streamWriter) checkIdle(w *bufio.Writer, idle time.Duration) error {
 	// A caller that closes its sending side at the deadline still reads, so the
 	// refusal must be sent.
-	if callerGone(s.conn) && s.job.ctx.Err() == nil {
-		s.job.cancel(errCallerGone)
-		return errCallerGone
+	if callerDisconnected(s.conn) && s.job.ctx.Err() == nil {
+		s.job.cancel(errCallerDisconnected)
+		return errCallerDisconnected
 	}
 	if idle < s.entry.limits.KeepAliveInterval {
 		return nil
--- a/internal/gooseentry/state.go
+++ b/internal/gooseentry/state.go
@@ -16,8 +16,8 @@
 	return hex.EncodeToString(b[:])
 }
 
-// requestTracker counts running requests, so that a planned stop can wait for
-// them.
+// requestTracker counts running requests, so that a graceful shutdown can wait
+// for them.
 type requestTracker struct {
 	mu       sync.Mutex
 	count    int
@@ -162,8 +162,9 @@
 	return process, out
 }
 
-// sendGate decides between two concurrent steps: either the first byte is sent
-// to a backend server, or the caller is told that the request did not run.
+// sendGate decides between two concurrent steps: either the first byte is sent to
+// a backend server, or the caller gets a refusal which states that the request
+// did not run.
 type sendGate struct{ state atomic.Int32 }
 
 const (
@@ -172,7 +173,8 @@
 	gateClosed
 )
 
-// allowSend returns false if the caller was told that the request did not run.
+// allowSend returns false if the caller got a refusal which states that the
+// request did not run.
 func (g *sendGate) allowSend() bool {
 	return g.state.CompareAndSwap(gateIdle, gateSent) || g.state.Load() == gateSent
 }
--- a/internal/gooseentry/stream.go
+++ b/internal/gooseentry/stream.go
@@ -14,7 +14,7 @@
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
-// attemptResult tells how an attempt ended.
+// attemptResult is how an attempt ended.
 type attemptResult int
 
 const (
--- a/internal/gooseetcd/message.go
+++ b/internal/gooseetcd/message.go
@@ -138,19 +138,19 @@
 }
 
 // SetRevision sets the headers of the response and of all nested responses.
-func (a *TxnResponse) SetRevision(rev int64) {
-	a.Header = HeaderAt(rev)
-	for i := range a.Responses {
-		r := &a.Responses[i]
+func (r *TxnResponse) SetRevision(rev int64) {
+	r.Header = HeaderAt(rev)
+	for i := range r.Responses {
+		o := &r.Responses[i]
 		switch {
-		case r.Range != nil:
-			r.Range.Header = HeaderAt(rev)
-		case r.Put != nil:
-			r.Put.Header = HeaderAt(rev)
-		case r.Delete != nil:
-			r.Delete.Header = HeaderAt(rev)
-		case r.Txn != nil:
-			r.Txn.SetRevision(rev)
+		case o.Range != nil:
+			o.Range.Header = HeaderAt(rev)
+		case o.Put != nil:
+			o.Put.Header = HeaderAt(rev)
+		case o.Delete != nil:
+			o.Delete.Header = HeaderAt(rev)
+		case o.Txn != nil:
+			o.Txn.SetRevision(rev)
 		}
 	}
 }
--- a/internal/gooseevent/events.go
+++ b/internal/gooseevent/events.go
@@ -6,7 +6,7 @@
 var (
 	InstanceStarted        = define(101, slog.LevelInfo, "instance started", "The instance listens for callers, operators and peers.")
 	InstanceReady          = define(102, slog.LevelInfo, "instance ready", "A configuration is in force; requests are admitted.")
-	InstanceDraining       = define(103, slog.LevelInfo, "instance draining", "A planned stop has begun; requests in flight are finished.")
+	InstanceDraining       = define(103, slog.LevelInfo, "instance draining", "A graceful shutdown has begun; requests in flight are finished.")
 	InstanceStopped        = define(104, slog.LevelInfo, "instance stopped", "All work has ended.")
 	CertificateRenewed     = define(106, slog.LevelInfo, "certificate renewed", "The certificate files changed; new connections to other instances use the new certificate.")
 	CertificateUnusable    = define(107, slog.LevelError, "certificate files unusable", "The certificate files changed, but cannot be used; the previous certificate stays in use.")
--- a/internal/goosefleet/fleet.go
+++ b/internal/goosefleet/fleet.go
@@ -26,7 +26,7 @@
 	Operator string `json:"operator"`
 	Peer     string `json:"peer"`
 	// UDPProxy forwards the packets to the peer link if Spec.Partitions is set; Peer
-	// is then the relay's address.
+	// is then the proxy's address.
 	UDPProxy *Simulator `json:"relay,omitempty"`
 
 	// listenAddress is the address on which the peer link listens; Peer is the one
@@ -129,7 +129,7 @@
 		return nil
 	}
 	if f.spec.Partitions {
-		if err := f.startRelays(ctx); err != nil {
+		if err := f.startUDPProxies(ctx); err != nil {
 			return err
 		}
 	}
--- a/internal/goosefleet/partition.go
+++ b/internal/goosefleet/partition.go
@@ -11,8 +11,8 @@
 	"github.com/gooseberryhold/gooseberryhold/internal/goosestand"
 )
 
-// startRelays starts a relay in front of each instance's peer address.
-func (f *Fleet) startRelays(ctx context.Context) error {
+// startUDPProxies starts a UDP proxy in front of each instance's peer address.
+func (f *Fleet) startUDPProxies(ctx context.Context) error {
 	n := len(f.Instances)
 	first, err := f.ports.reserve(2 * n)
 	if err != nil {
@@ -53,14 +53,14 @@
 	return f.addCuts(ctx, links...)
 }
 
-// RestorePeers ends every cut and every packet loss between instances.
+// RestorePeers ends every partition and every packet loss between instances.
 func (f *Fleet) RestorePeers(ctx context.Context) error {
 	f.cutLinksMu.Lock()
 	defer f.cutLinksMu.Unlock()
 	clear(f.cutLinks)
 	for _, inst := range f.Instances {
 		if inst.UDPProxy == nil {
-			return errNoRelays
+			return errNoUDPProxies
 		}
 		if err := inst.UDPProxy.ClearFaults(ctx); err != nil {
 			return err
@@ -73,7 +73,7 @@
 func (f *Fleet) LosePeerPackets(ctx context.Context, share float64) error {
 	for _, inst := range f.Instances {
 		if inst.UDPProxy == nil {
-			return errNoRelays
+			return errNoUDPProxies
 		}
 		if err := inst.UDPProxy.SetFault(ctx, map[string]any{"loss": share}); err != nil {
 			return err
@@ -82,11 +82,11 @@
 	return nil
 }
 
-var errNoRelays = errors.New("fleet: instances have no relays; Spec.Partitions is not set")
+var errNoUDPProxies = errors.New("fleet: instances have no UDP proxies; Spec.Partitions is not set")
 
 // addCuts adds links to those that are cut. The packets of a connection pass in
-// both directions through the relay of the instance that was dialled, so that the
-// packets of one link may pass through the relay of either instance.
+// both directions through the UDP proxy of the instance that was dialled, so that the
+// packets of one link may pass through the proxy of either instance.
 func (f *Fleet) addCuts(ctx context.Context, links ...link) error {
 	f.cutLinksMu.Lock()
 	defer f.cutLinksMu.Unlock()
@@ -95,7 +95,7 @@
 	}
 	for _, inst := range f.Instances {
 		if inst.UDPProxy == nil {
-			return errNoRelays
+			return errNoUDPProxies
 		}
 		var faults goosestand.UDPProxyFaults
 		for l := range f.cutLinks {
--- a/internal/goosefleet/spec.go
+++ b/internal/goosefleet/spec.go
@@ -43,8 +43,8 @@
 
 // WeightStore is the weight store of the fleet.
 type WeightStore struct {
-	// MaxLoads is the number of loads that may start within any Period; LoadTime is
-	// the duration of one load.
+	// MaxLoads is the number of model loads that may start within any Period; LoadTime
+	// is the duration of one.
 	MaxLoads int
 	Period   time.Duration
 	LoadTime time.Duration
@@ -72,7 +72,7 @@
 	// Dir is the working directory, which holds the logs of all processes. If it
 	// is empty, Start creates a temporary directory and Stop removes it.
 	Dir string
-	// Partitions puts a relay in front of each instance's peer address and gives
+	// Partitions puts a UDP proxy in front of each instance's peer address and gives
 	// each instance its own endpoints of the store and the list, so that single
 	// instances can be disconnected from each other and from the platform.
 	Partitions bool
--- a/internal/gooseforward/bounded.go
+++ b/internal/gooseforward/bounded.go
@@ -52,11 +52,11 @@
 }
 
 // release frees memory that readAll has acquired.
-func (b *responseMemory) release(held int64) { b.remaining.Add(held) }
+func (m *responseMemory) release(held int64) { m.remaining.Add(held) }
 
 // readAll reads a complete response. It returns the memory that the caller has to
 // release, also with an error.
-func (b *responseMemory) readAll(r io.Reader) (body []byte, held int64, err error) {
+func (m *responseMemory) readAll(r io.Reader) (body []byte, held int64, err error) {
 	for {
 		if len(body) == cap(body) {
 			// The runtime chooses the new capacity.
@@ -72,7 +72,7 @@
 		}
 		for int64(len(body)) > responseMemoryUnitBytes+held {
 			held += responseMemoryUnitBytes
-			if b.remaining.Add(-responseMemoryUnitBytes) < 0 {
+			if m.remaining.Add(-responseMemoryUnitBytes) < 0 {
 				return body, held, errors.Wrap(errResponseTooLong, "memory for responses is exhausted")
 			}
 		}
--- a/internal/gooseforward/crash_test.go
+++ b/internal/gooseforward/crash_test.go
@@ -62,20 +62,20 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newHarness(t, tc.replicas...)
+			h := newHarness(t, tc.replicas...)
 			var got callerResponse
 			for range max(tc.times, 1) {
-				got = s.post(tc.path, "body")
+				got = h.post(tc.path, "body")
 			}
 			if got.status != tc.status {
 				t.Errorf("got status %d, want %d", got.status, tc.status)
 			}
 			f := goose.NewFingerprint("guild", "", []byte("body")).WithTarget(http.MethodPost, tc.path)
-			if got := s.quarantine.CrashRecord(f, time.Now()).Weight; got != tc.want {
+			if got := h.quarantine.CrashRecord(f, time.Now()).Weight; got != tc.want {
 				t.Errorf("got weight %d, want %d", got, tc.want)
 			}
 			for i, want := range tc.reached {
-				if got := s.reached(fmt.Sprintf("i-%d", i)); got != want {
+				if got := h.reached(fmt.Sprintf("i-%d", i)); got != want {
 					t.Errorf("got %d requests at replica %d, want %d", got, i, want)
 				}
 			}
@@ -87,16 +87,16 @@
 // the connection, and the deadline of the request passes before the crash is noticed.
 func TestCrashAfterDeadlineIsRecorded(t *testing.T) {
 	t.Parallel()
-	s := newHarness(t, func(_ http.ResponseWriter, r *http.Request) {
+	h := newHarness(t, func(_ http.ResponseWriter, r *http.Request) {
 		server := r.Context().Value(http.ServerContextKey).(*http.Server)
 		go func() { _ = server.Shutdown(context.Background()) }()
 		<-r.Context().Done()
 	})
-	if got := s.post("/short/x", "body"); got.status != http.StatusGatewayTimeout {
+	if got := h.post("/short/x", "body"); got.status != http.StatusGatewayTimeout {
 		t.Errorf("got status %d, want 504", got.status)
 	}
 	f := goose.NewFingerprint("guild", "", []byte("body")).WithTarget(http.MethodPost, "/short/x")
-	for start := time.Now(); s.quarantine.CrashRecord(f, time.Now()).Weight == 0; time.Sleep(time.Millisecond) {
+	for start := time.Now(); h.quarantine.CrashRecord(f, time.Now()).Weight == 0; time.Sleep(time.Millisecond) {
 		if time.Since(start) > testTimeout {
 			t.Fatal("the crash was not recorded as evidence against the request")
 		}
@@ -121,10 +121,10 @@
 			crash(w, r)
 		})
 	}
-	s := newHarness(t, all...)
+	h := newHarness(t, all...)
 	var callers sync.WaitGroup
 	for range copies {
-		callers.Go(func() { s.post("/look/x", "body") })
+		callers.Go(func() { h.post("/look/x", "body") })
 	}
 	for range copies {
 		<-arrived
@@ -133,7 +133,7 @@
 	callers.Wait()
 	total := 0
 	for n := range replicas {
-		total += s.reached(fmt.Sprintf("i-%d", n))
+		total += h.reached(fmt.Sprintf("i-%d", n))
 	}
 	// One more attempt is allowed, since the first ones may not suffice as evidence.
 	if total > copies+1 {
@@ -149,15 +149,15 @@
 		time.Sleep(3 * placementRetryInterval)
 		succeed(w, nil)
 	}
-	s := newHarness(t, crash, slow, slow)
-	s.post("/order/x", "body")
+	h := newHarness(t, crash, slow, slow)
+	h.post("/order/x", "body")
 	var callers sync.WaitGroup
 	for range 8 {
 		callers.Go(func() {
-			got := s.post("/order/x", "body")
+			got := h.post("/order/x", "body")
 			// On a busy machine the running request takes longer than equal ones wait for it.
 			for start := time.Now(); got.status == http.StatusServiceUnavailable && time.Since(start) < testTimeout; {
-				got = s.post("/order/x", "body")
+				got = h.post("/order/x", "body")
 			}
 			if got.status != http.StatusOK {
 				t.Errorf("got status %d, body %s, want the response", got.status, got.body)
@@ -171,9 +171,9 @@
 // and against a quarantine that also affects other requests of the same caller.
 func TestQuarantineRefusal(t *testing.T) {
 	t.Parallel()
-	s := newHarness(t, crash, crash, succeed)
-	s.post("/look/x", "body")
-	got := s.post("/look/x", "body")
+	h := newHarness(t, crash, crash, succeed)
+	h.post("/look/x", "body")
+	got := h.post("/look/x", "body")
 	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
 		t.Errorf("got status %d, Retry-After %q, want 503 with a Retry-After", got.status, got.header.Get("Retry-After"))
 	}
@@ -183,7 +183,7 @@
 		}
 	}
 	for name, other := range map[string][2]string{"another body": {"/look/x", "other"}, "another path": {"/look/y", "body"}, "an order": {"/order/x", "body"}} {
-		if got := s.post(other[0], other[1]); got.status != http.StatusOK {
+		if got := h.post(other[0], other[1]); got.status != http.StatusOK {
 			t.Errorf("got status %d for %s, want 200", got.status, name)
 		}
 	}
--- a/internal/gooseforward/endless_test.go
+++ b/internal/gooseforward/endless_test.go
@@ -58,8 +58,8 @@
 				if tc.streamOnly {
 					second = events(1, 3, false)
 				}
-				s := newHarness(t, first.ServeHTTP, second)
-				got := s.post(path, "body")
+				h := newHarness(t, first.ServeHTTP, second)
+				got := h.post(path, "body")
 				declined := strings.Contains(tc.head, "X-Not-Executed") && path == "/order/x" && got.status == http.StatusOK
 				if got.status != want && !declined {
 					t.Errorf("got status %d, body %.60q at %s, want %d", got.status, got.body, path, want)
--- a/internal/gooseforward/forward_test.go
+++ b/internal/gooseforward/forward_test.go
@@ -74,7 +74,7 @@
 // newServiceHarness is newHarness for a given service.
 func newServiceHarness(t *testing.T, service goose.RoutedService, replicas ...http.HandlerFunc) *harness {
 	t.Helper()
-	s := &harness{t: t, seen: map[string][]*http.Request{}, bodies: map[string][]string{}}
+	h := &harness{t: t, seen: map[string][]*http.Request{}, bodies: map[string][]string{}}
 	d := goosedirectory.New()
 	d.Apply(goose.StoreChange{Kind: goose.ChangeRouting, Routing: &goose.Routing{
 		Version: 1, KeyRequired: true, Routes: routes(),
@@ -82,39 +82,39 @@
 		Workspaces: []goose.RoutedWorkspace{{Name: "guild", Keys: []string{"k1"}}},
 		Limits:     goose.CallerLimits{BodyBytes: 1 << 10},
 	}}, time.Now())
-	s.placer = gooseplacement.New(gooseplacement.Options{DataCentre: "leith", Rand: func(int) int { return 0 }})
-	s.directory = d
-	s.quarantine = goosequarantine.New(slog.New(slog.DiscardHandler))
-	for i, h := range replicas {
-		s.addReplica(d, i, h)
+	h.placer = gooseplacement.New(gooseplacement.Options{DataCentre: "leith", Rand: func(int) int { return 0 }})
+	h.directory = d
+	h.quarantine = goosequarantine.New(slog.New(slog.DiscardHandler))
+	for i, handler := range replicas {
+		h.addReplica(d, i, handler)
 	}
 	f := New(Options{
-		Directory: d, Quarantine: s.quarantine, Placer: s.placer, HeaderCodec: gooseplatform.HeaderCodec{},
+		Directory: d, Quarantine: h.quarantine, Placer: h.placer, HeaderCodec: gooseplatform.HeaderCodec{},
 		Budget: gooseretry.New(gooseretry.Options{
 			Window: time.Minute, Burst: 10, UsableShare: 1, Instances: func(time.Time) int { return 1 },
 		}),
-		Draining: s.draining.Load, MaxReservationTTL: time.Minute, Metrics: NewMetrics(metrics.NewSet()),
-		Log: slog.New(slog.NewJSONHandler(&s.log, nil)), Clock: goose.SystemClock{},
+		Draining: h.draining.Load, MaxReservationTTL: time.Minute, Metrics: NewMetrics(metrics.NewSet()),
+		Log: slog.New(slog.NewJSONHandler(&h.log, nil)), Clock: goose.SystemClock{},
 	})
 	server := httptest.NewServer(f)
 	t.Cleanup(server.Close)
-	s.url = server.URL
-	return s
+	h.url = server.URL
+	return h
 }
 
-func (s *harness) addReplica(d *goosedirectory.Directory, i int, h http.HandlerFunc) {
+func (h *harness) addReplica(d *goosedirectory.Directory, i int, handler http.HandlerFunc) {
 	id := fmt.Sprintf("i-%d", i)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
-		s.mu.Lock()
-		s.seen[id] = append(s.seen[id], r)
-		s.bodies[id] = append(s.bodies[id], string(body))
-		s.mu.Unlock()
+		h.mu.Lock()
+		h.seen[id] = append(h.seen[id], r)
+		h.bodies[id] = append(h.bodies[id], string(body))
+		h.mu.Unlock()
 		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 		w.Header().Set("X-Stamp", "stamp-"+id)
-		h(w, r)
+		handler(w, r)
 	}))
-	s.t.Cleanup(server.Close)
+	h.t.Cleanup(server.Close)
 	// More slots make a replica cheaper, so that the order of the replicas is fixed.
 	d.Apply(goose.StoreChange{Kind: goose.ChangeReplica, Replica: goose.Replica{
 		ID: goose.ReplicaID(id), Service: "desk", DataCentre: "leith", Address: strings.TrimPrefix(server.URL, "http://"),
@@ -123,17 +123,17 @@
 }
 
 // reached returns how many requests reached a replica.
-func (s *harness) reached(id string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.seen[id])
+func (h *harness) reached(id string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.seen[id])
 }
 
-func (s *harness) request(ctx context.Context, path, body string) *http.Request {
-	s.t.Helper()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url+path, strings.NewReader(body))
+func (h *harness) request(ctx context.Context, path, body string) *http.Request {
+	h.t.Helper()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, h.url+path, strings.NewReader(body))
 	if err != nil {
-		s.t.Fatal(err)
+		h.t.Fatal(err)
 	}
 	r.Host = "desk.example"
 	r.Header.Set("Authorization", "Bearer k1")
@@ -150,8 +150,8 @@
 	cut bool
 }
 
-func (s *harness) send(r *http.Request) callerResponse {
-	s.t.Helper()
+func (h *harness) send(r *http.Request) callerResponse {
+	h.t.Helper()
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return callerResponse{cut: true}
@@ -161,11 +161,11 @@
 	return callerResponse{status: resp.StatusCode, header: resp.Header, body: string(body), cut: err != nil}
 }
 
-func (s *harness) post(path, body string) callerResponse {
-	s.t.Helper()
+func (h *harness) post(path, body string) callerResponse {
+	h.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
-	return s.send(s.request(ctx, path, body))
+	return h.send(h.request(ctx, path, body))
 }
 
 // Handlers of replicas.
@@ -267,8 +267,8 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newHarness(t, tc.replicas...)
-			got := s.post(tc.path, "body")
+			h := newHarness(t, tc.replicas...)
+			got := h.post(tc.path, "body")
 			if got.status != tc.want || got.cut != tc.cut {
 				t.Errorf("got status %d, cut %t, want %d, %t", got.status, got.cut, tc.want, tc.cut)
 			}
@@ -279,11 +279,11 @@
 				t.Errorf("got stamp %q, want %q", got.header.Get("X-Stamp"), tc.stamp)
 			}
 			for i, want := range tc.reached {
-				if got := s.reached(fmt.Sprintf("i-%d", i)); got != want {
+				if got := h.reached(fmt.Sprintf("i-%d", i)); got != want {
 					t.Errorf("got %d requests at replica %d, want %d", got, i, want)
 				}
 			}
-			if load := s.placer.Report(time.Now()).Replicas; len(load) != 0 {
+			if load := h.placer.Report(time.Now()).Replicas; len(load) != 0 {
 				t.Errorf("got load %v after the request, want none", load)
 			}
 		})
@@ -293,17 +293,17 @@
 // Guards against requests that are changed on their way to a replica.
 func TestForwardsUnchanged(t *testing.T) {
 	t.Parallel()
-	s := newHarness(t, succeed)
+	h := newHarness(t, succeed)
 	const uri = "/look/a%2Fb/../c?q=%20&q=2"
-	r := s.request(context.Background(), "/look/", "the body")
+	r := h.request(context.Background(), "/look/", "the body")
 	r.URL.Opaque = uri
 	r.Header.Set("X-Tenant", "forged")
-	if got := s.send(r); got.status != http.StatusOK {
+	if got := h.send(r); got.status != http.StatusOK {
 		t.Fatalf("got status %d", got.status)
 	}
-	got := s.seen["i-0"][0]
-	if got.RequestURI != uri || got.Method != http.MethodPost || got.Host != "desk.example" || s.bodies["i-0"][0] != "the body" {
-		t.Errorf("got %s %s of %s with body %q", got.Method, got.RequestURI, got.Host, s.bodies["i-0"][0])
+	got := h.seen["i-0"][0]
+	if got.RequestURI != uri || got.Method != http.MethodPost || got.Host != "desk.example" || h.bodies["i-0"][0] != "the body" {
+		t.Errorf("got %s %s of %s with body %q", got.Method, got.RequestURI, got.Host, h.bodies["i-0"][0])
 	}
 	for name, want := range map[string]string{"X-Tenant": "guild", "X-Expect-Instance": "i-0", "X-Attempt-Id": "a1", "Authorization": ""} {
 		if got := got.Header.Get(name); got != want {
@@ -334,24 +334,25 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newHarness(t, succeed)
-			r := s.request(context.Background(), tc.path, tc.body)
+			h := newHarness(t, succeed)
+			r := h.request(context.Background(), tc.path, tc.body)
 			if tc.change != nil {
 				tc.change(r)
 			}
-			got := s.send(r)
+			got := h.send(r)
 			if got.status != tc.want || !strings.Contains(got.body, tc.code) {
 				t.Errorf("got status %d, body %s, want %d, code %s", got.status, got.body, tc.want, tc.code)
 			}
 			if tc.want == http.StatusOK {
 				return
 			}
-			if !strings.Contains(got.body, `"run":"not-run"`) || s.reached("i-0") != 0 {
-				t.Errorf("got body %s with %d requests at the replica, want not-run and none", got.body, s.reached("i-0"))
+			if !strings.Contains(got.body, `"run":"not-run"`) || h.reached("i-0") != 0 {
+				t.Errorf("got body %s with %d requests at the replica, want not-run and none", got.body, h.reached("i-0"))
 			}
-			// The log line of the failure has to be searchable by the id that the caller knows.
-			if id := got.header.Get("X-Attempt-Id"); id != "a1" || !strings.Contains(s.log.String(), `"request":"a1"`) {
-				t.Errorf("got id %q in the response and the log %s, want a1 in both", id, s.log.String())
+			// The log line of the failure has to be searchable by the id that the caller
+			// gets.
+			if id := got.header.Get("X-Attempt-Id"); id != "a1" || !strings.Contains(h.log.String(), `"request":"a1"`) {
+				t.Errorf("got id %q in the response and the log %s, want a1 in both", id, h.log.String())
 			}
 		})
 	}
@@ -361,8 +362,8 @@
 // replica.
 func TestNoReplica(t *testing.T) {
 	t.Parallel()
-	s := newHarness(t)
-	got := s.post("/order/x", "")
+	h := newHarness(t)
+	got := h.post("/order/x", "")
 	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
 		t.Errorf("got status %d, Retry-After %q, want 503 with a Retry-After", got.status, got.header.Get("Retry-After"))
 	}
@@ -373,11 +374,11 @@
 func TestDeadline(t *testing.T) {
 	t.Parallel()
 	cancelled := make(chan struct{})
-	s := newHarness(t, func(_ http.ResponseWriter, r *http.Request) {
+	h := newHarness(t, func(_ http.ResponseWriter, r *http.Request) {
 		<-r.Context().Done()
 		close(cancelled)
 	})
-	got := s.post("/short/x", "")
+	got := h.post("/short/x", "")
 	if got.status != http.StatusGatewayTimeout || !strings.Contains(got.body, `"run":"unknown"`) {
 		t.Errorf("got status %d, body %s, want 504 and unknown", got.status, got.body)
 	}
@@ -391,7 +392,7 @@
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
 			started, cancelled := make(chan struct{}), make(chan struct{})
-			s := newHarness(t, func(_ http.ResponseWriter, r *http.Request) {
+			h := newHarness(t, func(_ http.ResponseWriter, r *http.Request) {
 				close(started)
 				<-r.Context().Done()
 				close(cancelled)
@@ -401,13 +402,13 @@
 				<-started
 				cancel()
 			}()
-			s.send(s.request(ctx, path, ""))
+			h.send(h.request(ctx, path, ""))
 			select {
 			case <-cancelled:
 			case <-time.After(testTimeout):
 				t.Error("the replica keeps working for a caller that has disconnected")
 			}
-			if got := s.reached("i-1"); got != 0 {
+			if got := h.reached("i-1"); got != 0 {
 				t.Errorf("got %d requests at another replica after the caller disconnected", got)
 			}
 		})
@@ -418,7 +419,7 @@
 func TestEventsAreNotDelayed(t *testing.T) {
 	t.Parallel()
 	next := make(chan struct{})
-	s := newHarness(t, func(w http.ResponseWriter, _ *http.Request) {
+	h := newHarness(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
 		for i := 1; i <= 3; i++ {
 			_, _ = fmt.Fprintf(w, "id: %d\n\n", i)
@@ -426,7 +427,7 @@
 			<-next
 		}
 	})
-	resp, err := http.DefaultTransport.RoundTrip(s.request(context.Background(), "/stream/x", ""))
+	resp, err := http.DefaultTransport.RoundTrip(h.request(context.Background(), "/stream/x", ""))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -445,9 +446,9 @@
 // Guards against callers that keep a connection to an instance that drains.
 func TestDrainingClosesConnections(t *testing.T) {
 	t.Parallel()
-	s := newHarness(t, succeed)
-	s.draining.Store(true)
-	r := s.request(context.Background(), "/look/x", "")
+	h := newHarness(t, succeed)
+	h.draining.Store(true)
+	r := h.request(context.Background(), "/look/x", "")
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gooseforward/interim_test.go
+++ b/internal/gooseforward/interim_test.go
@@ -40,8 +40,8 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newHarness(t, raw(tc.response))
-			got := s.post("/order/x", "body")
+			h := newHarness(t, raw(tc.response))
+			got := h.post("/order/x", "body")
 			if got.status != tc.want || tc.body != "" && got.body != tc.body || got.cut {
 				t.Errorf("got status %d, body %q, cut %t, want %d, %q", got.status, got.body, got.cut, tc.want, tc.body)
 			}
--- a/internal/gooseforward/probe.go
+++ b/internal/gooseforward/probe.go
@@ -29,7 +29,7 @@
 	// probeTimeout is far above a round trip between data centres.
 	probeTimeout = 100 * time.Millisecond
 	// probeMinOpen is how long a connection has to stay open. A proxy in front of the
-	// replica may accept the connection before it notices that the replica has ended.
+	// replica may accept the connection before it detects that the replica has ended.
 	probeMinOpen = 20 * time.Millisecond
 )
 
--- a/internal/gooseforward/refusal_test.go
+++ b/internal/gooseforward/refusal_test.go
@@ -73,7 +73,7 @@
 }
 
 // Guards against an earlier refusal of a replica that is taken for the response to a later
-// request. The replica runs that request, but the caller is told that it did not run, or
+// request. The replica runs that request, but the refusal states that it did not run, or
 // it runs at another replica too.
 func TestEarlierRefusal(t *testing.T) {
 	t.Parallel()
@@ -88,16 +88,16 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := newRepeatingReplica(t, refusal)
-			s := newHarness(t)
-			s.directory.Apply(goose.StoreChange{Kind: goose.ChangeReplica, Replica: goose.Replica{
+			h := newHarness(t)
+			h.directory.Apply(goose.StoreChange{Kind: goose.ChangeReplica, Replica: goose.Replica{
 				ID: "i-r", Service: "desk", DataCentre: "leith", Address: r.listener.Addr().String(), Slots: 9, State: goose.StateActive, StartedUnixMS: 1,
 			}}, time.Now())
-			if got := s.post("/order/x", "first"); got.status == http.StatusOK {
+			if got := h.post("/order/x", "first"); got.status == http.StatusOK {
 				t.Errorf("got status %d for a refused order", got.status)
 			}
 			<-r.repeated
 			for n := range 5 {
-				got := s.post("/order/x", fmt.Sprint(n))
+				got := h.post("/order/x", fmt.Sprint(n))
 				if got.status != http.StatusOK || got.body != "done" {
 					t.Errorf("got status %d, body %q for an order that ran, want its response", got.status, got.body)
 				}
@@ -113,10 +113,10 @@
 // one and is taken for it.
 func TestRefusalOfOtherRequest(t *testing.T) {
 	t.Parallel()
-	s := newHarness(t, raw("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: earlier\r\nContent-Length: 0\r\n\r\n"+
+	h := newHarness(t, raw("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: earlier\r\nContent-Length: 0\r\n\r\n"+
 		"HTTP/1.1 200 OK\r\nID\r\nContent-Length: 4\r\n\r\ndone"), succeed)
-	got := s.post("/order/x", "body")
-	if got.status != http.StatusBadGateway || !strings.Contains(got.body, `"run":"unknown"`) || s.reached("i-1") != 0 {
-		t.Errorf("got status %d, body %s, %d attempts at another replica, want 502, unknown and none", got.status, got.body, s.reached("i-1"))
+	got := h.post("/order/x", "body")
+	if got.status != http.StatusBadGateway || !strings.Contains(got.body, `"run":"unknown"`) || h.reached("i-1") != 0 {
+		t.Errorf("got status %d, body %s, %d attempts at another replica, want 502, unknown and none", got.status, got.body, h.reached("i-1"))
 	}
 }
--- a/internal/gooseforward/reserve_test.go
+++ b/internal/gooseforward/reserve_test.go
@@ -73,19 +73,19 @@
 	service := goose.RoutedService{Name: "desk", Engine: &goose.EngineProfile{
 		Slots: 16, MemoryTokens: 1000, StepsPerPass: 1, StepTime: time.Microsecond, PrefillTokensPerSecond: 177_000,
 	}}
-	var s *harness
+	var h *harness
 	handler := func(id string) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
-			s.mu.Lock()
-			body := s.bodies[id][len(s.bodies[id])-1]
-			s.mu.Unlock()
+			h.mu.Lock()
+			body := h.bodies[id][len(h.bodies[id])-1]
+			h.mu.Unlock()
 			if !m.serve(id, w, r, body) {
 				handle(w, r)
 			}
 		}
 	}
-	s = newServiceHarness(t, service, handler("i-0"), handler("i-1"), handler("i-2"))
-	return s
+	h = newServiceHarness(t, service, handler("i-0"), handler("i-1"), handler("i-2"))
+	return h
 }
 
 // Guards against reservations of a prompt over several replicas that expire while the
--- a/internal/gooseforward/silence.go
+++ b/internal/gooseforward/silence.go
@@ -82,35 +82,35 @@
 // handleExpiry cancels the attempt if a retry is possible, and restarts the timer
 // otherwise: silence alone is no reason to break a response off. If all replicas are
 // full, the load makes this replica silent, and a retry would only add to the load.
-func (w *silenceTimer) handleExpiry() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.lastAttempt || w.stopped {
+func (t *silenceTimer) handleExpiry() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.lastAttempt || t.stopped {
 		return
 	}
-	c, now := w.c, w.c.o.Clock.Now()
-	w.demand.TimeLeft = c.deadline.Sub(now)
+	c, now := t.c, t.c.o.Clock.Now()
+	t.demand.TimeLeft = c.deadline.Sub(now)
 	replicas := c.o.Directory.Current().Replicas(c.service.Name)
-	if c.o.Placer.CanPlace(w.demand, replicas, now) && c.o.Budget.TakeRetry(c.service.Name, now) {
-		w.cancel(errSilent)
+	if c.o.Placer.CanPlace(t.demand, replicas, now) && c.o.Budget.TakeRetry(c.service.Name, now) {
+		t.cancel(errSilent)
 		return
 	}
-	w.timer.Reset(silenceRecheckInterval)
+	t.timer.Reset(silenceRecheckInterval)
 }
 
 // reset restarts the timer after an event.
-func (w *silenceTimer) reset() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if !w.stopped {
-		w.timer.Reset(maxStreamSilence(w.c.route))
+func (t *silenceTimer) reset() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.stopped {
+		t.timer.Reset(maxStreamSilence(t.c.route))
 	}
 }
 
 // Stop stops the timer.
-func (w *silenceTimer) Stop() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.stopped = true
-	w.timer.Stop()
+func (t *silenceTimer) Stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	t.timer.Stop()
 }
--- a/internal/gooseforward/upstream.go
+++ b/internal/gooseforward/upstream.go
@@ -110,18 +110,18 @@
 }
 
 // request returns the HTTP request, with the caller's request target unchanged.
-func (f outgoingRequest) request() *http.Request {
-	r := &http.Request{
-		Method: f.method, URL: &url.URL{Opaque: f.uri}, Host: f.host, Header: f.header,
+func (r outgoingRequest) request() *http.Request {
+	req := &http.Request{
+		Method: r.method, URL: &url.URL{Opaque: r.uri}, Host: r.host, Header: r.header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Close: true,
 	}
-	if _, ok := r.Header["User-Agent"]; !ok {
-		r.Header["User-Agent"] = []string{""}
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header["User-Agent"] = []string{""}
 	}
-	if len(f.body) > 0 {
-		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(f.body)), int64(len(f.body))
+	if len(r.body) > 0 {
+		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(r.body)), int64(len(r.body))
 	}
-	return r
+	return req
 }
 
 func (u *upstream) close() {
--- a/internal/goosehosttest/fleet.go
+++ b/internal/goosehosttest/fleet.go
@@ -145,8 +145,8 @@
 }
 
 // IsReady reports whether the instance's readiness endpoint responds with status 200.
-func (e *Instance) IsReady() bool {
-	resp, err := http.Get("http://" + e.settings.ReadyAddress + "/v1/readyz")
+func (i *Instance) IsReady() bool {
+	resp, err := http.Get("http://" + i.settings.ReadyAddress + "/v1/readyz")
 	if err != nil {
 		return false
 	}
@@ -156,20 +156,20 @@
 
 // Get sends a GET request with an API key and returns the status and the body of the
 // response, or 0 if there is no response.
-func (e *Instance) Get(key string) (int, string) { return e.Send(http.MethodGet, "/x/1", key, "a1") }
+func (i *Instance) Get(key string) (int, string) { return i.Send(http.MethodGet, "/x/1", key, "a1") }
 
 // Send is like Get for any method, path and request id.
-func (e *Instance) Send(method, path, key, id string) (int, string) {
-	return e.send(method, path, key, id, "")
+func (i *Instance) Send(method, path, key, id string) (int, string) {
+	return i.send(method, path, key, id, "")
 }
 
 // Post sends a POST request with a body and the API key of the routing version.
-func (e *Instance) Post(path, id, body string) (int, string) {
-	return e.send(http.MethodPost, path, "k1", id, body)
+func (i *Instance) Post(path, id, body string) (int, string) {
+	return i.send(http.MethodPost, path, "k1", id, body)
 }
 
-func (e *Instance) send(method, path, key, id, body string) (int, string) {
-	r, err := http.NewRequest(method, "http://"+e.settings.CallerAddress+path, strings.NewReader(body))
+func (i *Instance) send(method, path, key, id, body string) (int, string) {
+	r, err := http.NewRequest(method, "http://"+i.settings.CallerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
--- a/internal/gooseoperator/client.go
+++ b/internal/gooseoperator/client.go
@@ -61,7 +61,7 @@
 	}}, nil
 }
 
-// Status returns what the instance knows.
+// Status returns the status of the instance and of the others as recorded there.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	return call[Status](ctx, c, http.MethodGet, pathStatus, nil)
 }
@@ -72,8 +72,8 @@
 }
 
 // Apply publishes a configuration. If the response is lost, Apply searches the audit
-// entries for the change ID. It returns gooseconfig.ErrUnsettled if it does not find the
-// change there before its time limit.
+// entries for the change ID. It returns gooseconfig.ErrChangeOutcomeUnknown if it
+// does not find the change there before its time limit.
 func (c *Client) Apply(ctx context.Context, q ApplyRequest) (ChangeResult, error) {
 	a, err := call[ChangeResult](ctx, c, http.MethodPut, pathConfig, q)
 	if q.DryRun {
@@ -126,7 +126,7 @@
 	}
 }
 
-// Replicas returns what the dispatchers know about all backend servers.
+// Replicas returns the status of all backend servers as recorded by the dispatchers.
 func (c *Client) Replicas(ctx context.Context) ([]goosedispatch.PoolReport, error) {
 	return call[[]goosedispatch.PoolReport](ctx, c, http.MethodGet, pathReplicas, nil)
 }
--- a/internal/gooseoperator/types.go
+++ b/internal/gooseoperator/types.go
@@ -53,7 +53,7 @@
 	Error *APIError `json:"error"`
 }
 
-// Status describes one instance and what it knows about the others.
+// Status describes one instance and its records of the others.
 type Status struct {
 	Instance   goose.InstanceID `json:"instance"`
 	DataCentre goose.DataCentre `json:"data-centre"`
@@ -68,7 +68,7 @@
 	DataCentres []DataCentreStatus `json:"data-centres"`
 }
 
-// MemberStatus is the status of one instance as the queried instance knows it.
+// MemberStatus is the status of one instance as recorded by the queried instance.
 type MemberStatus struct {
 	goose.Member
 	// State is the state that operators have set.
--- a/internal/gooseoperatortest/instance.go
+++ b/internal/gooseoperatortest/instance.go
@@ -169,7 +169,7 @@
 }
 
 // List returns one order whose outcome is unknown, until that order is settled. It fails if
-// Unreadable is set.
+// OrdersUnavailable is set.
 func (i *Instance) List(_ context.Context, state goose.OrderState, _ int) ([]goose.Order, error) {
 	if i.OrdersUnavailable.Load() {
 		return nil, errors.Wrap(goose.ErrUnavailable, "list orders")
--- a/internal/goosepeertest/network.go
+++ b/internal/goosepeertest/network.go
@@ -16,7 +16,7 @@
 // Call is one call between two instances, which are named by their addresses.
 type Call struct{ From, To, Kind string }
 
-// Fault tells what happens to a call.
+// Fault is what happens to a call.
 type Fault string
 
 // Faults of calls.
@@ -24,14 +24,14 @@
 	FaultNone Fault = ""
 	// FaultRefused ends the call at once without a reply.
 	FaultRefused Fault = "refused"
-	// FaultSilent lets the calling instance wait for a reply until it gives up.
+	// FaultSilent lets the calling instance wait for a reply until its timeout.
 	FaultSilent Fault = "silent"
 	// FaultNoReply is FaultSilent after the call has had its effect.
 	FaultNoReply Fault = "no-answer"
 )
 
 // ErrNoReply is the error of a call that a fault ends.
-var ErrNoReply = errors.New("no answer")
+var ErrNoReply = errors.New("no reply")
 
 // Network delivers calls between instances. Requests and replies are encoded as
 // on the real link.
--- a/internal/gooseproof/bench_test.go
+++ b/internal/gooseproof/bench_test.go
@@ -62,12 +62,12 @@
 	return s[min(len(s)-1, int(q*float64(len(s))))]
 }
 
-// BenchmarkRelay reports the tokens that instances relay per second of their CPU time,
+// BenchmarkForward reports the tokens that instances forward per second of their CPU time,
 // with 32 concurrent streams of 500 tokens. The time for permits is included.
-func BenchmarkRelay(b *testing.B) {
+func BenchmarkForward(b *testing.B) {
 	f := newBenchFleet(b)
 	const streams, tokens = 32, 500
-	relayed, before, n := 0, cpuSeconds(b, f), 0
+	forwarded, before, n := 0, cpuSeconds(b, f), 0
 	for b.Loop() {
 		var all sync.WaitGroup
 		n++
@@ -79,9 +79,9 @@
 			})
 		}
 		all.Wait()
-		relayed += streams * tokens
+		forwarded += streams * tokens
 	}
-	b.ReportMetric(float64(relayed)/(cpuSeconds(b, f)-before), "tokens/core-s")
+	b.ReportMetric(float64(forwarded)/(cpuSeconds(b, f)-before), "tokens/core-s")
 }
 
 // cpuSeconds returns the CPU time of all instances, read from /proc/<pid>/stat in ticks of
--- a/internal/gooseproof/change_test.go
+++ b/internal/gooseproof/change_test.go
@@ -260,7 +260,7 @@
 // that the store does not accept before the instance exits becomes unknown.
 func (h *history) checkShutdown(storeDown bool) {
 	h.fleet.t.Helper()
-	elsewhere := h.fleet.InstancesOf("musselburgh")[0].Caller
+	remoteCaller := h.fleet.InstancesOf("musselburgh")[0].Caller
 	served := map[string]bool{}
 	for _, c := range h.calls {
 		noStore := storeDown && c.kind == kindOrder && c.code == string(goose.CodeStoreUnavailable)
@@ -274,7 +274,7 @@
 		served[c.name] = served[c.name] || c.served()
 		if c.served() && !storeDown {
 			path, headers, body := c.request()
-			if res := h.fleet.send(elsewhere, path, c.key, headers, body); !res.served() {
+			if res := h.fleet.send(remoteCaller, path, c.key, headers, body); !res.served() {
 				h.fleet.t.Errorf("retry of the served order %s: got %v, want its answer", c.name, res)
 			}
 		}
--- a/internal/gooseproof/fleet_test.go
+++ b/internal/gooseproof/fleet_test.go
@@ -106,7 +106,7 @@
 type response struct {
 	status int
 	body   string
-	// code and run are the fields of a refusal; run tells whether the request has run.
+	// code and run are the fields of a refusal; run states whether the request has run.
 	code, run string
 	// complete is true for a stream with its end marker and for any plain response that was
 	// read without an error.
--- a/internal/gooseproof/partition_test.go
+++ b/internal/gooseproof/partition_test.go
@@ -132,9 +132,9 @@
 }
 
 // Guards against data centres that stop serving when a partition separates them, against an
-// accepted change that does not reach the other side or is reverted when the partition
-// heals, and against a data centre without the store that does not get the change from its
-// peers after the partition.
+// accepted change that does not reach the other side or is reverted when the partition ends,
+// and against a data centre without the store that does not get the change from its peers
+// after the partition.
 func TestDataCentresCutFromEachOther(t *testing.T) {
 	f := newTestFleet(t, withPartitions)
 	f.warmUp()
--- a/internal/gooseproof/peer_partition_test.go
+++ b/internal/gooseproof/peer_partition_test.go
@@ -67,9 +67,9 @@
 // Guards against two dispatchers that together give a cold backend server more than its
 // limit, against an attempt that is sent twice, and against orders that run twice or whose
 // callers get a wrong outcome, while a partition in one or both directions separates the
-// instances of a data centre, with and without the store. One engine turns cold every
-// second, the other one every fourth second, so that it is warm for part of the time.
-// Engines accept requests of any epoch, so that only the dispatchers keep the limit.
+// instances of a data centre, with and without the store. One engine becomes cold every
+// second, the other one every fourth second, so that it is warm for part of the time. Engines
+// accept requests of any epoch, so that only the dispatchers keep the limit.
 func TestPartitionInDataCentre(t *testing.T) {
 	for name, partition := range peerPartitions {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gooseproof/replica_test.go
+++ b/internal/gooseproof/replica_test.go
@@ -136,8 +136,8 @@
 			if err := tt.fault(f); err != nil {
 				t.Error(err)
 			}
-			// Engines that turn cold again during the fault would be overloaded by
-			// two dispatchers that do not know of each other's permits.
+			// Engines that become cold again during the fault would be overloaded by two
+			// dispatchers that do not know of each other's permits.
 			for _, b := range f.BackendsOf(modelService, "leith") {
 				if err := b.SetFault(f.ctx, map[string]any{"cold": true}); err != nil {
 					t.Error(err)
@@ -210,7 +210,7 @@
 
 // Guards against a third crashed replica when the instance that sends the crashing request
 // and also dispatches its pool dies or freezes while the second engine runs the request: no
-// other instance knows which request crashed that engine.
+// other instance has a record of which request crashed that engine.
 func TestCrashUnseenByDispatcher(t *testing.T) {
 	for name, c := range map[string]crashCase{
 		"killed": {killInstance, restartInstance, true, true},
--- a/internal/goosesoak/fleet_test.go
+++ b/internal/goosesoak/fleet_test.go
@@ -131,7 +131,7 @@
 	return e.replica
 }
 
-// removeReplica ends a replica for good and deletes its entry. The replica has been
+// removeReplica ends a replica permanently and deletes its entry. The replica has been
 // drained before or crashes now.
 func (f *fleet) removeReplica(r *replica) {
 	r.crash()
--- a/internal/goosesoak/inject_test.go
+++ b/internal/goosesoak/inject_test.go
@@ -60,8 +60,8 @@
 	injectFor(ft, func() { f.store.SetFault(func(string) gooseplatformtest.Fault { return fault }) }, func() { f.store.SetFault(nil) })
 }
 
-// injectUnreachablePeers replaces the address of every instance in the store by one where
-// nobody listens, and restarts one instance meanwhile.
+// injectUnreachablePeers replaces the address of every instance in the store by one on
+// which no process listens, and restarts one instance during the fault.
 func (f *fleet) injectUnreachablePeers(i *instance, ft fault) {
 	var keys []string
 	injectFor(ft, func() {
--- a/internal/goosesoak/plan_test.go
+++ b/internal/goosesoak/plan_test.go
@@ -33,8 +33,8 @@
 	faultEvacuate            faultKind = "evacuate"
 	faultInvalidEntry        faultKind = "unreadable-entry"
 	// faultPeersUnreachable replaces the peer addresses in the store, so that load reports
-	// are sent to the wrong address: an instance that starts meanwhile receives no reports,
-	// and no peer receives its own.
+	// are sent to the wrong address: an instance that starts during the fault receives no
+	// reports, and no peer receives its own.
 	faultPeersUnreachable faultKind = "peer-not-heard"
 )
 
--- a/internal/goosestand/engine.go
+++ b/internal/goosestand/engine.go
@@ -57,8 +57,8 @@
 	RestartDelay time.Duration
 	// Cold makes the engine start cold.
 	Cold bool
-	// WeightStoreAddress is the address of the weight store; if it is empty, loads complete
-	// immediately.
+	// WeightStoreAddress is the address of the weight store; if it is empty, model loads
+	// complete immediately.
 	WeightStoreAddress string
 }
 
--- a/internal/goosestand/list.go
+++ b/internal/goosestand/instancelist.go
@@ -48,8 +48,8 @@
 	Reads int `json:"reads"`
 	// Unchanged counts the reads with the response 304 Not Modified.
 	Unchanged int `json:"unchanged"`
-	// Bytes is the length of all responses including their headers; Size is the
-	// length of the last list alone.
+	// Bytes is the length of all responses including their headers;
+	// LastListBytes is the length of the last list alone.
 	Bytes         int `json:"bytes"`
 	LastListBytes int `json:"size"`
 }
--- a/internal/goosestand/run.go
+++ b/internal/goosestand/run.go
@@ -38,7 +38,7 @@
 	}
 	commands := map[string]func(context.Context, *options) error{
 		"engine": runEngine, "plain": runPlain, "store": runStore, "list": runList, "weights": runWeights, "balancer": runBalancer,
-		"relay": runRelay,
+		"relay": runUDPProxies,
 	}
 	run, ok := commands[args[0]]
 	if !ok {
@@ -77,7 +77,7 @@
 	balancer      BalancerConfig
 	weights       WeightStoreConfig
 	targets       string
-	relay         UDPProxyConfig
+	udpProxy      UDPProxyConfig
 	sources       string
 }
 
@@ -120,9 +120,9 @@
 		f.DurationVar(&o.weights.Period, "period", 10*time.Second, "period of the rate limit")
 		f.DurationVar(&o.weights.LoadTime, "load-time", 2*time.Second, "duration of one load")
 	case "relay":
-		f.StringVar(&o.targets, "targets", "", "comma-separated UDP addresses, one for each relay")
+		f.StringVar(&o.targets, "targets", "", "comma-separated UDP addresses, one for each UDP proxy")
 		f.StringVar(&o.sources, "sources", "", "comma-separated name=address pairs of senders, as used in \"cut-to\" and \"cut-from\"")
-		f.Uint64Var(&o.relay.Seed, "seed", 1, "seed of the random packet losses")
+		f.Uint64Var(&o.udpProxy.Seed, "seed", 1, "seed of the random packet losses")
 	case "balancer":
 		f.StringVar(&o.targets, "targets", "", "comma-separated caller-address/operator-address pairs")
 		f.DurationVar(&o.balancer.CheckInterval, "check-every", 500*time.Millisecond, "pause between health checks on /readyz")
@@ -267,25 +267,25 @@
 	return NewBalancer(o.balancer, address, control, o.log).Run(ctx)
 }
 
-func runRelay(ctx context.Context, o *options) error {
+func runUDPProxies(ctx context.Context, o *options) error {
 	targets := strings.Split(o.targets, ",")
 	if o.targets == "" || len(targets) != o.count {
-		return errors.Errorf("--targets: got %q, want one address for each of %d relays", o.targets, o.count)
+		return errors.Errorf("--targets: got %q, want one address for each of %d UDP proxies", o.targets, o.count)
 	}
-	o.relay.Sources = map[string]string{}
+	o.udpProxy.Sources = map[string]string{}
 	for s := range strings.SplitSeq(o.sources, ",") {
 		name, address, ok := strings.Cut(s, "=")
 		if !ok && s != "" {
 			return errors.Errorf("--sources: %q is not name=address", s)
 		}
-		o.relay.Sources[address] = name
+		o.udpProxy.Sources[address] = name
 	}
 	p := pool.New().WithContext(ctx).WithCancelOnError()
 	for i, target := range targets {
-		cfg := o.relay
+		cfg := o.udpProxy
 		cfg.Target = target
 		address, control := o.addressPair(i)
-		p.Go(NewRelay(cfg, address, control, o.log.With("relay", i)).Run)
+		p.Go(NewUDPProxy(cfg, address, control, o.log.With("relay", i)).Run)
 	}
 	return p.Wait()
 }
--- a/internal/goosestand/server.go
+++ b/internal/goosestand/server.go
@@ -1,6 +1,6 @@
 // Package goosestand simulates the components of the platform: model engines,
 // plain services, the key-value store, the instance list, the weight store, the
-// load balancer and the network between instances (relay).
+// load balancer and the network between instances (UDP proxy, started as "relay").
 // Every simulator can inject faults and counts its calls and their effects.
 package goosestand
 
--- a/internal/goosestand/relay.go
+++ b/internal/goosestand/udpproxy.go
@@ -17,7 +17,7 @@
 // maxPacketBytes is larger than any UDP payload.
 const maxPacketBytes = 64 << 10
 
-// UDPProxyConfig configures a Relay.
+// UDPProxyConfig configures a UDPProxy.
 type UDPProxyConfig struct {
 	// Target is the host:port to which the packets are forwarded.
 	Target string
@@ -28,7 +28,7 @@
 	Seed uint64
 }
 
-// UDPProxyFaults are the fault switches of a relay.
+// UDPProxyFaults are the fault switches of a UDP proxy.
 type UDPProxyFaults struct {
 	// Down drops every packet.
 	Down bool `json:"down"`
@@ -65,7 +65,7 @@
 	totals       UDPProxyCounters
 }
 
-// route is the state that the relay keeps for one source.
+// route is the state that the proxy keeps for one source.
 type route struct {
 	name   string
 	source netip.AddrPort
@@ -77,8 +77,8 @@
 	forwardLoss, returnLoss *rand.Rand
 }
 
-// NewRelay returns a relay that listens on address when Run is called.
-func NewRelay(cfg UDPProxyConfig, address, control string, log *slog.Logger) *UDPProxy {
+// NewUDPProxy returns a proxy that listens on address when Run is called.
+func NewUDPProxy(cfg UDPProxyConfig, address, control string, log *slog.Logger) *UDPProxy {
 	if control == "" {
 		control = loopback(0)
 	}
@@ -90,44 +90,44 @@
 	return r
 }
 
-// Address returns the host:port that accepts packets, or "" before the relay
+// Address returns the host:port that accepts packets, or "" before the proxy
 // runs.
-func (r *UDPProxy) Address() string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.boundAddress
+func (p *UDPProxy) Address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.boundAddress
 }
 
 // Counters returns a snapshot of the totals.
-func (r *UDPProxy) Counters() UDPProxyCounters {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return UDPProxyCounters{Forwarded: maps.Clone(r.totals.Forwarded), Returned: maps.Clone(r.totals.Returned), Dropped: maps.Clone(r.totals.Dropped)}
+func (p *UDPProxy) Counters() UDPProxyCounters {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return UDPProxyCounters{Forwarded: maps.Clone(p.totals.Forwarded), Returned: maps.Clone(p.totals.Returned), Dropped: maps.Clone(p.totals.Dropped)}
 }
 
 // Run serves until ctx is done.
-func (r *UDPProxy) Run(ctx context.Context) error {
-	listen, err := net.ResolveUDPAddr("udp", r.address)
+func (p *UDPProxy) Run(ctx context.Context) error {
+	listen, err := net.ResolveUDPAddr("udp", p.address)
 	if err != nil {
-		return errors.Wrap(err, "relay port")
+		return errors.Wrap(err, "UDP proxy port")
 	}
-	target, err := net.ResolveUDPAddr("udp", r.cfg.Target)
+	target, err := net.ResolveUDPAddr("udp", p.cfg.Target)
 	if err != nil {
-		return errors.Wrap(err, "relay target")
+		return errors.Wrap(err, "UDP proxy target")
 	}
 	socket, err := net.ListenUDP("udp", listen)
 	if err != nil {
-		return errors.Wrap(err, "relay port")
+		return errors.Wrap(err, "UDP proxy port")
 	}
-	if err := r.srv.start(); err != nil {
+	if err := p.srv.start(); err != nil {
 		_ = socket.Close()
 		return err
 	}
-	r.mu.Lock()
-	r.boundAddress = socket.LocalAddr().String()
-	r.mu.Unlock()
-	r.log.Info("listening", "address", socket.LocalAddr().String(), "control", r.srv.addr(), "target", r.cfg.Target)
-	stop := context.AfterFunc(ctx, func() { r.close(socket) })
+	p.mu.Lock()
+	p.boundAddress = socket.LocalAddr().String()
+	p.mu.Unlock()
+	p.log.Info("listening", "address", socket.LocalAddr().String(), "control", p.srv.addr(), "target", p.cfg.Target)
+	stop := context.AfterFunc(ctx, func() { p.close(socket) })
 	defer stop()
 	buf := make([]byte, maxPacketBytes)
 	for {
@@ -138,34 +138,34 @@
 		case err != nil:
 			return errors.Wrap(err, "relay")
 		}
-		if err := r.forward(ctx, socket, target, source, buf[:n]); err != nil {
+		if err := p.forward(ctx, socket, target, source, buf[:n]); err != nil {
 			return err
 		}
 	}
 }
 
-func (r *UDPProxy) close(socket *net.UDPConn) {
-	r.srv.stop()
+func (p *UDPProxy) close(socket *net.UDPConn) {
+	p.srv.stop()
 	_ = socket.Close()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, rt := range r.routes {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, rt := range p.routes {
 		_ = rt.conn.Close()
 	}
 }
 
 // forward sends a packet to the target unless a fault drops it.
-func (r *UDPProxy) forward(ctx context.Context, socket *net.UDPConn, target *net.UDPAddr, source netip.AddrPort, packet []byte) error {
-	rt, err := r.routeOf(ctx, socket, target, source)
+func (p *UDPProxy) forward(ctx context.Context, socket *net.UDPConn, target *net.UDPAddr, source netip.AddrPort, packet []byte) error {
+	rt, err := p.routeOf(ctx, socket, target, source)
 	if err != nil {
 		return err
 	}
-	f := r.faults.get()
+	f := p.faults.get()
 	if isLost(rt.forwardLoss, f.Loss) || f.Down || slices.Contains(f.CutTo, rt.name) {
-		r.increment(r.totals.Dropped, rt.name)
+		p.increment(p.totals.Dropped, rt.name)
 		return nil
 	}
-	r.increment(r.totals.Forwarded, rt.name)
+	p.increment(p.totals.Forwarded, rt.name)
 	// A write error is ignored: the target may not be listening.
 	_, _ = rt.conn.Write(packet)
 	return nil
@@ -175,45 +175,45 @@
 // lost depends only on its position in the sequence.
 func isLost(r *rand.Rand, share float64) bool { return r.Float64() < share }
 
-func (r *UDPProxy) increment(counts map[string]int, name string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (p *UDPProxy) increment(counts map[string]int, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	counts[name]++
 }
 
 // routeOf returns the route of a source and creates it for the first packet.
-func (r *UDPProxy) routeOf(ctx context.Context, socket *net.UDPConn, target *net.UDPAddr, source netip.AddrPort) (*route, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if rt, ok := r.routes[source]; ok {
+func (p *UDPProxy) routeOf(ctx context.Context, socket *net.UDPConn, target *net.UDPAddr, source netip.AddrPort) (*route, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if rt, ok := p.routes[source]; ok {
 		return rt, nil
 	}
 	conn, err := net.DialUDP("udp", nil, target)
 	if err != nil {
-		return nil, errors.Wrap(err, "relay route")
+		return nil, errors.Wrap(err, "UDP proxy route")
 	}
 	if ctx.Err() != nil {
 		_ = conn.Close()
-		return nil, errors.Wrap(ctx.Err(), "relay route")
+		return nil, errors.Wrap(ctx.Err(), "UDP proxy route")
 	}
-	name, ok := r.cfg.Sources[source.String()]
+	name, ok := p.cfg.Sources[source.String()]
 	if !ok {
 		name = source.String()
 	}
-	rt := &route{name: name, source: source, conn: conn, forwardLoss: r.newLossRand(name, "to"), returnLoss: r.newLossRand(name, "back")}
-	r.routes[source] = rt
-	go r.returnPackets(ctx, socket, rt)
+	rt := &route{name: name, source: source, conn: conn, forwardLoss: p.newLossRand(name, "to"), returnLoss: p.newLossRand(name, "back")}
+	p.routes[source] = rt
+	go p.returnPackets(ctx, socket, rt)
 	return rt, nil
 }
 
-func (r *UDPProxy) newLossRand(name, direction string) *rand.Rand {
+func (p *UDPProxy) newLossRand(name, direction string) *rand.Rand {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(r.cfg.Target + "/" + name + "/" + direction))
-	return rand.New(rand.NewPCG(r.cfg.Seed, h.Sum64()))
+	_, _ = h.Write([]byte(p.cfg.Target + "/" + name + "/" + direction))
+	return rand.New(rand.NewPCG(p.cfg.Seed, h.Sum64()))
 }
 
 // returnPackets forwards the target's packets to the source until ctx is done.
-func (r *UDPProxy) returnPackets(ctx context.Context, socket *net.UDPConn, rt *route) {
+func (p *UDPProxy) returnPackets(ctx context.Context, socket *net.UDPConn, rt *route) {
 	buf := make([]byte, maxPacketBytes)
 	for {
 		n, err := rt.conn.Read(buf)
@@ -224,12 +224,12 @@
 			// A read fails while the target is not listening.
 			continue
 		}
-		f := r.faults.get()
+		f := p.faults.get()
 		if isLost(rt.returnLoss, f.Loss) || f.Down || slices.Contains(f.CutFrom, rt.name) {
-			r.increment(r.totals.Dropped, rt.name)
+			p.increment(p.totals.Dropped, rt.name)
 			continue
 		}
-		r.increment(r.totals.Returned, rt.name)
+		p.increment(p.totals.Returned, rt.name)
 		_, _ = socket.WriteToUDPAddrPort(buf[:n], rt.source)
 	}
 }
--- a/internal/goosestand/relay_test.go
+++ b/internal/goosestand/udpproxy_test.go
@@ -29,8 +29,8 @@
 	return c.LocalAddr().String()
 }
 
-// listenRelaySource returns the socket of one sender.
-func listenRelaySource(t *testing.T) *net.UDPConn {
+// listenSource returns the socket of one sender.
+func listenSource(t *testing.T) *net.UDPConn {
 	t.Helper()
 	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
@@ -40,33 +40,33 @@
 	return c
 }
 
-// startRelay runs a relay to an echo target and returns the relay and its
+// startUDPProxy runs a proxy to an echo target and returns the proxy and its
 // address.
-func startRelay(t *testing.T, sources map[string]string) (*UDPProxy, *net.UDPAddr) {
+func startUDPProxy(t *testing.T, sources map[string]string) (*UDPProxy, *net.UDPAddr) {
 	t.Helper()
-	r := NewRelay(UDPProxyConfig{Target: startEchoTarget(t), Sources: sources, Seed: 7}, loopback(0), "", discardLog)
-	runInBackground(t, r.Run)
-	waitFor(t, "the relay", func() bool { return r.Address() != "" })
-	relayAddress, err := net.ResolveUDPAddr("udp", r.Address())
+	p := NewUDPProxy(UDPProxyConfig{Target: startEchoTarget(t), Sources: sources, Seed: 7}, loopback(0), "", discardLog)
+	runInBackground(t, p.Run)
+	waitFor(t, "the UDP proxy", func() bool { return p.Address() != "" })
+	proxyAddress, err := net.ResolveUDPAddr("udp", p.Address())
 	if err != nil {
 		t.Fatal(err)
 	}
-	return r, relayAddress
+	return p, proxyAddress
 }
 
-// sendPackets sends n packets one by one. It returns which of them the relay
+// sendPackets sends n packets one by one. It returns which of them the proxy
 // forwarded to the target, and for which of them the echo came back.
-func (r *UDPProxy) sendPackets(t *testing.T, from *net.UDPConn, to *net.UDPAddr, name string, n int) (forwarded, returned []bool) {
+func (p *UDPProxy) sendPackets(t *testing.T, from *net.UDPConn, to *net.UDPAddr, name string, n int) (forwarded, returned []bool) {
 	t.Helper()
 	buf := make([]byte, 8)
 	for range n {
-		before := r.Counters()
+		before := p.Counters()
 		if _, err := from.WriteTo([]byte("x"), to); err != nil {
 			t.Fatal(err)
 		}
 		var after UDPProxyCounters
 		waitFor(t, "the packet to be dropped or returned", func() bool {
-			after = r.Counters()
+			after = p.Counters()
 			return after.Dropped[name]+after.Returned[name] > before.Dropped[name]+before.Returned[name]
 		})
 		forwarded = append(forwarded, after.Forwarded[name] > before.Forwarded[name])
@@ -77,18 +77,18 @@
 		}
 		_ = from.SetReadDeadline(time.Now().Add(time.Minute))
 		if _, err := from.Read(buf); err != nil {
-			t.Fatalf("the relay counted a returned packet that did not arrive: %v", err)
+			t.Fatalf("the proxy counted a returned packet that did not arrive: %v", err)
 		}
 	}
 	return forwarded, returned
 }
 
-// Guards against a cut that lets packets through, that affects another source or
-// the other direction, or that stays after its fault is cleared.
-func TestRelayCuts(t *testing.T) {
+// Guards against a fault that lets packets through, that affects another source
+// or the other direction, or that stays after it is cleared.
+func TestUDPProxyCuts(t *testing.T) {
 	t.Parallel()
-	a, b := listenRelaySource(t), listenRelaySource(t)
-	r, relayAddress := startRelay(t, map[string]string{a.LocalAddr().String(): "a", b.LocalAddr().String(): "b"})
+	a, b := listenSource(t), listenSource(t)
+	p, proxyAddress := startUDPProxy(t, map[string]string{a.LocalAddr().String(): "a", b.LocalAddr().String(): "b"})
 	tests := []struct {
 		fault string
 		// forwarded and returned are expected for source a, other is whether
@@ -103,23 +103,23 @@
 		{`{"loss":0}`, true, true, true},
 	}
 	for _, tt := range tests {
-		setFault(t, r.srv.addr(), tt.fault)
-		if forwarded, returned := r.sendPackets(t, a, relayAddress, "a", 1); forwarded[0] != tt.forwarded || returned[0] != tt.returned {
+		setFault(t, p.srv.addr(), tt.fault)
+		if forwarded, returned := p.sendPackets(t, a, proxyAddress, "a", 1); forwarded[0] != tt.forwarded || returned[0] != tt.returned {
 			t.Errorf("%s: got forwarded %v, returned %v, want %v, %v", tt.fault, forwarded[0], returned[0], tt.forwarded, tt.returned)
 		}
-		if _, returned := r.sendPackets(t, b, relayAddress, "b", 1); returned[0] != tt.other {
+		if _, returned := p.sendPackets(t, b, proxyAddress, "b", 1); returned[0] != tt.other {
 			t.Errorf("%s, other source: got returned %v, want %v", tt.fault, returned[0], tt.other)
 		}
 	}
 }
 
 // Guards against losses that differ between two runs with the same seed.
-func TestRelayLossIsFixedBySeed(t *testing.T) {
+func TestUDPProxyLossIsFixedBySeed(t *testing.T) {
 	t.Parallel()
 	const packets = 60
-	r := NewRelay(UDPProxyConfig{Target: "t", Seed: 7}, "", "", discardLog)
+	p := NewUDPProxy(UDPProxyConfig{Target: "t", Seed: 7}, "", "", discardLog)
 	draw := func(source, direction string) (losses []bool) {
-		rnd := r.newLossRand(source, direction)
+		rnd := p.newLossRand(source, direction)
 		for range packets {
 			losses = append(losses, isLost(rnd, 0.3))
 		}
--- a/internal/goosestand/weights.go
+++ b/internal/goosestand/weightstore.go
@@ -14,21 +14,21 @@
 
 // WeightStoreConfig configures a weight store.
 type WeightStoreConfig struct {
-	// MaxLoads is the number of loads that may start within any Period; further
-	// loads are rejected.
+	// MaxLoads is the number of model loads that may start within any Period;
+	// further ones are rejected.
 	MaxLoads int
 	Period   time.Duration
-	// LoadTime is the duration of one load.
+	// LoadTime is the duration of one model load.
 	LoadTime time.Duration
 }
 
 // WeightStoreFaults are the fault switches of a weight store.
 type WeightStoreFaults struct {
 	Down bool `json:"down"`
-	// Slow multiplies the duration of loads that start while it is set; 0 is
+	// Slow multiplies the duration of model loads that start while it is set; 0 is
 	// normal.
 	Slow float64 `json:"slow"`
-	// Refuse rejects every load with an error.
+	// Refuse rejects every model load with an error.
 	Refuse bool `json:"refuse"`
 }
 
@@ -129,7 +129,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("weight store answered %d", resp.StatusCode)
+		return errors.Errorf("weight store responded with status %d", resp.StatusCode)
 	}
 	return nil
 }
--- a/internal/goosestand/weights_test.go
+++ b/internal/goosestand/weightstore_test.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func startWeights(t *testing.T, cfg WeightStoreConfig) *WeightStore {
+func startWeightStore(t *testing.T, cfg WeightStoreConfig) *WeightStore {
 	t.Helper()
 	w := NewWeightStore(cfg, "127.0.0.1:0", "127.0.0.1:0", discardLog)
 	runInBackground(t, w.Run)
@@ -18,9 +18,9 @@
 
 // Guards against a weight store that accepts more loads than its rate allows, or
 // counts rejected loads wrongly.
-func TestWeightsRate(t *testing.T) {
+func TestWeightStoreRate(t *testing.T) {
 	t.Parallel()
-	w := startWeights(t, WeightStoreConfig{MaxLoads: 2, Period: time.Hour})
+	w := startWeightStore(t, WeightStoreConfig{MaxLoads: 2, Period: time.Hour})
 	load := func() int {
 		code, _ := sendRequest(t, http.MethodGet, "http://"+w.srv.addr()+"/v1/weights/m", "")
 		return code
@@ -33,7 +33,7 @@
 	if got, want := w.Counters(), (WeightStoreCounters{Started: 3, Finished: 2, Refused: 1, RefusedOverRate: 1}); got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
-	other := startWeights(t, WeightStoreConfig{MaxLoads: 2, Period: time.Hour})
+	other := startWeightStore(t, WeightStoreConfig{MaxLoads: 2, Period: time.Hour})
 	setFault(t, other.srv.controlAddr(), `{"refuse":true}`)
 	if code, _ := sendRequest(t, http.MethodGet, "http://"+other.srv.addr()+"/v1/weights/m", ""); code != 429 || other.Counters().RefusedOverRate != 0 {
 		t.Errorf("refuse fault: got %d and %+v, want 429 without counting it above the rate", code, other.Counters())
--- a/internal/goosetest/catalogue.go
+++ b/internal/goosetest/catalogue.go
@@ -19,19 +19,19 @@
 }
 
 // Current implements goose.ConfigurationSource.
-func (f *Catalogue) Current() goose.Catalogue { return f }
+func (c *Catalogue) Current() goose.Catalogue { return c }
 
 // Version implements goose.Catalogue.
-func (f *Catalogue) Version() int64 { return f.InForce }
+func (c *Catalogue) Version() int64 { return c.InForce }
 
 // Configuration implements goose.Catalogue.
-func (f *Catalogue) Configuration() *goose.Configuration {
-	return &goose.Configuration{BackendServers: f.Servers}
+func (c *Catalogue) Configuration() *goose.Configuration {
+	return &goose.Configuration{BackendServers: c.Servers}
 }
 
 // Service implements goose.Catalogue.
-func (f *Catalogue) Service(n goose.ServiceName) (goose.ServiceSpec, bool) {
-	for _, s := range f.Services {
+func (c *Catalogue) Service(n goose.ServiceName) (goose.ServiceSpec, bool) {
+	for _, s := range c.Services {
 		if s.Name == n {
 			return s, true
 		}
@@ -40,26 +40,26 @@
 }
 
 // WorkspaceByKey implements goose.Catalogue.
-func (f *Catalogue) WorkspaceByKey(key string) (goose.WorkspaceSpec, bool) {
+func (c *Catalogue) WorkspaceByKey(key string) (goose.WorkspaceSpec, bool) {
 	return goose.WorkspaceSpec{Name: "forge"}, key == "forge-key"
 }
 
 // DataCentre implements goose.Catalogue.
-func (f *Catalogue) DataCentre(n goose.DataCentre) (goose.DataCentreSpec, bool) {
+func (c *Catalogue) DataCentre(n goose.DataCentre) (goose.DataCentreSpec, bool) {
 	return goose.DataCentreSpec{Name: n, State: goose.StateActive}, true
 }
 
 // InstanceState implements goose.Catalogue.
-func (f *Catalogue) InstanceState(goose.InstanceID) goose.AdminState {
-	if f.Leaving {
+func (c *Catalogue) InstanceState(goose.InstanceID) goose.AdminState {
+	if c.Leaving {
 		return goose.StateLeaving
 	}
 	return goose.StateActive
 }
 
 // Allowed implements goose.Catalogue.
-func (f *Catalogue) Allowed(_ goose.WorkspaceName, p goose.Pool) (out []goose.BackendServer) {
-	for _, b := range f.Servers {
+func (c *Catalogue) Allowed(_ goose.WorkspaceName, p goose.Pool) (out []goose.BackendServer) {
+	for _, b := range c.Servers {
 		if b.Service == p.Service && b.DataCentre == p.DataCentre && b.State == goose.StateActive {
 			out = append(out, b)
 		}
@@ -68,9 +68,9 @@
 }
 
 // DataCentresFor implements goose.Catalogue for the data centres leith and dalkeith.
-func (f *Catalogue) DataCentresFor(w goose.WorkspaceName, s goose.ServiceName) (out []goose.DataCentre) {
+func (c *Catalogue) DataCentresFor(w goose.WorkspaceName, s goose.ServiceName) (out []goose.DataCentre) {
 	for _, dc := range []goose.DataCentre{"leith", "dalkeith"} {
-		if len(f.Allowed(w, goose.Pool{DataCentre: dc, Service: s})) > 0 {
+		if len(c.Allowed(w, goose.Pool{DataCentre: dc, Service: s})) > 0 {
 			out = append(out, dc)
 		}
 	}
--- a/internal/goosetest/endless.go
+++ b/internal/goosetest/endless.go
@@ -7,10 +7,10 @@
 	"sync/atomic"
 )
 
-// maxEndlessBytes ends an Endless whose bytes are taken without end.
+// maxEndlessBytes ends an Endless whose bytes are read without a limit.
 const maxEndlessBytes = 96 << 20
 
-// Endless is a backend server in trouble: it writes Head and then Piece again and again,
+// Endless is a faulty backend server: it writes Head and then Piece again and again,
 // until the other side closes.
 type Endless struct {
 	// Head is written once. A line ID in it becomes the header that names the request.
--- a/internal/goosetest/ledger.go
+++ b/internal/goosetest/ledger.go
@@ -24,16 +24,16 @@
 }
 
 // Claim implements goose.Ledger.
-func (f *Ledger) Claim(_ context.Context, k goose.OrderKey, hash string, a goose.AttemptID) goose.Claim {
-	f.Claims.Add(1)
-	if f.Delay > 0 {
-		time.Sleep(f.Delay)
+func (l *Ledger) Claim(_ context.Context, k goose.OrderKey, hash string, a goose.AttemptID) goose.Claim {
+	l.Claims.Add(1)
+	if l.Delay > 0 {
+		time.Sleep(l.Delay)
 	}
-	f.Mu.Lock()
-	defer f.Mu.Unlock()
-	o, ok := f.Orders[k.Key]
+	l.Mu.Lock()
+	defer l.Mu.Unlock()
+	o, ok := l.Orders[k.Key]
 	switch {
-	case f.Down:
+	case l.Down:
 		return goose.Claim{Status: goose.ClaimUnavailable}
 	case ok && o.BodyHash != hash:
 		return goose.Claim{Status: goose.ClaimKeyReused, Order: o}
@@ -42,11 +42,11 @@
 	case ok && o.State != goose.OrderNotRun:
 		return claimOf(o)
 	}
-	if f.Orders == nil {
-		f.Orders, f.ended = map[string]goose.Order{}, map[string]chan struct{}{}
+	if l.Orders == nil {
+		l.Orders, l.ended = map[string]goose.Order{}, map[string]chan struct{}{}
 	}
 	o = goose.Order{Key: k, State: goose.OrderClaimed, BodyHash: hash, Attempt: a}
-	f.Orders[k.Key], f.ended[k.Key] = o, make(chan struct{})
+	l.Orders[k.Key], l.ended[k.Key] = o, make(chan struct{})
 	return goose.Claim{Status: goose.ClaimGranted, Order: o}
 }
 
@@ -57,37 +57,37 @@
 	return goose.Claim{Status: goose.ClaimDone, Order: o}
 }
 
-func (f *Ledger) settle(o goose.Order, s goose.OrderState) {
-	f.Mu.Lock()
-	defer f.Mu.Unlock()
+func (l *Ledger) settle(o goose.Order, s goose.OrderState) {
+	l.Mu.Lock()
+	defer l.Mu.Unlock()
 	o.State = s
-	f.Orders[o.Key.Key] = o
-	close(f.ended[o.Key.Key])
+	l.Orders[o.Key.Key] = o
+	close(l.ended[o.Key.Key])
 }
 
 // MarkDone implements goose.Ledger.
-func (f *Ledger) MarkDone(o goose.Order, a goose.PlainResponse) {
+func (l *Ledger) MarkDone(o goose.Order, a goose.PlainResponse) {
 	o.Answer, o.AnswerKept = a, true
-	f.settle(o, goose.OrderDone)
+	l.settle(o, goose.OrderDone)
 }
 
 // MarkNotRun implements goose.Ledger.
-func (f *Ledger) MarkNotRun(o goose.Order) { f.settle(o, goose.OrderNotRun) }
+func (l *Ledger) MarkNotRun(o goose.Order) { l.settle(o, goose.OrderNotRun) }
 
 // MarkUnknown implements goose.Ledger.
-func (f *Ledger) MarkUnknown(o goose.Order) { f.settle(o, goose.OrderUnknown) }
+func (l *Ledger) MarkUnknown(o goose.Order) { l.settle(o, goose.OrderUnknown) }
 
 // WaitForOutcome implements goose.Ledger.
-func (f *Ledger) WaitForOutcome(ctx context.Context, o goose.Order) goose.Claim {
-	f.Mu.Lock()
-	ended := f.ended[o.Key.Key]
-	f.Mu.Unlock()
+func (l *Ledger) WaitForOutcome(ctx context.Context, o goose.Order) goose.Claim {
+	l.Mu.Lock()
+	ended := l.ended[o.Key.Key]
+	l.Mu.Unlock()
 	select {
 	case <-ended:
 	case <-ctx.Done():
 		return goose.Claim{Status: goose.ClaimUnknown, Order: o}
 	}
-	f.Mu.Lock()
-	defer f.Mu.Unlock()
-	return claimOf(f.Orders[o.Key.Key])
+	l.Mu.Lock()
+	defer l.Mu.Unlock()
+	return claimOf(l.Orders[o.Key.Key])
 }
--- a/internal/goosetest/permits.go
+++ b/internal/goosetest/permits.go
@@ -33,32 +33,32 @@
 }
 
 // Acquire implements goose.PermitClient.
-func (f *PermitClient) Acquire(ctx context.Context, r goose.PermitRequest) (*goose.Permit, *goose.Refusal) {
-	f.Mu.Lock()
-	defer f.Mu.Unlock()
-	f.Requests = append(f.Requests, r)
-	if f.HoldRequests {
-		f.Mu.Unlock()
+func (c *PermitClient) Acquire(ctx context.Context, r goose.PermitRequest) (*goose.Permit, *goose.Refusal) {
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	c.Requests = append(c.Requests, r)
+	if c.HoldRequests {
+		c.Mu.Unlock()
 		<-ctx.Done()
-		f.Mu.Lock()
+		c.Mu.Lock()
 		return nil, &goose.Refusal{Code: goose.CodeDeadline, Run: goose.RunStateNotRun, Message: "abandoned"}
 	}
-	if f.Refuse != nil {
-		if ref := f.Refuse(r); ref != nil {
+	if c.Refuse != nil {
+		if ref := c.Refuse(r); ref != nil {
 			return nil, ref
 		}
 	}
-	f.seq++
-	life, ok := f.Lifetime[f.seq]
+	c.seq++
+	life, ok := c.Lifetime[c.seq]
 	if !ok {
 		life = goose.PermitLifetime
 	}
 	p := &goose.Permit{
-		ID: goose.PermitID(fmt.Sprintf("permit-%d", f.seq)), Request: r.Request, Pool: r.Pool,
+		ID: goose.PermitID(fmt.Sprintf("permit-%d", c.seq)), Request: r.Request, Pool: r.Pool,
 		Epoch: 7, Expires: time.Now().Add(life),
 	}
-	for _, b := range f.Servers.Allowed("", r.Pool) {
-		if !f.GiantPermits && (len(p.Replicas) > 0 || slices.Contains(r.Avoid, b.Name)) {
+	for _, b := range c.Servers.Allowed("", r.Pool) {
+		if !c.GiantPermits && (len(p.Replicas) > 0 || slices.Contains(r.Avoid, b.Name)) {
 			continue
 		}
 		p.Replicas = append(p.Replicas, goose.ReplicaGrant{Replica: b.Name, Address: b.Address, Tokens: b.MemoryTokens})
@@ -70,42 +70,42 @@
 }
 
 // Asked counts the polls.
-func (f *PermitClient) Asked() int {
-	f.Mu.Lock()
-	defer f.Mu.Unlock()
-	return len(f.Requests)
+func (c *PermitClient) Asked() int {
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	return len(c.Requests)
 }
 
 // ReportStarted implements goose.PermitClient.
-func (f *PermitClient) ReportStarted(goose.Permit) {}
+func (c *PermitClient) ReportStarted(goose.Permit) {}
 
 // ReportPrefilled records that a first token arrived.
-func (f *PermitClient) ReportPrefilled(goose.Permit) {
-	f.Mu.Lock()
-	defer f.Mu.Unlock()
-	f.prefills++
+func (c *PermitClient) ReportPrefilled(goose.Permit) {
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	c.prefills++
 }
 
 // Prefills counts the attempts with a first token.
-func (f *PermitClient) Prefills() int {
-	f.Mu.Lock()
-	defer f.Mu.Unlock()
-	return f.prefills
+func (c *PermitClient) Prefills() int {
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	return c.prefills
 }
 
 // Release implements goose.PermitClient.
-func (f *PermitClient) Release(r goose.PermitReport) {
-	f.Mu.Lock()
-	defer f.Mu.Unlock()
-	f.reports = append(f.reports, r)
+func (c *PermitClient) Release(r goose.PermitReport) {
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	c.reports = append(c.reports, r)
 }
 
 // Outcomes returns the released outcomes in order.
-func (f *PermitClient) Outcomes() string {
-	f.Mu.Lock()
-	defer f.Mu.Unlock()
+func (c *PermitClient) Outcomes() string {
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
 	var out []string
-	for _, r := range f.reports {
+	for _, r := range c.reports {
 		out = append(out, string(r.Outcome))
 	}
 	return strings.Join(out, " ")
--- a/internal/goosetest/suspects.go
+++ b/internal/goosetest/suspects.go
@@ -21,47 +21,47 @@
 	Processes []string
 }
 
-// NewSuspects returns a table without crashes.
-func NewSuspects() *SuspectTracker {
+// NewSuspectTracker returns a table without crashes.
+func NewSuspectTracker() *SuspectTracker {
 	return &SuspectTracker{Crashes: map[goose.Fingerprint]int{}, noted: map[string]bool{}}
 }
 
 // Grade implements goose.SuspectTracker.
-func (f *SuspectTracker) Grade(fp goose.Fingerprint) goose.Suspicion {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return [...]goose.Suspicion{goose.SuspicionNone, goose.SuspicionSuspect, goose.SuspicionCondemned}[min(f.Crashes[fp], 2)]
+func (t *SuspectTracker) Grade(fp goose.Fingerprint) goose.Suspicion {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return [...]goose.Suspicion{goose.SuspicionNone, goose.SuspicionSuspect, goose.SuspicionCondemned}[min(t.Crashes[fp], 2)]
 }
 
 // RecordCrash implements goose.SuspectTracker.
-func (f *SuspectTracker) RecordCrash(id goose.ReplicaID, process string, all []goose.Fingerprint) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.Processes = append(f.Processes, process)
+func (t *SuspectTracker) RecordCrash(id goose.ReplicaID, process string, all []goose.Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Processes = append(t.Processes, process)
 	for _, fp := range all {
-		if k := string(id) + process + fp.String(); !f.noted[k] {
-			f.noted[k] = true
-			f.Crashes[fp]++
+		if k := string(id) + process + fp.String(); !t.noted[k] {
+			t.noted[k] = true
+			t.Crashes[fp]++
 		}
 	}
 }
 
 // Clear implements goose.SuspectTracker.
-func (f *SuspectTracker) Clear(fp goose.Fingerprint) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.Clearances++
-	delete(f.Crashes, fp)
+func (t *SuspectTracker) Clear(fp goose.Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Clearances++
+	delete(t.Crashes, fp)
 }
 
 // BeginTrial implements goose.SuspectTracker.
-func (f *SuspectTracker) BeginTrial(_ context.Context, fp goose.Fingerprint) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.Crashes[fp] != 1 {
+func (t *SuspectTracker) BeginTrial(_ context.Context, fp goose.Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.Crashes[fp] != 1 {
 		return false
 	}
-	f.Trials++
+	t.Trials++
 	return true
 }
 
--- a/pkg/goose/backend.go
+++ b/pkg/goose/backend.go
@@ -179,8 +179,7 @@
 	CommandSetRole     CommandKind = "set-role"
 )
 
-// Command tells a backend server to load a model or an adapter, or to change its
-// role.
+// Command makes a backend server load a model or an adapter, or change its role.
 type Command struct {
 	Kind CommandKind `json:"kind" cbor:"1,keyasint"`
 	// Name is the model, the adapter or the role.
--- a/pkg/goose/configuration.go
+++ b/pkg/goose/configuration.go
@@ -114,8 +114,8 @@
 // WeightStore is the configuration of the platform's weight store, from which
 // backend servers load models and adapters.
 type WeightStore struct {
-	// MaxLoads is the maximum number of loads that the whole fleet may start within
-	// any time window of length Period.
+	// MaxLoads is the maximum number of model loads that the whole fleet may start
+	// within any time window of length Period.
 	MaxLoads int           `yaml:"loads" cbor:"1,keyasint"`
 	Period   time.Duration `yaml:"period" cbor:"2,keyasint"`
 }
--- a/pkg/goose/member.go
+++ b/pkg/goose/member.go
@@ -14,7 +14,8 @@
 	Version int64            `cbor:"5,keyasint" json:"version"`
 	Pools   []DispatchedPool `cbor:"6,keyasint" json:"pools,omitempty"`
 	Leaving bool             `cbor:"7,keyasint" json:"leaving,omitempty"`
-	// LastHeard is when the member was last heard from, by the local clock.
+	// LastHeard is when the last message of the member arrived, by the local
+	// clock.
 	LastHeard time.Time `cbor:"-" json:"-"`
 	// Live is false once the member has been silent for the failure timeout.
 	Live bool `cbor:"-" json:"live"`
--- a/pkg/goose/permit.go
+++ b/pkg/goose/permit.go
@@ -149,8 +149,8 @@
 	Cold bool `cbor:"10,keyasint,omitempty"`
 }
 
-// HeldPermit is a permit as its holder knows it. A new dispatcher collects the held
-// permits from all instances.
+// HeldPermit is a permit as recorded by its holder. A new dispatcher collects the
+// held permits from all instances.
 type HeldPermit struct {
 	Permit  Permit        `cbor:"1,keyasint"`
 	Request PermitRequest `cbor:"2,keyasint"`
--- a/pkg/goose/roles.go
+++ b/pkg/goose/roles.go
@@ -44,8 +44,8 @@
 	// Clear records that a suspect finished while it ran alone.
 	Clear(f Fingerprint)
 	// BeginTrial records that a suspect is about to run alone. It returns once the other
-	// instances have been told or did not reply in time. It returns false for a
-	// request that is not a suspect or is already on trial.
+	// instances have confirmed or did not reply in time. It returns false for a request
+	// that is not a suspect or is already on trial.
 	BeginTrial(ctx context.Context, f Fingerprint) bool
 	// EndTrial records that a suspect's run alone ended without finishing or crashing.
 	EndTrial(f Fingerprint)
--- a/pkg/goose/routing.go
+++ b/pkg/goose/routing.go
@@ -176,7 +176,7 @@
 	Ticket string
 }
 
-// ForwardHeader is what an instance tells a replica about a forwarded request.
+// ForwardHeader is what an instance sends to a replica about a forwarded request.
 type ForwardHeader struct {
 	TimeLeft  time.Duration
 	Replica   ReplicaID
--- a/pkg/gooseconfig/distributor.go
+++ b/pkg/gooseconfig/distributor.go
@@ -80,27 +80,27 @@
 }
 
 // Run keeps the source up to date until ctx ends.
-func (r *Distributor) Run(ctx context.Context) {
-	r.started = time.Now()
+func (d *Distributor) Run(ctx context.Context) {
+	d.started = time.Now()
 	var wg conc.WaitGroup
-	wg.Go(func() { r.watchLoop(ctx) })
-	wg.Go(func() { r.pollLoop(ctx) })
-	wg.Go(func() { r.fetchLoop(ctx) })
-	wg.Go(func() { r.offerLoop(ctx) })
+	wg.Go(func() { d.watchLoop(ctx) })
+	wg.Go(func() { d.pollLoop(ctx) })
+	wg.Go(func() { d.fetchLoop(ctx) })
+	wg.Go(func() { d.offerLoop(ctx) })
 	wg.Wait()
-	r.forwarding.Wait()
+	d.forwarding.Wait()
 }
 
 // watchLoop watches the head in the store while this instance is the relay of its
 // data centre.
-func (r *Distributor) watchLoop(ctx context.Context) {
+func (d *Distributor) watchLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if r.isRelay() {
-			err := r.watchHead(ctx)
+		if d.isRelay() {
+			err := d.watchHead(ctx)
 			if ctx.Err() != nil {
 				return
 			}
-			r.recordStoreResult(err)
+			d.recordStoreResult(err)
 		}
 		goose.Sleep(ctx, jitter(tickInterval))
 	}
@@ -108,9 +108,9 @@
 
 // isRelay reports whether this instance is the live instance with the lowest name
 // in its data centre.
-func (r *Distributor) isRelay() bool {
-	self := r.Members.Self()
-	for _, m := range r.Members.Members() {
+func (d *Distributor) isRelay() bool {
+	self := d.Members.Self()
+	for _, m := range d.Members.Members() {
 		if m.DataCentre == self.DataCentre && m.Live && m.Instance < self.Instance {
 			return false
 		}
@@ -120,19 +120,19 @@
 
 // watchHead adopts new heads until the watch fails or another instance becomes the
 // relay.
-func (r *Distributor) watchHead(ctx context.Context) error {
+func (d *Distributor) watchHead(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	key := r.Repository.headKey()
-	entries, revision, err := r.Repository.store.List(ctx, key, 1)
+	key := d.Repository.headKey()
+	entries, revision, err := d.Repository.store.List(ctx, key, 1)
 	if err != nil {
 		return err
 	}
-	r.recordStoreResult(nil)
+	d.recordStoreResult(nil)
 	for _, e := range entries {
-		r.adoptHead(ctx, e.Value)
+		d.adoptHead(ctx, e.Value)
 	}
-	w, err := r.Repository.store.Watch(ctx, key, revision+1)
+	w, err := d.Repository.store.Watch(ctx, key, revision+1)
 	if err != nil {
 		return err
 	}
@@ -146,10 +146,10 @@
 				return w.Err()
 			}
 			if !e.Deleted {
-				r.adoptHead(ctx, e.Entry.Value)
+				d.adoptHead(ctx, e.Entry.Value)
 			}
 		case <-t.C:
-			if !r.isRelay() {
+			if !d.isRelay() {
 				return nil
 			}
 		case <-ctx.Done():
@@ -160,14 +160,14 @@
 
 // pollLoop reads the head at intervals, in case the relay cannot reach the store
 // or this instance.
-func (r *Distributor) pollLoop(ctx context.Context) {
+func (d *Distributor) pollLoop(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
 		if n%pollsPerFullRead == 0 {
-			r.headRevision.Store(0)
+			d.headRevision.Store(0)
 		}
-		_ = r.Refresh(ctx)
+		_ = d.Refresh(ctx)
 		pause := pollInterval
-		if r.Source.Current().Version() == 0 {
+		if d.Source.Current().Version() == 0 {
 			pause = tickInterval
 		}
 		goose.Sleep(ctx, jitter(pause))
@@ -176,95 +176,95 @@
 
 // Refresh reads the head if its revision has increased, and puts it in force if
 // its version is newer.
-func (r *Distributor) Refresh(ctx context.Context) error {
-	e, ok, err := r.Repository.store.GetAfter(ctx, r.Repository.headKey(), r.headRevision.Load())
+func (d *Distributor) Refresh(ctx context.Context) error {
+	e, ok, err := d.Repository.store.GetAfter(ctx, d.Repository.headKey(), d.headRevision.Load())
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	r.recordStoreResult(err)
-	if ok && r.adoptHead(ctx, e.Value) {
-		r.headRevision.Store(e.ModRevision)
+	d.recordStoreResult(err)
+	if ok && d.adoptHead(ctx, e.Value) {
+		d.headRevision.Store(e.ModRevision)
 	}
 	return err
 }
 
 // recordStoreResult logs when the store becomes unavailable and when it is
 // available again.
-func (r *Distributor) recordStoreResult(err error) {
+func (d *Distributor) recordStoreResult(err error) {
 	unavailable := errors.Is(err, goose.ErrUnavailable) || errors.Is(err, goose.ErrOutcomeUnknown)
-	if r.storeUnavailable.Swap(unavailable) == unavailable {
+	if d.storeUnavailable.Swap(unavailable) == unavailable {
 		return
 	}
 	if unavailable {
-		gooseevent.ConfigurationStoreLost.Log(r.Logger, slog.Any("error", err))
+		gooseevent.ConfigurationStoreLost.Log(d.Logger, slog.Any("error", err))
 		return
 	}
-	gooseevent.ConfigurationStoreBack.Log(r.Logger)
+	gooseevent.ConfigurationStoreBack.Log(d.Logger)
 }
 
 // adoptHead puts a head that was read from the store in force if it is newer. It
 // reports whether its version is in force now; if not, the head must be read again.
-func (r *Distributor) adoptHead(ctx context.Context, data []byte) bool {
+func (d *Distributor) adoptHead(ctx context.Context, data []byte) bool {
 	h, err := decodeHead(data)
 	if err != nil {
-		r.reject(h, err)
+		d.reject(h, err)
 		return false
 	}
-	current := r.Source.Snapshot()
+	current := d.Source.Snapshot()
 	if h.Version < current.Version() {
-		r.reject(h, errors.Errorf("the store has version %d, older than version %d in force", h.Version, current.Version()))
+		d.reject(h, errors.Errorf("the store has version %d, older than version %d in force", h.Version, current.Version()))
 		return false
 	}
-	if h.Version == current.Version() || r.wasRejected(h) {
+	if h.Version == current.Version() || d.wasRejected(h) {
 		return h.Version == current.Version()
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	s, err := r.Repository.LoadHead(ctx, h, current)
+	s, err := d.Repository.LoadHead(ctx, h, current)
 	if errors.Is(err, ErrSectionMissing) {
-		s, err = r.Repository.Load(ctx, current)
+		s, err = d.Repository.Load(ctx, current)
 	}
-	r.handleLoadResult(h, s, err)
-	return r.Source.Current().Version() == h.Version
+	d.handleLoadResult(h, s, err)
+	return d.Source.Current().Version() == h.Version
 }
 
 // handleLoadResult adopts a loaded snapshot, or handles the error of the load.
-func (r *Distributor) handleLoadResult(h Head, s *Snapshot, err error) {
+func (d *Distributor) handleLoadResult(h Head, s *Snapshot, err error) {
 	switch {
 	case errors.Is(err, goose.ErrUnavailable), errors.Is(err, goose.ErrOutcomeUnknown), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
-		r.recordStoreResult(err)
+		d.recordStoreResult(err)
 	case errors.Is(err, ErrSectionMissing):
 		// The store has a newer head, which the watch or the next poll finds.
 	case err != nil:
-		r.reject(h, err)
-	case r.Source.Adopt(s):
-		gooseevent.ConfigurationInForce.Log(r.Logger, slog.Int64("version", s.Version()),
+		d.reject(h, err)
+	case d.Source.Adopt(s):
+		gooseevent.ConfigurationInForce.Log(d.Logger, slog.Int64("version", s.Version()),
 			slog.String("author", s.Head().Author), slog.String("change", s.Head().ChangeID))
 	}
 }
 
 // reject logs that a version is not adopted, once per version.
-func (r *Distributor) reject(h Head, err error) {
-	if r.wasRejected(h) {
+func (d *Distributor) reject(h Head, err error) {
+	if d.wasRejected(h) {
 		return
 	}
-	r.rejected.Store(&h)
-	gooseevent.ConfigurationRejected.Log(r.Logger, slog.Int64("version", h.Version), slog.Any("error", err))
+	d.rejected.Store(&h)
+	gooseevent.ConfigurationRejected.Log(d.Logger, slog.Int64("version", h.Version), slog.Any("error", err))
 }
 
-func (r *Distributor) wasRejected(h Head) bool {
-	last := r.rejected.Load()
+func (d *Distributor) wasRejected(h Head) bool {
+	last := d.rejected.Load()
 	return last != nil && last.Version == h.Version && last.ChangeID == h.ChangeID
 }
 
 // offerLoop offers each version in force, from the store or from a peer, while
 // this instance is the relay of its data centre. It does not run in watchLoop,
 // because the watch must not wait for peers that do not reply.
-func (r *Distributor) offerLoop(ctx context.Context) {
+func (d *Distributor) offerLoop(ctx context.Context) {
 	for {
-		current, changed := r.Source.WatchCurrent()
-		if current.Version() > 0 && r.isRelay() {
-			r.offerToMembers(ctx, current.Version())
+		current, changed := d.Source.WatchCurrent()
+		if current.Version() > 0 && d.isRelay() {
+			d.offerToMembers(ctx, current.Version())
 		}
 		select {
 		case <-changed:
@@ -274,11 +274,11 @@
 	}
 }
 
-// offerToMembers offers the version in force to the live instances of the data
-// centre that do not have it yet. An instance that misses the offer sees the version
-// in the next heartbeat of this one.
-func (r *Distributor) offerToMembers(ctx context.Context, version int64) {
-	members := r.membersBehind(version)
+// offerToMembers offers the version in force to the live instances of the data centre
+// that do not have it yet. An instance that misses the offer reads the version in the
+// next heartbeat of this one.
+func (d *Distributor) offerToMembers(ctx context.Context, version int64) {
+	members := d.membersBehind(version)
 	p := pool.New().WithMaxGoroutines(offerFanout)
 	for first := range min(offerFanout, len(members)) {
 		p.Go(func() {
@@ -288,7 +288,7 @@
 				for next := i + offerFanout; next < len(members); next += offerFanout {
 					o.Forward = append(o.Forward, members[next].Instance)
 				}
-				if r.offerTo(ctx, members[i], o) == nil {
+				if d.offerTo(ctx, members[i], o) == nil {
 					return
 				}
 			}
@@ -299,10 +299,10 @@
 
 // membersBehind returns the other live members of the data centre that are not known
 // to have the version.
-func (r *Distributor) membersBehind(version int64) []goose.Member {
-	self := r.Members.Self()
+func (d *Distributor) membersBehind(version int64) []goose.Member {
+	self := d.Members.Self()
 	var members []goose.Member
-	for _, m := range r.Members.Members() {
+	for _, m := range d.Members.Members() {
 		if m.DataCentre == self.DataCentre && m.Instance != self.Instance && m.Live && m.Version < version {
 			members = append(members, m)
 		}
@@ -310,19 +310,19 @@
 	return members
 }
 
-func (r *Distributor) offerTo(ctx context.Context, m goose.Member, o offerRequest) error {
+func (d *Distributor) offerTo(ctx context.Context, m goose.Member, o offerRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
 	defer cancel()
 	var reply offerReply
-	return r.PeerClient.Call(ctx, m.Address, KindOffer, o, &reply)
+	return d.PeerClient.Call(ctx, m.Address, KindOffer, o, &reply)
 }
 
 // forwardOffer offers the version to the members that the offer lists.
-func (r *Distributor) forwardOffer(ctx context.Context, o offerRequest) {
+func (d *Distributor) forwardOffer(ctx context.Context, o offerRequest) {
 	p := pool.New().WithMaxGoroutines(offerFanout)
-	for _, m := range r.membersBehind(o.Version) {
+	for _, m := range d.membersBehind(o.Version) {
 		if slices.Contains(o.Forward, m.Instance) {
-			p.Go(func() { _ = r.offerTo(ctx, m, offerRequest{Version: o.Version}) })
+			p.Go(func() { _ = d.offerTo(ctx, m, offerRequest{Version: o.Version}) })
 		}
 	}
 	p.Wait()
--- a/pkg/gooseconfig/distributor_test.go
+++ b/pkg/gooseconfig/distributor_test.go
@@ -57,12 +57,12 @@
 
 // start adds an instance that keeps its source up to date.
 func (c *cluster) start(name string) *node {
-	n, r := c.add(name)
+	n, d := c.add(name)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	go func() {
 		defer close(n.done)
-		r.Run(ctx)
+		d.Run(ctx)
 	}()
 	return n
 }
@@ -70,14 +70,14 @@
 // add adds an instance that replies to its peers but does not update its own source.
 func (c *cluster) add(name string) (*node, *gooseconfig.Distributor) {
 	n := &node{Link: c.peers.Join(name), cluster: c, name: name, source: gooseconfig.NewSource(), done: make(chan struct{})}
-	r := gooseconfig.NewDistributor(gooseconfig.DistributorOptions{
+	d := gooseconfig.NewDistributor(gooseconfig.DistributorOptions{
 		Repository: gooseconfig.NewRepository(c.store, "test"), Source: n.source, Members: n, PeerClient: n, Logger: slog.New(slog.DiscardHandler),
 	})
-	r.Register(n)
+	d.Register(n)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.nodes[name] = n
-	return n, r
+	return n, d
 }
 
 func (c *cluster) stop(name string) {
--- a/pkg/gooseconfig/fetch.go
+++ b/pkg/gooseconfig/fetch.go
@@ -49,23 +49,23 @@
 }
 
 // Register adds the handlers for calls from peers.
-func (r *Distributor) Register(router goose.PeerRouter) {
-	router.Handle(KindOffer, r.handleOffer)
-	router.Handle(KindFetch, r.handleFetch)
+func (d *Distributor) Register(router goose.PeerRouter) {
+	router.Handle(KindOffer, d.handleOffer)
+	router.Handle(KindFetch, d.handleFetch)
 }
 
-func (r *Distributor) handleOffer(_ context.Context, from goose.InstanceID, decode func(any) error) (any, error) {
+func (d *Distributor) handleOffer(_ context.Context, from goose.InstanceID, decode func(any) error) (any, error) {
 	var request offerRequest
 	if err := decode(&request); err != nil {
 		return nil, errors.Wrap(err, KindOffer)
 	}
-	version := r.Source.Current().Version()
+	version := d.Source.Current().Version()
 	if len(request.Forward) == 0 && request.Version <= version {
 		return offerReply{Version: version}, nil
 	}
-	for _, m := range r.Members.Members() {
+	for _, m := range d.Members.Members() {
 		if m.Instance == from {
-			r.enqueueOffer(peerOffer{m.Address, request})
+			d.enqueueOffer(peerOffer{m.Address, request})
 		}
 	}
 	return offerReply{Version: version}, nil
@@ -74,19 +74,19 @@
 // enqueueOffer passes an offer to fetchLoop. It drops the offer if another one is
 // already queued, because that one starts a fetch as well. Members that miss an
 // offer for this reason see the version in a heartbeat.
-func (r *Distributor) enqueueOffer(o peerOffer) {
+func (d *Distributor) enqueueOffer(o peerOffer) {
 	select {
-	case r.offers <- o:
+	case d.offers <- o:
 	default:
 	}
 }
 
-func (r *Distributor) handleFetch(_ context.Context, _ goose.InstanceID, decode func(any) error) (any, error) {
+func (d *Distributor) handleFetch(_ context.Context, _ goose.InstanceID, decode func(any) error) (any, error) {
 	var request fetchRequest
 	if err := decode(&request); err != nil {
 		return nil, errors.Wrap(err, KindFetch)
 	}
-	s := r.Source.Snapshot()
+	s := d.Source.Snapshot()
 	if len(request.Hashes) == 0 {
 		head, err := encMode.Marshal(s.Head())
 		return fetchReply{Head: head}, errors.Wrap(err, KindFetch)
@@ -108,7 +108,7 @@
 
 // fetchLoop fetches newer versions from peers that offer one or whose heartbeats
 // show one.
-func (r *Distributor) fetchLoop(ctx context.Context) {
+func (d *Distributor) fetchLoop(ctx context.Context) {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	failedAddress := "" // the peer whose fetch failed last, so that an outage is logged once
@@ -117,26 +117,26 @@
 		select {
 		case <-ctx.Done():
 			return
-		case o = <-r.offers:
+		case o = <-d.offers:
 		case <-t.C:
-			o.address = r.newestPeerAddress()
+			o.address = d.newestPeerAddress()
 		}
 		address := o.address
 		if address == "" {
 			continue
 		}
 		var err error
-		if o.offer.Version == 0 || o.offer.Version > r.Source.Current().Version() {
-			err = r.fetch(ctx, address)
+		if o.offer.Version == 0 || o.offer.Version > d.Source.Current().Version() {
+			err = d.fetch(ctx, address)
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		if r.Source.Current().Version() >= o.offer.Version {
-			r.forwarding.Go(func() { r.forwardOffer(ctx, o.offer) })
+		if d.Source.Current().Version() >= o.offer.Version {
+			d.forwarding.Go(func() { d.forwardOffer(ctx, o.offer) })
 		}
 		if err != nil && address != failedAddress {
-			gooseevent.ConfigurationFetchFailed.Log(r.Logger, slog.String("peer", address), slog.Any("error", err))
+			gooseevent.ConfigurationFetchFailed.Log(d.Logger, slog.String("peer", address), slog.Any("error", err))
 		}
 		if failedAddress = ""; err != nil {
 			failedAddress = address
@@ -148,16 +148,16 @@
 // if that version is above the one in force, and "" otherwise. Members of this
 // instance's data centre are preferred. Among several the choice is random, so
 // that they share the load.
-func (r *Distributor) newestPeerAddress() string {
-	version := r.Source.Current().Version()
-	if version == 0 && time.Since(r.started) < memberDiscoveryTime {
+func (d *Distributor) newestPeerAddress() string {
+	version := d.Source.Current().Version()
+	if version == 0 && time.Since(d.started) < memberDiscoveryTime {
 		return ""
 	}
-	self := r.Members.Self()
+	self := d.Members.Self()
 	var local, remote []string
 	highest := version
-	rejected := r.rejected.Load()
-	for _, m := range r.Members.Members() {
+	rejected := d.rejected.Load()
+	for _, m := range d.Members.Members() {
 		if !m.Live || m.Instance == self.Instance || m.Version < highest || m.Version <= version {
 			continue
 		}
@@ -184,25 +184,25 @@
 
 // fetch adopts the version of a peer if it is newer. It requests only the sections
 // that this instance does not have yet.
-func (r *Distributor) fetch(ctx context.Context, address string) error {
+func (d *Distributor) fetch(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	var reply fetchReply
-	if err := r.PeerClient.Call(ctx, address, KindFetch, fetchRequest{}, &reply); err != nil {
+	if err := d.PeerClient.Call(ctx, address, KindFetch, fetchRequest{}, &reply); err != nil {
 		return errors.Wrap(err, "fetch head")
 	}
 	h, err := decodeHead(reply.Head)
 	if err != nil {
 		return err
 	}
-	current := r.Source.Snapshot()
-	if h.Version <= current.Version() || r.wasRejected(h) {
+	current := d.Source.Snapshot()
+	if h.Version <= current.Version() || d.wasRejected(h) {
 		return nil
 	}
 	sections, missing := current.reusableSections(h)
 	for len(missing) > 0 {
 		reply = fetchReply{}
-		if err := r.PeerClient.Call(ctx, address, KindFetch, fetchRequest{Hashes: missing}, &reply); err != nil {
+		if err := d.PeerClient.Call(ctx, address, KindFetch, fetchRequest{Hashes: missing}, &reply); err != nil {
 			return errors.Wrap(err, "fetch sections")
 		}
 		requested := len(missing)
@@ -212,10 +212,10 @@
 	}
 	s, err := assemble(h, sections)
 	if err != nil {
-		r.reject(h, err)
+		d.reject(h, err)
 		return nil
 	}
-	r.handleLoadResult(h, s, nil)
+	d.handleLoadResult(h, s, nil)
 	return nil
 }
 
--- a/pkg/gooseconfig/publish.go
+++ b/pkg/gooseconfig/publish.go
@@ -54,7 +54,7 @@
 // transaction with its audit entry. If the response of the store was lost, it looks
 // up by the change ID whether the change took effect. It retries calls to which
 // the store did not respond until ctx ends.
-// Errors: InvalidError, ErrConflict, ErrUnsettled, goose.ErrUnavailable.
+// Errors: InvalidError, ErrConflict, ErrChangeOutcomeUnknown, goose.ErrUnavailable.
 func (r *Repository) Publish(ctx context.Context, c Change) (Head, error) {
 	if err := Validate(c.Configuration); err != nil {
 		return Head{}, err
--- a/pkg/gooseconfig/repository.go
+++ b/pkg/gooseconfig/repository.go
@@ -106,8 +106,8 @@
 	return nil, err
 }
 
-// LoadHead returns the snapshot of a head, or ErrMissing if a section has been
-// deleted since the head was read.
+// LoadHead returns the snapshot of a head, or ErrSectionMissing if a section has
+// been deleted since the head was read.
 func (r *Repository) LoadHead(ctx context.Context, h Head, known *Snapshot) (*Snapshot, error) {
 	if h.Version == 0 {
 		return NewSnapshot(0, &goose.Configuration{}), nil
--- a/pkg/gooseconfig/snapshot_test.go
+++ b/pkg/gooseconfig/snapshot_test.go
@@ -13,7 +13,7 @@
 )
 
 // Guards against a source that returns to an older version when versions arrive out
-// of order, and against a new version that does not close the channel of Changed.
+// of order, and against a new version that does not close the channel of WatchCurrent.
 func TestSourceVersionsIncrease(t *testing.T) {
 	t.Parallel()
 	source := gooseconfig.NewSource()
--- a/pkg/gooseconfig/validate.go
+++ b/pkg/gooseconfig/validate.go
@@ -19,7 +19,8 @@
 	maxTokens     = 1 << 40
 	maxRequests   = 1 << 20
 	maxWeight     = 1e6
-	// maxLoads limits the slots that a dispatcher reads before it orders a load.
+	// maxLoads limits the slots that a dispatcher reads before it commands a
+	// model load.
 	maxLoads = 1000
 	// minPeriod equals the resolution of the store's leases.
 	minPeriod = time.Second
--- a/pkg/goosedirectory/follow.go
+++ b/pkg/goosedirectory/follow.go
@@ -69,7 +69,7 @@
 	// started or the store last returned a revision.
 	revision     int64
 	lastProgress time.Time
-	// peerRevision is the newest revision that a peer knows. behindSince is since when it
+	// peerRevision is the newest revision that a peer has read. behindSince is since when it
 	// has been newer than revision without any progress here, or zero if it is not newer.
 	peerRevision int64
 	behindSince  time.Time
--- a/pkg/goosedirectory/view.go
+++ b/pkg/goosedirectory/view.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// maxBehind is how long peers may know a newer revision before the watch counts as
+	// maxBehind is how long peers may have a newer revision before the watch counts as
 	// stalled. Instances learn of the same change up to a second apart.
 	maxBehind = 1200 * time.Millisecond
 	// minRestartInterval is the least time between two restarts of the watches because of
@@ -53,8 +53,8 @@
 }
 
 // ObservePeer compares a peer's view with that of this instance. It restarts the watches if
-// peers have had a newer revision for some time, or if the peer saw the store fail and
-// recover while the watches were waiting.
+// peers have had a newer revision for some time, or if the peer detected a failure of the
+// store and recover while the watches were waiting.
 func (f *Follower) ObservePeer(peer StoreView) {
 	now := f.o.Clock.Now()
 	f.mu.Lock()
--- a/pkg/goosedispatch/abandon.go
+++ b/pkg/goosedispatch/abandon.go
@@ -45,9 +45,9 @@
 	}
 }
 
-func (g *activePermit) recordCallStart(pollSent, now time.Time) {
-	if g.callStartedAt.IsZero() && !pollSent.Before(g.polledAt.Add(goose.PermitLifetime)) {
-		g.callStartedAt = now
+func (p *activePermit) recordCallStart(pollSent, now time.Time) {
+	if p.callStartedAt.IsZero() && !pollSent.Before(p.polledAt.Add(goose.PermitLifetime)) {
+		p.callStartedAt = now
 	}
 }
 
--- a/pkg/goosedispatch/abandon_test.go
+++ b/pkg/goosedispatch/abandon_test.go
@@ -9,10 +9,10 @@
 )
 
 // Guards against calls that exceed the cold limit of a frozen plain service when it
-// resumes, because capacity was freed when their callers gave up; and against
-// capacity that is never freed.
+// resumes, because capacity was freed when their callers cancelled them; and
+// against capacity that is never freed.
 func TestAbandonedCalls(t *testing.T) {
-	const deadline = 30 * time.Second // of the service in the rig
+	const deadline = 30 * time.Second // of the service in the harness
 	freeze := func(e *fakeEngine) { e.frozen = true }
 	thaw := func(e *fakeEngine) { e.frozen = false }
 	tests := map[string]struct {
@@ -31,19 +31,19 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := newHarness(t, func(r *harness, _ *Dependencies) { r.source.c.service.Kind = tt.kind }, "a")
-				r.run()
+				h := newHarness(t, func(h *harness, _ *Dependencies) { h.source.c.service.Kind = tt.kind }, "a")
+				h.run()
 				if tt.kind == goose.KindPlain {
 					time.Sleep(deadline + goose.PermitLifetime) // quarantine of a plain service
 				}
-				g := r.acquire(request("r1", 100), goose.PermitGranted).Permit
-				r.protocol.set("a:1", freeze)
-				r.pool.Report(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhaseStarted})
+				g := h.acquire(request("r1", 100), goose.PermitGranted).Permit
+				h.protocol.set("a:1", freeze)
+				h.pool.Report(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhaseStarted})
 				time.Sleep(10 * time.Second)
-				r.pool.Report(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhaseReleased, Outcome: tt.outcome, Replica: "a", Process: "p1"})
-				r.protocol.set("a:1", func(e *fakeEngine) { e.process = tt.process; thaw(e) })
+				h.pool.Report(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhaseReleased, Outcome: tt.outcome, Replica: "a", Process: "p1"})
+				h.protocol.set("a:1", func(e *fakeEngine) { e.process = tt.process; thaw(e) })
 				time.Sleep(tt.after)
-				if got := r.grants(); got != tt.want {
+				if got := h.grants(); got != tt.want {
 					t.Errorf("grants: got %d, want %d", got, tt.want)
 				}
 			})
--- a/pkg/goosedispatch/authority.go
+++ b/pkg/goosedispatch/authority.go
@@ -10,14 +10,14 @@
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooselimit"
 )
 
-// PromiseValidity is how long a peer's promise not to take the pool is valid,
-// from the time before the call that asked for it was sent.
+// PromiseValidity is how long a peer's promise not to take the pool is valid, counted
+// from before the request for it was sent.
 const PromiseValidity = 2 * time.Second
 
 // StoreState is the store's last response about the pool's lease key.
 type StoreState string
 
-// States of the lease key as a dispatcher knows them.
+// States of the lease key as seen by a dispatcher.
 const (
 	// LeaseConfirmed means that the last renewal succeeded.
 	LeaseConfirmed StoreState = "confirms"
@@ -28,7 +28,8 @@
 	LeaseLost StoreState = "denies"
 )
 
-// AuthorityEvidence is what a dispatcher knows when it decides what it may grant.
+// AuthorityEvidence is the information from which a dispatcher decides what it may
+// grant.
 type AuthorityEvidence struct {
 	Now  time.Time
 	Self goose.InstanceID
@@ -53,7 +54,7 @@
 	// centre, so that no other part of it can own streams.
 	AllReachable bool
 	// Share is the share of the limits of a replica on which another dispatcher may
-	// grant as well; nil is the whole for each replica.
+	// grant as well; nil means the full limits of each replica.
 	Share func(goose.ReplicaID) gooselimit.Share
 }
 
--- a/pkg/goosedispatch/cold_test.go
+++ b/pkg/goosedispatch/cold_test.go
@@ -33,18 +33,18 @@
 func TestPoolKeepsColdLimit(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		clock := &manualClock{now: time.Unix(1000, 0)}
-		r := newHarness(t, func(_ *harness, d *Dependencies) { d.Clock = clock }, "a", "b")
-		p, models, held := r.pool, map[goose.ReplicaID]*coldModel{}, []goose.Permit{}
+		h := newHarness(t, func(_ *harness, d *Dependencies) { d.Clock = clock }, "a", "b")
+		p, models, held := h.pool, map[goose.ReplicaID]*coldModel{}, []goose.Permit{}
 		for _, id := range []goose.ReplicaID{"a", "b"} {
 			models[id] = &coldModel{permits: map[goose.PermitID]int{}}
 		}
 		p.finishCollect(p.takeover.startedAt, true)
-		turnCold := func(m *coldModel) { m.coldPeriod, m.successes = m.coldPeriod+1, 0 }
+		resetToCold := func(m *coldModel) { m.coldPeriod, m.successes = m.coldPeriod+1, 0 }
 		load := func(id goose.ReplicaID, cold bool, err error) {
 			m, c := models[id], p.replicas[id]
 			l := goose.LoadReport{Process: fmt.Sprint(m.currentProcess), Cold: cold}
 			if cold || err != nil || m.knownProcess != m.currentProcess {
-				turnCold(m)
+				resetToCold(m)
 			}
 			if err == nil {
 				m.knownProcess = m.currentProcess
@@ -104,20 +104,20 @@
 				cold := rapid.Bool().Draw(t, "cold") && rapid.Bool().Draw(t, "really")
 				switch {
 				case o == goose.OutcomeCrashed && g.Replicas[0].Process == fmt.Sprint(m.knownProcess):
-					turnCold(m)
+					resetToCold(m)
 				case cold && o != goose.OutcomeCrashed && m.permits[g.ID] == m.coldPeriod && g.Replicas[0].Process == fmt.Sprint(m.knownProcess):
-					turnCold(m)
+					resetToCold(m)
 				case o == goose.OutcomeFinished && !cold && m.permits[g.ID] == m.coldPeriod:
 					m.successes++
 				}
 				delete(m.permits, g.ID)
-				r.release(g, func(x *goose.PermitReport) { x.Outcome, x.Cold = o, cold })
+				h.release(g, func(x *goose.PermitReport) { x.Outcome, x.Cold = o, cold })
 			},
 			"time": func(t *rapid.T) {
 				clock.now = clock.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
 			},
 			"change limits": func(*rapid.T) {
-				r.source.change(func(c *fakeCatalogue) { c.servers[0].Concurrency = 4 })
+				h.source.change(func(c *fakeCatalogue) { c.servers[0].Concurrency = 4 })
 			},
 		})
 	})
--- a/pkg/goosedispatch/command.go
+++ b/pkg/goosedispatch/command.go
@@ -54,7 +54,7 @@
 
 // Command sends a command to a replica and resets the replica to its cold limits.
 // No new request is bound to the replica while the command waits and while the
-// replica loads. The command waits until running requests have finished (unless
+// replica runs it. The command waits until running requests have finished (unless
 // forced) and, if the replica ignores fencing tokens, until the former dispatcher
 // can no longer send a command. It is refused if ctx ends too early for that.
 func (p *Pool) Command(ctx context.Context, q goose.CommandRequest) goose.CommandResult {
@@ -189,7 +189,7 @@
 }
 
 // blockingReason returns why the command cannot be sent yet; empty if it can. A new
-// dispatcher knows what runs on the replica only after its takeover.
+// dispatcher learns what runs on the replica only during its takeover.
 func (p *Pool) blockingReason(pending *pendingCommand) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -209,7 +209,8 @@
 }
 
 // checkCommand runs as the last step before the first byte is sent, because the
-// process may have been paused since the earlier checks. It turns the replica cold.
+// process may have been paused since the earlier checks. It resets the replica to
+// its cold limits.
 func (p *Pool) checkCommand(pending *pendingCommand, until time.Time) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -224,7 +225,7 @@
 		return errors.New("its configuration changed meanwhile")
 	}
 	r.activeCommand.sent = true
-	p.turnCold(r, "command")
+	p.resetToCold(r, "command")
 	return nil
 }
 
@@ -249,7 +250,7 @@
 // known or a command is in progress.
 func (p *Pool) pollCommand(ctx context.Context, t pollTarget) {
 	p.mu.Lock()
-	asked := p.deps.Clock.Now()
+	requestedAt := p.deps.Clock.Now()
 	due := !t.replica.commandKnown || t.replica.activeCommand != nil && t.replica.activeCommand.sent
 	p.mu.Unlock()
 	if !due {
@@ -264,11 +265,11 @@
 			return
 		}
 	}
-	p.applyCommandStatus(t, last, asked)
+	p.applyCommandStatus(t, last, requestedAt)
 }
 
 // applyCommandStatus applies the status of a replica's last command.
-func (p *Pool) applyCommandStatus(t pollTarget, last goose.CommandStatus, asked time.Time) {
+func (p *Pool) applyCommandStatus(t pollTarget, last goose.CommandStatus, requestedAt time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r, now := t.replica, p.deps.Clock.Now()
@@ -280,15 +281,15 @@
 	case last.Running && r.activeCommand == nil:
 		// A former dispatcher sent it.
 		r.activeCommand = &activeCommand{command: last.Command, sent: true, deliveredBy: now}
-		p.turnCold(r, "command")
+		p.resetToCold(r, "command")
 	case last.Running:
 	case r.activeCommand == nil:
 		r.commandEndedAt = commandEndTime(last, now)
-	case r.activeCommand.sent && !r.activeCommand.deliveredBy.IsZero() && !asked.Before(r.activeCommand.deliveredBy):
+	case r.activeCommand.sent && !r.activeCommand.deliveredBy.IsZero() && !requestedAt.Before(r.activeCommand.deliveredBy):
 		gooseevent.CommandEnded.Log(p.deps.Log, "pool", p.deps.Pool.String(), "replica", r.id, "command", r.activeCommand.command.String(), "error", last.Error)
 		r.activeCommand, r.commandEndedAt = nil, commandEndTime(last, now)
 		// Requests that finished during the command do not count for the ramp.
-		p.turnCold(r, "command ended")
+		p.resetToCold(r, "command ended")
 	}
 }
 
--- a/pkg/goosedispatch/command_test.go
+++ b/pkg/goosedispatch/command_test.go
@@ -101,9 +101,9 @@
 
 func newCommandHarness(t *testing.T, change func(*commandHarness)) *commandHarness {
 	c := &commandHarness{commands: &commandProtocol{loadTime: 10 * time.Second}, log: &commandLog{window: 3 * time.Second}}
-	c.harness = newHarness(t, func(r *harness, d *Dependencies) {
-		c.harness = r
-		c.commands.fakeProtocol, d.Commands = r.protocol, c.log
+	c.harness = newHarness(t, func(h *harness, d *Dependencies) {
+		c.harness = h
+		c.commands.fakeProtocol, d.Commands = h.protocol, c.log
 		d.Protocol = func(string) goose.Protocol { return c.commands }
 		if change != nil {
 			change(c)
@@ -403,15 +403,15 @@
 // Guards against cache events that are not passed to the routing policy.
 func TestCacheEventsReachThePolicy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newHarness(t, func(r *harness, d *Dependencies) {
-			p := &commandProtocol{fakeProtocol: r.protocol}
+		h := newHarness(t, func(h *harness, d *Dependencies) {
+			p := &commandProtocol{fakeProtocol: h.protocol}
 			d.Protocol = func(string) goose.Protocol { return p }
 			d.Policy = gooseroute.NewAffinity(goose.SystemClock{})
 		}, "a", "b", "c")
-		r.run()
+		h.run()
 		q := request("r1", 100)
 		q.PrefixHashes = []uint64{77}
-		if got := r.acquire(q, goose.PermitGranted).Permit.Replicas[0].Replica; got != "b" {
+		if got := h.acquire(q, goose.PermitGranted).Permit.Replicas[0].Replica; got != "b" {
 			t.Errorf("replica: got %s, want b, which holds the prefix", got)
 		}
 	})
--- a/pkg/goosedispatch/estimate.go
+++ b/pkg/goosedispatch/estimate.go
@@ -16,9 +16,9 @@
 	// idleEstimateAge is the same for a replica without requests: a wrong estimate
 	// must not keep it idle, and a late request there delays no other one.
 	idleEstimateAge = 5 * time.Second
-	// estimateMargin is the factor by which the estimated time at the engines
-	// must stay below the time left. Requests that arrive later but run earlier,
-	// and differing lengths of answers, make some requests slower than the mean.
+	// estimateMargin is the factor by which the estimated time at the engines must
+	// stay below the time left. Requests that arrive later but run earlier, and
+	// differing output lengths, make some requests slower than the mean.
 	estimateMargin = 1.25
 	// arrivalWindow is the time constant of the rates at which prompt tokens
 	// reach replicas. It is short enough to show a change of load before the first
@@ -70,7 +70,7 @@
 	// prefillSeconds are the times from grants to first tokens.
 	prefillTokens, prefillSeconds float64
 	// outputTokens are the requested output tokens, outputSeconds the times from
-	// first tokens to the ends of the answers.
+	// first tokens to the ends of the responses.
 	outputTokens, outputSeconds float64
 	updatedAt                   time.Time
 }
@@ -91,10 +91,10 @@
 	c.updatedAt = now
 }
 
-// expectedTime returns the expected time from a grant to the end of an answer with
+// expectedTime returns the expected time from a grant to the end of a response with
 // the given output tokens. prompt are the prompt tokens to compute until its first
-// token; overtaking are those of higher priorities that arrive each second
-// meanwhile. It returns false without a recent observation.
+// token; overtaking are those of higher priorities that arrive each second in this
+// time. It returns false without a recent observation.
 func (c *classEstimate) expectedTime(prompt, output int, overtaking float64, now time.Time) (time.Duration, bool) {
 	if c == nil || c.prefillTokens <= 0 || now.Sub(c.updatedAt) > estimateAge {
 		return 0, false
@@ -154,16 +154,16 @@
 	p.loadEstimate.engines.arrivals[priority].add(float64(prompt)/float64(max(1, p.usableReplicas)), now)
 }
 
-// engineTime returns the expected time from a grant of the request to the end
-// of its answer, with the given prompt tokens ahead of its own; false without a
-// recent observation.
+// engineTime returns the expected time from a grant of the request to the end of its
+// response, with the given prompt tokens ahead of its own; false without a recent
+// observation.
 func (p *Pool) engineTime(r goose.PermitRequest, ahead int, now time.Time) (time.Duration, bool) {
 	e := &p.loadEstimate.engines
 	overtaking := e.higherPriorityRate(p.deps.Discipline.Priority(r.Class), now)
 	return e.classes[r.Class].expectedTime(ahead+r.PromptTokens, r.OutputTokens, overtaking, now)
 }
 
-// recordFinished records the end of an answer; first is its time to first token.
+// recordFinished records the end of a response; first is its time to first token.
 func (l *loadEstimate) recordFinished(g *activePermit, first time.Duration, now time.Time) {
 	c := l.engines.classOf(g.request.Class)
 	c.outputTokens = c.outputTokens*estimateDecay + float64(g.request.OutputTokens)
--- a/pkg/goosedispatch/estimate_test.go
+++ b/pkg/goosedispatch/estimate_test.go
@@ -19,28 +19,28 @@
 
 // trainEstimate reports requests of an engine that computes 10,000 prompt tokens and
 // generates 100 output tokens a second.
-func (r *harness) trainEstimate(tokens int) {
+func (h *harness) trainEstimate(tokens int) {
 	for i := range 10 {
-		g := r.acquire(promptRequest(fmt.Sprint("learn", tokens, i), tokens), goose.PermitGranted).Permit
+		g := h.acquire(promptRequest(fmt.Sprint("learn", tokens, i), tokens), goose.PermitGranted).Permit
 		first := time.Duration(tokens) * time.Second / 10_000
 		time.Sleep(first)
-		r.pool.Report(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhasePrefilled})
+		h.pool.Report(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhasePrefilled})
 		time.Sleep(time.Second)
-		r.release(g, func(p *goose.PermitReport) { p.TimeToFirstToken = first })
+		h.release(g, func(p *goose.PermitReport) { p.TimeToFirstToken = first })
 	}
 }
 
 // Guards against requests that are granted although they wait in the engines' own queues
-// until after their deadline, so that engines compute answers that nobody reads, and
-// against refusals of requests that would be in time. When the estimate did not depend
-// on the length of the answer, the longest answers were cut off at their deadline.
+// until after their deadline, so that engines compute responses that no caller reads, and
+// against refusals of requests that would be in time. When the estimate did not depend on
+// the output length, the longest responses were cut off at their deadline.
 func TestAdmissionCountsEngineBacklog(t *testing.T) {
 	tests := map[string]struct {
 		// ahead are the prompt tokens of the requests granted before on the only engine.
 		ahead  []int
 		done   bool
 		tokens int
-		// output is the length of the answer.
+		// output is the number of output tokens.
 		output int
 		left   time.Duration
 		want   goose.PermitStatus
@@ -56,20 +56,20 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := newHarness(t, nil, "a")
-				r.run()
-				r.warm()
-				r.trainEstimate(5_000)
-				r.trainEstimate(10_000)
+				h := newHarness(t, nil, "a")
+				h.run()
+				h.warm()
+				h.trainEstimate(5_000)
+				h.trainEstimate(10_000)
 				for i, n := range tt.ahead {
-					g := r.acquire(promptRequest(fmt.Sprint("ahead", i), n), goose.PermitGranted).Permit
+					g := h.acquire(promptRequest(fmt.Sprint("ahead", i), n), goose.PermitGranted).Permit
 					if tt.done {
-						r.pool.Report(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhasePrefilled})
+						h.pool.Report(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhasePrefilled})
 					}
 				}
 				q := promptRequest("q", tt.tokens)
 				q.TimeLeft, q.OutputTokens = tt.left, tt.output
-				reply := r.tryAcquire(q)
+				reply := h.tryAcquire(q)
 				if reply.Status != tt.want {
 					t.Fatalf("got %s %v, want %s", reply.Status, reply.Refusal, tt.want)
 				}
@@ -97,18 +97,18 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := newHarness(t, nil, "a")
-				r.holders.set(func(f *fakeHolders) { f.confirms = true })
-				r.run()
-				r.warm()
-				r.trainEstimate(10_000)
+				h := newHarness(t, nil, "a")
+				h.holders.set(func(f *fakeHolders) { f.confirms = true })
+				h.run()
+				h.warm()
+				h.trainEstimate(10_000)
 				if tt.busy {
-					r.acquire(promptRequest("busy", 100), goose.PermitGranted)
+					h.acquire(promptRequest("busy", 100), goose.PermitGranted)
 				}
 				time.Sleep(tt.after)
 				q := promptRequest("q", 40_000)
 				q.TimeLeft = 4 * time.Second
-				if reply := r.tryAcquire(q); reply.Status != tt.want {
+				if reply := h.tryAcquire(q); reply.Status != tt.want {
 					t.Errorf("four seconds of work, four left: got %s, want %s", reply.Status, tt.want)
 				}
 			})
@@ -120,23 +120,23 @@
 // after their wait, so that the engine's time is wasted.
 func TestLateWaitingRequestsAreRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newHarness(t, nil, "a")
-		r.run()
-		r.warm()
-		r.trainEstimate(20_000)
+		h := newHarness(t, nil, "a")
+		h.run()
+		h.warm()
+		h.trainEstimate(20_000)
 		for i := range 4 {
-			r.acquire(promptRequest(fmt.Sprint("full", i), 24_000), goose.PermitGranted)
+			h.acquire(promptRequest(fmt.Sprint("full", i), 24_000), goose.PermitGranted)
 		}
-		r.pool.mu.Lock()
-		for id := range r.pool.permits {
-			r.pool.replicas["a"].limiter.PrefillDone(id)
+		h.pool.mu.Lock()
+		for id := range h.pool.permits {
+			h.pool.replicas["a"].limiter.PrefillDone(id)
 		}
-		r.pool.mu.Unlock()
+		h.pool.mu.Unlock()
 		q := promptRequest("q", 20_000)
 		q.TimeLeft = 5 * time.Second
 		start := time.Now()
 		var reply goose.PermitReply
-		for reply = r.pool.Acquire(t.Context(), q); reply.Status == goose.PermitWaiting; reply = r.pool.Acquire(t.Context(), q) {
+		for reply = h.pool.Acquire(t.Context(), q); reply.Status == goose.PermitWaiting; reply = h.pool.Acquire(t.Context(), q) {
 		}
 		if got := time.Since(start); reply.Refusal.Code != goose.CodeOverloaded || got < time.Second || got > 3*time.Second {
 			t.Errorf("three seconds of work, five left, no capacity: got %s %v after %v, want overloaded after about 2s", reply.Status, reply.Refusal, got)
@@ -144,7 +144,7 @@
 	})
 }
 
-// Guards against a replica chosen by the policy that cannot answer in time while another
+// Guards against a replica chosen by the policy that cannot respond in time while another
 // one can, and against replicas that are excluded although they are in time.
 func TestReplicasInTimeAreChosen(t *testing.T) {
 	tests := map[string]struct {
@@ -157,16 +157,16 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := newHarness(t, nil, "a", "b")
-				r.run()
-				r.warm()
-				r.trainEstimate(10_000)
-				r.pool.mu.Lock()
-				r.pool.replicas["a"].limiter.Add("other", gooselimit.Demand{Tokens: 50_000, Prefill: 50_000, Priority: 1})
-				r.pool.mu.Unlock()
+				h := newHarness(t, nil, "a", "b")
+				h.run()
+				h.warm()
+				h.trainEstimate(10_000)
+				h.pool.mu.Lock()
+				h.pool.replicas["a"].limiter.Add("other", gooselimit.Demand{Tokens: 50_000, Prefill: 50_000, Priority: 1})
+				h.pool.mu.Unlock()
 				q := promptRequest("q", 10_000)
 				q.TimeLeft = tt.left
-				if got := r.acquire(q, goose.PermitGranted).Permit.Replicas[0].Replica; got != tt.want {
+				if got := h.acquire(q, goose.PermitGranted).Permit.Replicas[0].Replica; got != tt.want {
 					t.Errorf("replica: got %s, want %s", got, tt.want)
 				}
 			})
@@ -186,20 +186,20 @@
 	for outcome, want := range tests {
 		t.Run(string(outcome), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := newHarness(t, nil, "a")
-				r.holders.set(func(f *fakeHolders) { f.confirms = true })
-				r.run()
-				r.warm()
-				r.trainEstimate(10_000)
+				h := newHarness(t, nil, "a")
+				h.holders.set(func(f *fakeHolders) { f.confirms = true })
+				h.run()
+				h.warm()
+				h.trainEstimate(10_000)
 				for i := range 3 {
-					g := r.acquire(promptRequest(fmt.Sprint("lost", i), 10_000), goose.PermitGranted).Permit
+					g := h.acquire(promptRequest(fmt.Sprint("lost", i), 10_000), goose.PermitGranted).Permit
 					time.Sleep(20 * time.Second)
-					r.release(g, func(p *goose.PermitReport) { p.Outcome = outcome })
-					r.refreshEstimate()
+					h.release(g, func(p *goose.PermitReport) { p.Outcome = outcome })
+					h.refreshEstimate()
 				}
 				q := promptRequest("q", 10_000)
 				q.TimeLeft = 4 * time.Second
-				if reply := r.tryAcquire(q); reply.Status != want {
+				if reply := h.tryAcquire(q); reply.Status != want {
 					t.Errorf("two seconds of work, four left: got %s %v, want %s", reply.Status, reply.Refusal, want)
 				}
 			})
@@ -208,16 +208,16 @@
 }
 
 // refreshEstimate keeps the estimate of the medium class from expiring.
-func (r *harness) refreshEstimate() {
-	r.pool.mu.Lock()
-	defer r.pool.mu.Unlock()
-	r.pool.loadEstimate.engines.classOf(goose.ClassMedium).updatedAt = time.Now()
+func (h *harness) refreshEstimate() {
+	h.pool.mu.Lock()
+	defer h.pool.mu.Unlock()
+	h.pool.loadEstimate.engines.classOf(goose.ClassMedium).updatedAt = time.Now()
 }
 
 // runShortRequests runs short requests with 5,000 prompt tokens a second in total.
-func (r *harness) runShortRequests(d time.Duration) {
+func (h *harness) runShortRequests(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
-		r.release(r.acquire(promptRequest(fmt.Sprint("short", time.Now().UnixNano()), 1_000), goose.PermitGranted).Permit, nil)
+		h.release(h.acquire(promptRequest(fmt.Sprint("short", time.Now().UnixNano()), 1_000), goose.PermitGranted).Permit, nil)
 	}
 }
 
@@ -237,29 +237,29 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := newHarness(t, nil, "a")
-				r.holders.set(func(f *fakeHolders) { f.confirms = true })
-				r.run()
-				r.warm()
+				h := newHarness(t, nil, "a")
+				h.holders.set(func(f *fakeHolders) { f.confirms = true })
+				h.run()
+				h.warm()
 				if !tt.shortDuringTraining {
-					r.trainEstimate(10_000)
+					h.trainEstimate(10_000)
 				}
 				for i := 0; tt.shortDuringTraining && i < 10; i++ {
-					g := r.acquire(promptRequest(fmt.Sprint("beside", i), 10_000), goose.PermitGranted).Permit
-					r.runShortRequests(2 * time.Second)
-					r.pool.Report(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhasePrefilled})
+					g := h.acquire(promptRequest(fmt.Sprint("beside", i), 10_000), goose.PermitGranted).Permit
+					h.runShortRequests(2 * time.Second)
+					h.pool.Report(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhasePrefilled})
 					time.Sleep(time.Second)
-					r.release(g, func(p *goose.PermitReport) { p.TimeToFirstToken = 2 * time.Second })
+					h.release(g, func(p *goose.PermitReport) { p.TimeToFirstToken = 2 * time.Second })
 				}
-				r.acquire(promptRequest("busy", 100), goose.PermitGranted)
+				h.acquire(promptRequest("busy", 100), goose.PermitGranted)
 				if tt.shortAfterTraining {
-					r.runShortRequests(8 * time.Second)
+					h.runShortRequests(8 * time.Second)
 				} else {
 					time.Sleep(8 * time.Second)
 				}
 				q := promptRequest("q", 20_000)
 				q.TimeLeft = 5 * time.Second
-				if reply := r.tryAcquire(q); reply.Status != tt.want {
+				if reply := h.tryAcquire(q); reply.Status != tt.want {
 					t.Errorf("two seconds of work and one of output, five left: got %s %v, want %s", reply.Status, reply.Refusal, tt.want)
 				}
 			})
--- a/pkg/goosedispatch/fakes_test.go
+++ b/pkg/goosedispatch/fakes_test.go
@@ -192,50 +192,50 @@
 	for _, n := range names {
 		c.servers = append(c.servers, server(n))
 	}
-	r := &harness{
+	h := &harness{
 		t: t, source: &fakeSource{c: c}, mode: goose.ModeLeased,
 		protocol: &fakeProtocol{engines: map[string]*fakeEngine{}},
 		holders:  &fakeHolders{complete: true},
 	}
 	d := Dependencies{
-		Pool: testPool, Self: "i1", Epoch: 7, Configuration: r.source,
-		Protocol:   func(string) goose.Protocol { return r.protocol },
-		Authority:  func(time.Time) Authority { return Authority{Mode: r.mode} },
-		Holders:    r.holders,
+		Pool: testPool, Self: "i1", Epoch: 7, Configuration: h.source,
+		Protocol:   func(string) goose.Protocol { return h.protocol },
+		Authority:  func(time.Time) Authority { return Authority{Mode: h.mode} },
+		Holders:    h.holders,
 		Policy:     gooseroute.LeastLoaded{},
 		Discipline: goosequeue.NewFair(),
 	}
 	if change != nil {
-		change(r, &d)
+		change(h, &d)
 	}
-	r.pool = New(d)
-	return r
+	h.pool = New(d)
+	return h
 }
 
 // run starts the pool's background work and waits until the takeover is complete.
-func (r *harness) run() {
-	r.start()
+func (h *harness) run() {
+	h.start()
 	time.Sleep(time.Second)
 }
 
-func (r *harness) start() {
+func (h *harness) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		r.pool.Run(ctx)
+		h.pool.Run(ctx)
 	}()
-	r.t.Cleanup(func() {
+	h.t.Cleanup(func() {
 		cancel()
 		<-done
 	})
 }
 
 // warm raises all replicas to their full limits.
-func (r *harness) warm() {
-	r.pool.mu.Lock()
-	defer r.pool.mu.Unlock()
-	for _, c := range r.pool.replicas {
+func (h *harness) warm() {
+	h.pool.mu.Lock()
+	defer h.pool.mu.Unlock()
+	for _, c := range h.pool.replicas {
 		c.limiter.RestoreRamp(0)
 	}
 }
@@ -249,16 +249,16 @@
 }
 
 // acquire polls once and fails the test unless the reply has the wanted status.
-func (r *harness) acquire(q goose.PermitRequest, want goose.PermitStatus) goose.PermitReply {
-	r.t.Helper()
-	reply := r.pool.Acquire(context.Background(), q)
+func (h *harness) acquire(q goose.PermitRequest, want goose.PermitStatus) goose.PermitReply {
+	h.t.Helper()
+	reply := h.pool.Acquire(context.Background(), q)
 	if reply.Status != want {
-		r.t.Fatalf("acquire %s: got %s %v, want %s", q.Request, reply.Status, reply.Refusal, want)
+		h.t.Fatalf("acquire %s: got %s %v, want %s", q.Request, reply.Status, reply.Refusal, want)
 	}
 	return reply
 }
 
-func (r *harness) release(p goose.Permit, change func(*goose.PermitReport)) {
+func (h *harness) release(p goose.Permit, change func(*goose.PermitReport)) {
 	report := goose.PermitReport{
 		Permit: p.ID, Pool: testPool, Instance: "i1", Phase: goose.PhaseReleased,
 		Outcome: goose.OutcomeFinished, Replica: p.Replicas[0].Replica, Process: p.Replicas[0].Process,
@@ -266,7 +266,7 @@
 	if change != nil {
 		change(&report)
 	}
-	r.pool.Report(report)
+	h.pool.Report(report)
 }
 
 // fakeHolders replies for all instances and implements Holders.
@@ -327,23 +327,23 @@
 }
 
 // tryAcquire polls without waiting, and abandons the request if it is not granted.
-func (r *harness) tryAcquire(q goose.PermitRequest) goose.PermitReply {
-	ch, reply, done := r.pool.beginPoll(r.pool.deps.Clock.Now(), q)
+func (h *harness) tryAcquire(q goose.PermitRequest) goose.PermitReply {
+	ch, reply, done := h.pool.beginPoll(h.pool.deps.Clock.Now(), q)
 	if done {
 		return reply
 	}
-	reply = r.pool.endPoll(q.Request, ch)
+	reply = h.pool.endPoll(q.Request, ch)
 	if reply.Status == goose.PermitWaiting {
-		r.pool.Abandon(q.Request)
+		h.pool.Abandon(q.Request)
 	}
 	return reply
 }
 
 // grants returns how many small requests are granted without waiting.
-func (r *harness) grants() int {
+func (h *harness) grants() int {
 	n := 0
 	for ; n < 100; n++ {
-		if r.tryAcquire(request("q"+string(rune('a'+n)), 100)).Status != goose.PermitGranted {
+		if h.tryAcquire(request("q"+string(rune('a'+n)), 100)).Status != goose.PermitGranted {
 			break
 		}
 	}
--- a/pkg/goosedispatch/grant.go
+++ b/pkg/goosedispatch/grant.go
@@ -20,7 +20,7 @@
 	started  bool
 	// exclusive is set for a suspect, which runs alone on its replica.
 	exclusive bool
-	// longPrefill tells whether a long prefill was in progress on the replica at
+	// longPrefill records whether a long prefill was in progress on the replica at
 	// the grant; empty for a permit of another dispatcher.
 	longPrefill longPrefillState
 	// backlogTokens are the prompt tokens that the engine computes until this
@@ -34,9 +34,9 @@
 	prefilled bool
 	// incarnation is the incarnation of the holder; 0 if it is unknown.
 	incarnation int64
-	// askedAt is when the holder was last asked whether it holds the permit; at
-	// first the time of the grant.
-	askedAt time.Time
+	// queriedAt is when the holder was last queried for the permit; at first the
+	// time of the grant.
+	queriedAt time.Time
 	// holderLost is set once the holder counts as dead or does not hold the permit.
 	// The capacity stays counted until the streams are gone from the replicas.
 	holderLost bool
@@ -53,8 +53,8 @@
 	callStartedAt time.Time
 }
 
-// longPrefillState tells whether a long prefill was in progress on the replica
-// of a request when the request was granted.
+// longPrefillState states whether a long prefill was in progress on the replica of
+// a request when the request was granted.
 type longPrefillState string
 
 const (
@@ -63,8 +63,8 @@
 )
 
 // processAtGrant returns the process id of a replica at the time of the grant.
-func (g *activePermit) processAtGrant(id goose.ReplicaID) string {
-	for _, s := range g.permit.Replicas {
+func (p *activePermit) processAtGrant(id goose.ReplicaID) string {
+	for _, s := range p.permit.Replicas {
 		if s.Replica == id {
 			return s.Process
 		}
@@ -375,7 +375,7 @@
 		polledAt:    now,
 		exclusive:   p.placement.exclusive,
 		longPrefill: longPrefillAbsent,
-		askedAt:     now,
+		queriedAt:   now,
 		permit: goose.Permit{
 			ID:         p.nextPermitID(),
 			Request:    w.request.Request,
--- a/pkg/goosedispatch/health.go
+++ b/pkg/goosedispatch/health.go
@@ -146,7 +146,7 @@
 	}
 	r.reachable, r.reportedTokens, r.reportedCold = true, l.UsedKV, l.Cold
 	if l.Cold {
-		p.turnCold(r, "cold report")
+		p.resetToCold(r, "cold report")
 	}
 	p.applyWarmEvidence(r, now)
 	due := now.Sub(r.inspectedAt) >= inspectInterval || !r.inspected || len(r.orphans) > 0
@@ -158,7 +158,7 @@
 func (p *Pool) markDisconnected(r *replica) {
 	if r.reachable {
 		gooseevent.ReplicaUnreachable.Log(p.deps.Log, "pool", p.deps.Pool.String(), "replica", r.id)
-		p.turnCold(r, "connection lost")
+		p.resetToCold(r, "connection lost")
 	}
 	r.reachable, r.inspected = false, false
 }
--- a/pkg/goosedispatch/manager.go
+++ b/pkg/goosedispatch/manager.go
@@ -82,7 +82,7 @@
 	Campaigner    Campaigner
 	Protocol      func(name string) goose.Protocol
 	Suspects      goose.SuspectTracker
-	// Policy, Discipline and LongBound name the plug-ins of each pool.
+	// Policy, Discipline and LongPrefillBound name the plug-ins of each pool.
 	Policy           string
 	Discipline       string
 	LongPrefillBound string
@@ -91,7 +91,7 @@
 	StoreUnresponsive func() bool
 	// LeaseTTL is the TTL of pool leases; zero means 3 s.
 	LeaseTTL time.Duration
-	// Commands records commands and limits weight loads to the rate of the weight store;
+	// Commands records commands and limits model loads to the rate of the weight store;
 	// without it every command is refused.
 	Commands goose.CommandLog
 	Clock    goose.Clock
@@ -162,7 +162,7 @@
 	return m, nil
 }
 
-// Run campaigns for pools and dispatches them until ctx ends. For a planned stop
+// Run campaigns for pools and dispatches them until ctx ends. For a graceful shutdown,
 // Shutdown must be called first.
 func (m *Manager) Run(ctx context.Context, h Holder) {
 	m.mu.Lock()
@@ -244,7 +244,7 @@
 		}
 		switch {
 		case s.dispatcher != nil && (leaving || !configured[p] && s.dispatcher.pool.Idle()):
-			m.giveUpPool(s)
+			m.handOverInBackground(s)
 		case !configured[p]:
 			s.cancelCampaign()
 		case s.dispatcher == nil || s.dispatcher.lease == nil:
@@ -253,9 +253,9 @@
 	}
 }
 
-// giveUpPool hands over a pool in the background that this instance must no longer
-// dispatch: the instance is leaving, or the pool has left the configuration.
-func (m *Manager) giveUpPool(s *poolState) {
+// handOverInBackground hands over, in the background, a pool that this instance must no
+// longer dispatch: the instance is leaving, or the pool has left the configuration.
+func (m *Manager) handOverInBackground(s *poolState) {
 	r := s.dispatcher
 	s.dispatcher = nil
 	m.group.Go(func() { m.handOver(context.Background(), r) })
@@ -299,9 +299,9 @@
 	}
 }
 
-// cancelCampaign ends a campaign for a pool that has a dispatcher: the campaign
-// would only load the store, and could acquire the lease before the successor of a
-// planned stop.
+// cancelCampaign ends a campaign for a pool that has a dispatcher: the campaign would
+// only load the store, and could acquire the lease before the successor of a graceful
+// shutdown.
 func (s *poolState) cancelCampaign() {
 	if s.campaign != nil {
 		s.campaign.cancel()
--- a/pkg/goosedispatch/pause.go
+++ b/pkg/goosedispatch/pause.go
@@ -36,8 +36,8 @@
 // pauseDetector detects that the process did not run for some time, because the
 // process or its machine was stopped. After a pause the configuration may be from
 // before a change that is in force everywhere else, and the process has not read the
-// data in its sockets yet, until an instance that ran meanwhile has confirmed the
-// configuration. The zero value is ready to use.
+// data in its sockets yet, until an instance that ran during the pause has confirmed
+// the configuration. The zero value is ready to use.
 type pauseDetector struct{ state atomic.Pointer[pauseState] }
 
 // pauseState is immutable.
@@ -74,12 +74,12 @@
 	return s != nil && (!s.resumedAt.IsZero() || now.Sub(s.steppedAt) > pauseLimit)
 }
 
-// confirm marks the configuration as confirmed, unless a pause has ended after the
-// time asked.
-func (p *pauseDetector) confirm(asked time.Time) {
+// confirm marks the configuration as confirmed, unless a pause has ended since
+// requestedAt.
+func (p *pauseDetector) confirm(requestedAt time.Time) {
 	for {
 		old := p.state.Load()
-		if old == nil || old.resumedAt.After(asked) {
+		if old == nil || old.resumedAt.After(requestedAt) {
 			return
 		}
 		if p.state.CompareAndSwap(old, &pauseState{steppedAt: old.steppedAt}) {
@@ -104,7 +104,7 @@
 func (m *Manager) confirmConfiguration(ctx context.Context, resumed time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	want, from, confirmed := m.askVersion(ctx)
+	want, from, confirmed := m.requestVersion(ctx)
 	for confirmed && m.configurationVersion() < want {
 		confirmed = goose.Sleep(ctx, confirmPollInterval)
 	}
@@ -113,10 +113,10 @@
 		"after", m.options.Clock.Now().Sub(resumed).String(), "confirmed", confirmed)
 }
 
-// askVersion returns the first reply to the question for the configuration version:
-// of an instance of the data centre, or of another data centre if this one has no
-// other instance.
-func (m *Manager) askVersion(ctx context.Context) (int64, goose.InstanceID, bool) {
+// requestVersion returns the first reply to the requests for the configuration
+// version: of an instance of the data centre, or of another data centre if this one
+// has no other instance.
+func (m *Manager) requestVersion(ctx context.Context) (int64, goose.InstanceID, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	type peerVersion struct {
 		version int64
@@ -124,7 +124,7 @@
 	}
 	replies := make(chan peerVersion, maxConfirmPeers)
 	var calls conc.WaitGroup
-	// The calls end before askVersion returns.
+	// The calls end before requestVersion returns.
 	defer calls.Wait()
 	defer cancel()
 	members := m.confirmingMembers()
--- a/pkg/goosedispatch/peers_test.go
+++ b/pkg/goosedispatch/peers_test.go
@@ -59,8 +59,8 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := newHarness(t, func(r *harness, d *Dependencies) {
-					r.source.c.service.Kind = tt.kind
+				h := newHarness(t, func(h *harness, d *Dependencies) {
+					h.source.c.service.Kind = tt.kind
 					d.Holders = peerHolders{&Manager{
 						options: Options{Self: "i1", DataCentre: "leith", Clock: goose.SystemClock{}, PeerClient: tt.client, Membership: fakeMembership{members: []goose.Member{
 							{Instance: "i1", DataCentre: "leith", Live: true},
@@ -70,9 +70,9 @@
 						holder: emptyHolder{}, epochs: map[goose.Pool]goose.Epoch{},
 					}}
 				}, "a")
-				r.start()
+				h.start()
 				time.Sleep(tt.after)
-				if got := r.grants(); got != tt.want {
+				if got := h.grants(); got != tt.want {
 					t.Errorf("grants: got %d, want %d", got, tt.want)
 				}
 			})
@@ -84,18 +84,18 @@
 // takeover.
 func TestEarlierCollectRoundDoesNotEndTakeover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newHarness(t, func(r *harness, _ *Dependencies) { r.holders.complete = false }, "a")
-		r.start()
+		h := newHarness(t, func(h *harness, _ *Dependencies) { h.holders.complete = false }, "a")
+		h.start()
 		synctest.Wait()
 		before := time.Now()
 		time.Sleep(time.Millisecond)
-		r.pool.RestartTakeover()
-		r.pool.finishCollect(before, true)
-		if r.pool.takeover.complete {
+		h.pool.RestartTakeover()
+		h.pool.finishCollect(before, true)
+		if h.pool.takeover.complete {
 			t.Error("replies of the earlier round completed the takeover")
 		}
-		r.pool.finishCollect(time.Now(), true)
-		if !r.pool.takeover.complete {
+		h.pool.finishCollect(time.Now(), true)
+		if !h.pool.takeover.complete {
 			t.Error("replies of the current round did not complete the takeover")
 		}
 	})
--- a/pkg/goosedispatch/pool.go
+++ b/pkg/goosedispatch/pool.go
@@ -17,11 +17,11 @@
 
 // Holders asks instances about the permits they hold.
 type Holders interface {
-	// Collect asks the known instances that are not in replied which permits of
-	// the pool they hold, and sends them the epoch: they drop grants of older ones.
-	// onReplies is called once with the replies of live instances and once with those of
-	// the others; the second call may come as late as ctx ends. complete tells
-	// whether every known instance has replied.
+	// Collect asks the known instances that are not in replied which permits of the pool
+	// they hold, and sends them the epoch: they drop grants of older ones. onReplies is
+	// called once with the replies of live instances and once with those of the others;
+	// the second call may come as late as ctx ends. complete is set if every known
+	// instance has replied.
 	Collect(ctx context.Context, p goose.Pool, e goose.Epoch, replied map[goose.InstanceID]bool, onReplies func([]goose.HolderState)) (complete bool)
 	// HeldPermits returns which of the permits the instance still holds, and the
 	// incarnation that replied. An error means that the instance did not reply.
@@ -54,7 +54,7 @@
 	Handover *Handover
 	// LeaseTTL is the TTL of pool leases; zero means 3 s.
 	LeaseTTL time.Duration
-	// Commands records commands and limits weight loads to the rate of the weight store;
+	// Commands records commands and limits model loads to the rate of the weight store;
 	// without it every command is refused.
 	Commands goose.CommandLog
 }
--- a/pkg/goosedispatch/pool_test.go
+++ b/pkg/goosedispatch/pool_test.go
@@ -14,18 +14,18 @@
 // against released capacity that is not granted to a waiting request.
 func TestColdReplicaTakesOneRequestAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newHarness(t, nil, "a")
-		r.run()
-		first := r.acquire(request("r1", 100), goose.PermitGranted)
+		h := newHarness(t, nil, "a")
+		h.run()
+		first := h.acquire(request("r1", 100), goose.PermitGranted)
 		got := make(chan goose.PermitReply)
-		go func() { got <- r.pool.Acquire(t.Context(), request("r2", 100)) }()
+		go func() { got <- h.pool.Acquire(t.Context(), request("r2", 100)) }()
 		synctest.Wait()
 		select {
 		case reply := <-got:
 			t.Fatalf("second request on a cold replica: got %s, want none yet", reply.Status)
 		default:
 		}
-		r.release(first.Permit, nil)
+		h.release(first.Permit, nil)
 		if reply := <-got; reply.Status != goose.PermitGranted {
 			t.Fatalf("after the release: got %s, want granted", reply.Status)
 		}
@@ -35,10 +35,10 @@
 // Guards against two permits for one request after a lost reply.
 func TestRepeatedPollGetsTheSamePermit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newHarness(t, nil, "a")
-		r.run()
-		first := r.acquire(request("r1", 100), goose.PermitGranted)
-		second := r.acquire(request("r1", 100), goose.PermitGranted)
+		h := newHarness(t, nil, "a")
+		h.run()
+		first := h.acquire(request("r1", 100), goose.PermitGranted)
+		second := h.acquire(request("r1", 100), goose.PermitGranted)
 		if first.Permit.ID != second.Permit.ID {
 			t.Errorf("second poll: got permit %s, want %s", second.Permit.ID, first.Permit.ID)
 		}
@@ -48,11 +48,11 @@
 // Guards against polls that wait longer than PollWait.
 func TestPollTimesOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newHarness(t, nil, "a")
-		r.run()
-		r.acquire(request("r1", 100), goose.PermitGranted)
+		h := newHarness(t, nil, "a")
+		h.run()
+		h.acquire(request("r1", 100), goose.PermitGranted)
 		start := time.Now()
-		r.acquire(request("r2", 100), goose.PermitWaiting)
+		h.acquire(request("r2", 100), goose.PermitWaiting)
 		if got := time.Since(start); got != goose.PollWait {
 			t.Errorf("poll waited %v, want %v", got, goose.PollWait)
 		}
@@ -66,23 +66,23 @@
 	synctest.Test(t, func(t *testing.T) {
 		var a atomic.Pointer[Authority]
 		a.Store(&Authority{Mode: goose.ModeLeased})
-		r := newHarness(t, func(_ *harness, d *Dependencies) { d.Authority = func(time.Time) Authority { return *a.Load() } }, "a")
-		r.run()
-		r.warm()
+		h := newHarness(t, func(_ *harness, d *Dependencies) { d.Authority = func(time.Time) Authority { return *a.Load() } }, "a")
+		h.run()
+		h.warm()
 		a.Store(&Authority{
 			Mode:  goose.ModeDegraded,
 			Share: func(goose.ReplicaID) gooselimit.Share { return gooselimit.ShareSmaller },
 		})
-		if got := r.tryAcquire(request("large", 60_000)); got.Status != goose.PermitRefused || got.Refusal.Code != goose.CodeOverloaded {
+		if got := h.tryAcquire(request("large", 60_000)); got.Status != goose.PermitRefused || got.Refusal.Code != goose.CodeOverloaded {
 			t.Errorf("request above the share: got %s %v, want it refused", got.Status, got.Refusal)
 		}
-		if got := r.grants(); got != 2 {
+		if got := h.grants(); got != 2 {
 			t.Errorf("half: got %d grants, want 2", got)
 		}
 		a.Store(&Authority{Mode: goose.ModeLeased})
 		// After degraded mode a replica must first report whether a command runs.
 		time.Sleep(2 * pollInterval)
-		if got := r.tryAcquire(request("whole", 60_000)); got.Status != goose.PermitGranted {
+		if got := h.tryAcquire(request("whole", 60_000)); got.Status != goose.PermitGranted {
 			t.Errorf("whole: got %s, want granted", got.Status)
 		}
 	})
--- a/pkg/goosedispatch/reclaim.go
+++ b/pkg/goosedispatch/reclaim.go
@@ -18,9 +18,9 @@
 	// holderCheckInterval is the time between two checks of the holders of permits.
 	holderCheckInterval = 500 * time.Millisecond
 	// permitCheckInterval is the minimum time between two checks of the same permit:
-	// questions to its holder, or look-ups of its stream.
+	// queries to its holder, or look-ups of its stream.
 	permitCheckInterval = time.Second
-	// runningCheckInterval is the time between two questions to the holder of a
+	// runningCheckInterval is the time between two queries to the holder of a
 	// running permit.
 	runningCheckInterval = time.Minute
 	// abandonTimeout is the time without a poll after which a waiting request is
@@ -55,7 +55,7 @@
 	p.checkHolders(ctx, g, now)
 }
 
-// checkHolders finds permits whose holder is dead or does not know them, and
+// checkHolders finds permits whose holder is dead or does not hold them, and
 // reclaims them once their streams are gone. The stream of a holder that is only
 // silent is not cancelled; its permit is reclaimed once the stream has ended.
 func (p *Pool) checkHolders(ctx context.Context, group *conc.WaitGroup, now time.Time) {
@@ -80,16 +80,16 @@
 			p.reclaimIfEnded(ctx, group, g, now)
 		}
 		if p.needsConfirmation(g, s, now) {
-			g.askedAt = now
+			g.queriedAt = now
 			toConfirm[g.request.Instance] = append(toConfirm[g.request.Instance], id)
 		}
 	}
 	for i, ids := range toConfirm {
-		group.Go(func() { p.askHolder(ctx, i, ids) })
+		group.Go(func() { p.queryHolder(ctx, i, ids) })
 	}
 }
 
-// liveness tells when an instance was last known to be alive.
+// liveness records when an instance was last known to be alive.
 type liveness struct {
 	// known is set if the instance is a member: its heartbeats arrive, or it is in
 	// the platform's list.
@@ -115,37 +115,36 @@
 // holderDead reports whether the holder counts as dead: it has restarted, or it is
 // silent and either no longer in the platform's list or past the deadline of its
 // request. Until then the holder may only be unreachable for this dispatcher.
-func (g *activePermit) holderDead(s liveness, now time.Time) bool {
-	if g.incarnation == 0 {
-		g.incarnation = s.incarnation
+func (p *activePermit) holderDead(s liveness, now time.Time) bool {
+	if p.incarnation == 0 {
+		p.incarnation = s.incarnation
 	}
-	if s.incarnation != 0 && s.incarnation != g.incarnation {
+	if s.incarnation != 0 && s.incarnation != p.incarnation {
 		return true
 	}
-	return g.silence(s, now) >= goose.HolderTimeout && (!s.known || !now.Before(g.deadline))
+	return p.silence(s, now) >= goose.HolderTimeout && (!s.known || !now.Before(p.deadline))
 }
 
-// silence returns the time since the last sign of life of the holder.
-func (g *activePermit) silence(s liveness, now time.Time) time.Duration {
-	if g.grantedAt.After(s.lastSeen) {
-		s.lastSeen = g.grantedAt
+// silence returns the time since the last message or report of the holder.
+func (p *activePermit) silence(s liveness, now time.Time) time.Duration {
+	if p.grantedAt.After(s.lastSeen) {
+		s.lastSeen = p.grantedAt
 	}
 	return now.Sub(s.lastSeen)
 }
 
-// needsConfirmation reports whether the holder is to be asked for the permit. A
-// permit whose start was not reported before it expired may never have reached its
-// holder. Running permits are confirmed rarely, in case a release was lost, but
-// often before a silent holder counts as dead, because only its digests may be
-// missing.
+// needsConfirmation reports whether to ask the holder for the permit. A permit whose
+// start was not reported before it expired may never have reached its holder.
+// Running permits are confirmed rarely, in case a release was lost, but often before
+// a silent holder counts as dead, because only its digests may be missing.
 func (p *Pool) needsConfirmation(g *activePermit, s liveness, now time.Time) bool {
 	if g.started && g.silence(s, now) < goose.HolderTimeout/2 {
-		return now.Sub(g.askedAt) >= runningCheckInterval
+		return now.Sub(g.queriedAt) >= runningCheckInterval
 	}
-	return now.Sub(g.polledAt) >= goose.PermitLifetime+lifetimeMargin && now.Sub(g.askedAt) >= permitCheckInterval
+	return now.Sub(g.polledAt) >= goose.PermitLifetime+lifetimeMargin && now.Sub(g.queriedAt) >= permitCheckInterval
 }
 
-func (p *Pool) askHolder(ctx context.Context, i goose.InstanceID, ids []goose.PermitID) {
+func (p *Pool) queryHolder(ctx context.Context, i goose.InstanceID, ids []goose.PermitID) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply, err := p.deps.Holders.HeldPermits(ctx, i, p.deps.Pool, ids)
@@ -182,11 +181,11 @@
 	}
 	g.reclaiming = true
 	group.Go(func() {
-		gone := cancelStreams(ctx, protocol, g.permit)
+		ended := cancelStreams(ctx, protocol, g.permit)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		g.reclaiming = false
-		if gone && p.permits[g.permit.ID] == g {
+		if ended && p.permits[g.permit.ID] == g {
 			p.finishReclaim(g, p.deps.Clock.Now())
 		}
 	})
@@ -194,8 +193,9 @@
 
 // reclaimIfEnded reclaims the permit of a silent holder if its stream is not in the
 // replica's own list: the release was lost. A complete stream that was not read
-// keeps only its memory. A giant prompt moves from replica to replica and can be in
-// none of their lists for a moment, so that its permit is reclaimed at its deadline.
+// keeps only its memory. A giant prompt moves from replica to replica and can be
+// missing from all of their lists for a moment, so that its permit is reclaimed at
+// its deadline.
 func (p *Pool) reclaimIfEnded(ctx context.Context, group *conc.WaitGroup, g *activePermit, now time.Time) {
 	protocol := p.deps.Protocol(p.service.Protocol)
 	if protocol == nil || p.service.Kind == goose.KindPlain || len(g.permit.Replicas) != 1 || g.reclaiming || now.Sub(g.lookedUpAt) < permitCheckInterval {
@@ -246,16 +246,16 @@
 
 // cancelStreams cancels a permit's streams; false if one may still run.
 func cancelStreams(ctx context.Context, protocol goose.Protocol, g goose.Permit) bool {
-	gone := true
+	ended := true
 	for _, s := range g.Replicas {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := protocol.Cancel(ctx, s.Address, goose.AttemptID(g.ID))
 		if err != nil && !errors.Is(err, goose.ErrStreamNotFound) {
-			gone = gone && lookUpStream(ctx, protocol, s.Address, goose.AttemptID(g.ID)) == streamNotFound
+			ended = ended && lookUpStream(ctx, protocol, s.Address, goose.AttemptID(g.ID)) == streamNotFound
 		}
 		cancel()
 	}
-	return gone
+	return ended
 }
 
 // streamState is the state of a stream in the replica's own list.
