--- a/pkg/goosedispatch/replica.go
+++ b/pkg/goosedispatch/replica.go
@@ -125,7 +125,7 @@
 		// Another address means another machine: nothing known about the old one
 		// applies to it.
 		r.endCacheWatch()
-		p.turnCold(r, "address changed")
+		p.resetToCold(r, "address changed")
 		r.clearAbandoned()
 		r.reachable, r.inspected, r.commandKnown = false, false, false
 		p.retireProcess(r)
@@ -222,9 +222,9 @@
 	return a.Mode != goose.ModeDegraded && r.inspected && p.takeover.quarantineOver(now, p.quarantine())
 }
 
-// turnCold resets the replica to its cold limits.
-func (p *Pool) turnCold(r *replica, reason string) {
-	if r.limiter.TurnCold() {
+// resetToCold resets the replica to its cold limits.
+func (p *Pool) resetToCold(r *replica, reason string) {
+	if r.limiter.ResetToCold() {
 		gooseevent.ReplicaCold.Log(p.deps.Log, "pool", p.deps.Pool.String(), "replica", r.id, "reason", reason)
 	}
 	p.reservation.dropReplica(r)
@@ -274,7 +274,7 @@
 	p.retireProcess(r)
 	r.clearAbandoned()
 	r.process = process
-	p.turnCold(r, "process changed")
+	p.resetToCold(r, "process changed")
 }
 
 // retireProcess moves the current process id to the past ones.
--- a/pkg/goosedispatch/report.go
+++ b/pkg/goosedispatch/report.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// firstTokenBase and firstTokenPerToken bound the time to first token of a
-	// success. A replica that responds later still loads and is not ramped up.
+	// firstTokenBase and firstTokenPerToken bound the time to first token of a success. A
+	// replica that responds later is still loading its model and is not ramped up.
 	firstTokenBase     = 2 * time.Second
 	firstTokenPerToken = time.Millisecond
 )
@@ -136,8 +136,8 @@
 	gooseevent.LongPrefillBoundChanged.Log(p.deps.Log, "pool", p.deps.Pool.String(), "limit", p.longPrefillLimit(), "replicas", len(p.configuredReplicas), "ratio", ratio)
 }
 
-// applyOutcome applies what a report says about a replica. It returns whether the
-// attempt is evidence that the replica is warm.
+// applyOutcome applies a report to the state of a replica. It returns whether the attempt is
+// evidence that the replica is warm.
 func (p *Pool) applyOutcome(c *replica, g *activePermit, r goose.PermitReport) bool {
 	c.pollRequested = c.pollRequested || r.Outcome == goose.OutcomeNotSent || r.Outcome == goose.OutcomeFailed
 	if r.Outcome == goose.OutcomeNotSent {
@@ -145,7 +145,7 @@
 		// the permit was granted for.
 		if p.observeProcess(c, r.Process) && r.Cold && !p.staleColdReport(c, g) {
 			c.reportedCold = true
-			p.turnCold(c, "cold report")
+			p.resetToCold(c, "cold report")
 		}
 		return false
 	}
@@ -160,19 +160,19 @@
 	}
 	if r.Cold && !p.staleColdReport(c, g) {
 		c.reportedCold = true
-		p.turnCold(c, "cold report")
+		p.resetToCold(c, "cold report")
 		return false
 	}
 	inTime := r.TimeToFirstToken <= firstTokenBase+time.Duration(g.request.PromptTokens)*firstTokenPerToken
 	processAtGrant := g.processAtGrant(c.id)
 	sameProcess := processAtGrant == "" || r.Process == "" || processAtGrant == r.Process
-	// A replica is not ramped up while its load reports say that it is cold.
+	// A replica is not ramped up while its load reports mark it as cold.
 	return r.Outcome == goose.OutcomeFinished && !r.Cold && !c.reportedCold && inTime && sameProcess
 }
 
 // staleColdReport reports whether the cold flag of a permit report is older than the
-// replica's load reports: the permit was granted before the replica last turned cold,
-// and its newest load report is warm.
+// replica's load reports: the permit was granted before the replica last became cold, and
+// its newest load report is warm.
 func (p *Pool) staleColdReport(c *replica, g *activePermit) bool {
 	return !c.limiter.GrantedSinceCold(g.permit.ID) && c.reachable && !c.reportedCold
 }
@@ -200,7 +200,7 @@
 		p.observeProcess(c, process)
 		p.retireProcess(c)
 	}
-	p.turnCold(c, "attempt broke off")
+	p.resetToCold(c, "attempt broke off")
 	c.reachable = false
 }
 
@@ -214,7 +214,7 @@
 func (p *Pool) changeMode(m goose.DispatchMode) {
 	gooseevent.PoolModeChanged.Log(p.deps.Log, "pool", p.deps.Pool.String(), "from", string(p.mode), "to", string(m))
 	if p.mode == goose.ModeDegraded && m != goose.ModeStopped {
-		// Other parts of the data centre may have granted on the replicas meanwhile.
+		// Other parts of the data centre may have granted on the replicas in the meantime.
 		p.restartTakeover()
 	}
 	p.mode = m
--- a/pkg/goosedispatch/running.go
+++ b/pkg/goosedispatch/running.go
@@ -24,10 +24,10 @@
 	lease  HeldLease
 	cancel context.CancelFunc
 	// liveMembers is the number of live members of the data centre at the last step.
-	liveMembers    int
-	consentAskedAt time.Time
-	// leasedShare is the share of the limits that the lease allows while members
-	// are silent, as of the last step; nil is the whole. It is cached because each
+	liveMembers        int
+	consentRequestedAt time.Time
+	// leasedShare is the share of the limits that the lease allows while members are
+	// silent, as of the last step; nil means the full limits. It is cached because each
 	// grant reads the authority.
 	leasedShare atomic.Pointer[func(goose.ReplicaID) gooselimit.Share]
 
@@ -183,8 +183,8 @@
 		r.pool.RestartTakeover()
 	}
 	r.liveMembers = live
-	if r.lease.Deadline().Sub(now) < PromiseValidity/2 && now.Sub(r.consentAskedAt) >= PromiseValidity/4 {
-		r.consentAskedAt = now
+	if r.lease.Deadline().Sub(now) < PromiseValidity/2 && now.Sub(r.consentRequestedAt) >= PromiseValidity/4 {
+		r.consentRequestedAt = now
 		m.group.Go(func() { r.requestConsent(ctx) })
 	}
 }
--- a/pkg/goosedispatch/schedule_test.go
+++ b/pkg/goosedispatch/schedule_test.go
@@ -15,35 +15,35 @@
 // block each other, or whose parts do not add up to the request.
 func TestGiantAcquiresReplicasInOneStep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newHarness(t, nil, "a", "b", "c", "d")
-		r.run()
-		r.warm()
+		h := newHarness(t, nil, "a", "b", "c", "d")
+		h.run()
+		h.warm()
 		giant := func(id string) goose.PermitRequest {
 			q := request(id, 250_000)
 			q.OutputTokens = 1000
 			return q
 		}
-		long := r.acquire(request("l1", 70_000), goose.PermitGranted).Permit
-		if reply := r.tryAcquire(giant("g0")); reply.Status != goose.PermitWaiting {
+		long := h.acquire(request("l1", 70_000), goose.PermitGranted).Permit
+		if reply := h.tryAcquire(giant("g0")); reply.Status != goose.PermitWaiting {
 			t.Errorf("giant on three of four replicas alongside a long prefill: got %s, want waiting", reply.Status)
 		}
-		r.release(long, nil)
-		first := r.acquire(giant("g1"), goose.PermitGranted).Permit
+		h.release(long, nil)
+		first := h.acquire(giant("g1"), goose.PermitGranted).Permit
 		sum, counted := 0, 0
 		for _, s := range first.Replicas {
 			sum += s.Tokens
-			counted += r.pool.replicas[s.Replica].limiter.Tokens()
+			counted += h.pool.replicas[s.Replica].limiter.Tokens()
 		}
 		if len(first.Replicas) != 3 || sum != 250_000 || counted != 251_000 {
 			t.Errorf("giant: got %d replicas for %d tokens, %d counted; want 3 for 250000, 251000", len(first.Replicas), sum, counted)
 		}
-		if reply := r.tryAcquire(giant("g2")); reply.Status != goose.PermitWaiting {
+		if reply := h.tryAcquire(giant("g2")); reply.Status != goose.PermitWaiting {
 			t.Errorf("second giant: got %s, want waiting", reply.Status)
 		}
-		r.acquire(request("s", 100), goose.PermitGranted)
-		r.release(first, nil)
-		r.acquire(giant("g3"), goose.PermitGranted)
-		if reply := r.tryAcquire(request("huge", 400_001)); reply.Refusal.Code != goose.CodePromptTooLong {
+		h.acquire(request("s", 100), goose.PermitGranted)
+		h.release(first, nil)
+		h.acquire(giant("g3"), goose.PermitGranted)
+		if reply := h.tryAcquire(request("huge", 400_001)); reply.Refusal.Code != goose.CodePromptTooLong {
 			t.Errorf("more than the pool holds: got %v, want prompt-too-long", reply.Refusal)
 		}
 	})
@@ -55,16 +55,16 @@
 	for name, tokens := range map[string]int{"long": 99_000, "giant": 150_000} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := newHarness(t, nil, "a", "b")
-				r.run()
-				r.warm()
+				h := newHarness(t, nil, "a", "b")
+				h.run()
+				h.warm()
 				ctx, cancel := context.WithCancel(t.Context())
 				for w := range 20 {
 					go func() {
 						for i := 0; ctx.Err() == nil; i++ {
-							if reply := r.pool.Acquire(ctx, request(fmt.Sprint(w, "-", i), 7000)); reply.Status == goose.PermitGranted {
+							if reply := h.pool.Acquire(ctx, request(fmt.Sprint(w, "-", i), 7000)); reply.Status == goose.PermitGranted {
 								time.Sleep(time.Duration(50+w) * time.Millisecond)
-								r.release(reply.Permit, nil)
+								h.release(reply.Permit, nil)
 							}
 						}
 					}()
@@ -72,7 +72,7 @@
 				time.Sleep(time.Second)
 				start := time.Now()
 				q := request("large", tokens)
-				for r.pool.Acquire(ctx, q).Status == goose.PermitWaiting && time.Since(start) < 20*time.Second {
+				for h.pool.Acquire(ctx, q).Status == goose.PermitWaiting && time.Since(start) < 20*time.Second {
 				}
 				if got := time.Since(start); got > 4*time.Second {
 					t.Errorf("wait of the large request: got %v, want under 4s", got)
@@ -87,16 +87,16 @@
 // Guards against long prefills on more than half of the replicas.
 func TestLongPrefillsLeaveHalfOfThePool(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newHarness(t, nil, "a", "b", "c", "d")
-		r.run()
-		r.warm()
-		first := r.acquire(request("l1", 70_000), goose.PermitGranted).Permit
-		r.acquire(request("l2", 70_000), goose.PermitGranted)
-		if reply := r.tryAcquire(request("l3", 70_000)); reply.Status != goose.PermitWaiting {
+		h := newHarness(t, nil, "a", "b", "c", "d")
+		h.run()
+		h.warm()
+		first := h.acquire(request("l1", 70_000), goose.PermitGranted).Permit
+		h.acquire(request("l2", 70_000), goose.PermitGranted)
+		if reply := h.tryAcquire(request("l3", 70_000)); reply.Status != goose.PermitWaiting {
 			t.Errorf("third long prefill on four replicas: got %s, want waiting", reply.Status)
 		}
-		r.pool.Report(goose.PermitReport{Permit: first.ID, Instance: "i1", Phase: goose.PhasePrefilled})
-		r.acquire(request("l4", 70_000), goose.PermitGranted)
+		h.pool.Report(goose.PermitReport{Permit: first.ID, Instance: "i1", Phase: goose.PhasePrefilled})
+		h.acquire(request("l4", 70_000), goose.PermitGranted)
 	})
 }
 
@@ -119,22 +119,22 @@
 func TestLongPrefillBoundObservesShortRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		bound := &recordingBound{limit: 2}
-		r := newHarness(t, func(_ *harness, d *Dependencies) { d.LongPrefillBound = bound }, "a", "b")
-		r.run()
-		r.warm()
-		apart := r.acquire(request("s1", 1000), goose.PermitGranted).Permit
-		long := r.acquire(request("l1", 70_000), goose.PermitGranted).Permit
-		r.acquire(request("l2", 70_000), goose.PermitGranted)
+		h := newHarness(t, func(_ *harness, d *Dependencies) { d.LongPrefillBound = bound }, "a", "b")
+		h.run()
+		h.warm()
+		withoutLong := h.acquire(request("s1", 1000), goose.PermitGranted).Permit
+		long := h.acquire(request("l1", 70_000), goose.PermitGranted).Permit
+		h.acquire(request("l2", 70_000), goose.PermitGranted)
 		bound.limit = 1
-		if reply := r.tryAcquire(request("l3", 70_000)); reply.Status != goose.PermitWaiting {
+		if reply := h.tryAcquire(request("l3", 70_000)); reply.Status != goose.PermitWaiting {
 			t.Errorf("long prefill beyond the bound: got %s, want waiting", reply.Status)
 		}
-		beside := r.acquire(request("s2", 2000), goose.PermitGranted).Permit
-		failed := r.acquire(request("s3", 3000), goose.PermitGranted).Permit
-		r.release(apart, func(p *goose.PermitReport) { p.TimeToFirstToken = time.Second })
-		r.release(beside, func(p *goose.PermitReport) { p.TimeToFirstToken = 2 * time.Second })
-		r.release(failed, func(p *goose.PermitReport) { p.Outcome = goose.OutcomeFailed })
-		r.release(long, nil)
+		withLong := h.acquire(request("s2", 2000), goose.PermitGranted).Permit
+		failed := h.acquire(request("s3", 3000), goose.PermitGranted).Permit
+		h.release(withoutLong, func(p *goose.PermitReport) { p.TimeToFirstToken = time.Second })
+		h.release(withLong, func(p *goose.PermitReport) { p.TimeToFirstToken = 2 * time.Second })
+		h.release(failed, func(p *goose.PermitReport) { p.Outcome = goose.OutcomeFailed })
+		h.release(long, nil)
 		want := []goose.TTFTSample{
 			{PromptTokens: 1000, TTFT: time.Second},
 			{DuringLongPrefill: true, PromptTokens: 2000, TTFT: 2 * time.Second},
@@ -148,14 +148,14 @@
 // fillQueue trains the pool's estimate with a rate of 100,000 tokens per second (one second
 // per request, room for four) and leaves twenty requests, which take five seconds, in its
 // queue.
-func (r *harness) fillQueue() {
+func (h *harness) fillQueue() {
 	for i := range 8 {
-		g := r.acquire(request(fmt.Sprint("w", i), 25_000), goose.PermitGranted).Permit
+		g := h.acquire(request(fmt.Sprint("w", i), 25_000), goose.PermitGranted).Permit
 		time.Sleep(time.Second)
-		r.release(g, nil)
+		h.release(g, nil)
 	}
 	for i := range 24 {
-		go r.pool.Acquire(r.t.Context(), request(fmt.Sprint("q", i), 25_000))
+		go h.pool.Acquire(h.t.Context(), request(fmt.Sprint("q", i), 25_000))
 	}
 	synctest.Wait()
 }
@@ -164,13 +164,13 @@
 // refusals without a retry-after time.
 func TestAdmission(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newHarness(t, nil, "a")
-		r.run()
-		r.warm()
-		r.fillQueue()
+		h := newHarness(t, nil, "a")
+		h.run()
+		h.warm()
+		h.fillQueue()
 		q := request("late", 25_000)
 		q.TimeLeft = 5 * time.Second
-		reply := r.tryAcquire(q)
+		reply := h.tryAcquire(q)
 		if reply.Refusal.Code != goose.CodeOverloaded || reply.Refusal.Run != goose.RunStateNotRun {
 			t.Fatalf("five seconds of queue, one of work, five left: got %s %v, want overloaded", reply.Status, reply.Refusal)
 		}
@@ -178,13 +178,13 @@
 			t.Errorf("retry after: got %v, want about 1s", got)
 		}
 		q.TimeLeft = 8 * time.Second
-		if reply := r.tryAcquire(q); reply.Status != goose.PermitWaiting {
+		if reply := h.tryAcquire(q); reply.Status != goose.PermitWaiting {
 			t.Errorf("with eight seconds left: got %s, want waiting", reply.Status)
 		}
 		time.Sleep(goose.PollWait + 2*time.Second)
-		r.pool.mu.Lock()
-		defer r.pool.mu.Unlock()
-		if got := r.pool.deps.Discipline.Len(); got != 0 {
+		h.pool.mu.Lock()
+		defer h.pool.mu.Unlock()
+		if got := h.pool.deps.Discipline.Len(); got != 0 {
 			t.Errorf("queue after the polls stopped: got %d, want 0", got)
 		}
 	})
@@ -194,16 +194,16 @@
 // degraded mode: another data centre could serve them.
 func TestNoUsableReplica(t *testing.T) {
 	tests := map[string]func(*harness){
-		"unreachable":    func(r *harness) { r.protocol.set("a:1", func(e *fakeEngine) { e.unreachable = true }) },
-		"cold, degraded": func(r *harness) { r.mode = goose.ModeDegraded },
+		"unreachable":    func(h *harness) { h.protocol.set("a:1", func(e *fakeEngine) { e.unreachable = true }) },
+		"cold, degraded": func(h *harness) { h.mode = goose.ModeDegraded },
 	}
 	for name, setup := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := newHarness(t, func(r *harness, _ *Dependencies) { setup(r) }, "a")
-				r.run()
+				h := newHarness(t, func(h *harness, _ *Dependencies) { setup(h) }, "a")
+				h.run()
 				time.Sleep(4 * time.Second)
-				if reply := r.tryAcquire(request("r1", 100)); reply.Refusal.Code != goose.CodeOverloaded || reply.Refusal.RetryAfter == 0 {
+				if reply := h.tryAcquire(request("r1", 100)); reply.Refusal.Code != goose.CodeOverloaded || reply.Refusal.RetryAfter == 0 {
 					t.Errorf("got %s %v, want overloaded with a retry-after time", reply.Status, reply.Refusal)
 				}
 			})
@@ -215,12 +215,12 @@
 // a retry-after time.
 func TestDeadlineInTheQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newHarness(t, nil, "a")
-		r.run()
-		r.acquire(request("r1", 100), goose.PermitGranted)
+		h := newHarness(t, nil, "a")
+		h.run()
+		h.acquire(request("r1", 100), goose.PermitGranted)
 		q := request("r2", 100)
 		q.TimeLeft = 1500 * time.Millisecond
-		reply := r.acquire(q, goose.PermitRefused)
+		reply := h.acquire(q, goose.PermitRefused)
 		if reply.Refusal.Code != goose.CodeDeadline || reply.Refusal.Run != goose.RunStateNotRun {
 			t.Errorf("got %v %s, want deadline not-run", reply.Refusal, reply.Refusal.Run)
 		}
@@ -233,13 +233,13 @@
 // Guards against refusals of expired requests whose retry-after time ignores the queue.
 func TestRetryAfterTheDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newHarness(t, nil, "a")
-		r.run()
-		r.warm()
-		r.fillQueue()
+		h := newHarness(t, nil, "a")
+		h.run()
+		h.warm()
+		h.fillQueue()
 		q := request("over", 25_000)
 		q.TimeLeft = 0
-		reply := r.tryAcquire(q)
+		reply := h.tryAcquire(q)
 		if reply.Refusal.Code != goose.CodeDeadline || reply.Refusal.Run != goose.RunStateNotRun {
 			t.Fatalf("no time left: got %s %v, want deadline not-run", reply.Status, reply.Refusal)
 		}
@@ -267,24 +267,24 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := newHarness(t, nil, "a")
-				r.run()
-				r.warm()
+				h := newHarness(t, nil, "a")
+				h.run()
+				h.warm()
 				wait := make(chan goose.PermitReply, 1)
 				full := request("full", 100_000)
-				g := r.acquire(full, goose.PermitGranted).Permit
-				go func() { wait <- r.pool.Acquire(t.Context(), request("waiting", 100_000)) }()
+				g := h.acquire(full, goose.PermitGranted).Permit
+				go func() { wait <- h.pool.Acquire(t.Context(), request("waiting", 100_000)) }()
 				synctest.Wait()
-				r.source.change(tt.change)
+				h.source.change(tt.change)
 				time.Sleep(1500 * time.Millisecond)
 				if reply := <-wait; reply.Refusal.Code != tt.code {
 					t.Errorf("waiting request: got %v, want %q", reply.Refusal, tt.code)
 				} else if leaving := tt.code == goose.CodeLeaving; leaving != (reply.Refusal.RetryAfter == goose.RetryAfterLeaving) {
 					t.Errorf("waiting request: got retry after %v with code %q", reply.Refusal.RetryAfter, tt.code)
 				}
-				r.pool.Abandon("waiting")
-				r.release(g, func(x *goose.PermitReport) { x.Outcome = goose.OutcomeCancelled })
-				if got := r.grants(); got != tt.want {
+				h.pool.Abandon("waiting")
+				h.release(g, func(x *goose.PermitReport) { x.Outcome = goose.OutcomeCancelled })
+				if got := h.grants(); got != tt.want {
 					t.Errorf("grants afterwards: got %d, want %d", got, tt.want)
 				}
 			})
@@ -310,14 +310,14 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := newHarness(t, func(_ *harness, d *Dependencies) {
+				h := newHarness(t, func(_ *harness, d *Dependencies) {
 					d.Authority = func(time.Time) Authority { return tt.authority }
 				}, "a")
-				r.run()
+				h.run()
 				if tt.warm {
-					r.warm()
+					h.warm()
 				}
-				if got := r.grants(); got != tt.want {
+				if got := h.grants(); got != tt.want {
 					t.Errorf("grants: got %d, want %d", got, tt.want)
 				}
 			})
@@ -325,26 +325,26 @@
 	}
 }
 
-// Guards against a planned stop after which the successor treats warm replicas as cold, grants
-// capacity twice, or loses the count of running permits.
+// Guards against a graceful shutdown after which the successor treats warm replicas as cold,
+// grants capacity twice, or loses the count of running permits.
 func TestHandoverKeepsState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newHarness(t, nil, "a", "b")
-		r.run()
-		r.warm()
-		r.pool.mu.Lock()
-		r.pool.turnCold(r.pool.replicas["b"], "test")
-		r.pool.mu.Unlock()
-		g := r.acquire(request("r1", 100), goose.PermitGranted).Permit
-		h := r.pool.Resign()
-		if reply := r.tryAcquire(request("r2", 100)); reply.Status != goose.PermitNotDispatcher {
+		h := newHarness(t, nil, "a", "b")
+		h.run()
+		h.warm()
+		h.pool.mu.Lock()
+		h.pool.resetToCold(h.pool.replicas["b"], "test")
+		h.pool.mu.Unlock()
+		g := h.acquire(request("r1", 100), goose.PermitGranted).Permit
+		handover := h.pool.Resign()
+		if reply := h.tryAcquire(request("r2", 100)); reply.Status != goose.PermitNotDispatcher {
 			t.Errorf("after the resign: got %s, want elsewhere", reply.Status)
 		}
-		if r.pool.ApplyReport(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhaseReleased}) {
+		if h.pool.ApplyReport(goose.PermitReport{Permit: g.ID, Instance: "i1", Phase: goose.PhaseReleased}) {
 			t.Error("report after the resign: got accepted, want it for the successor")
 		}
 		next := newHarness(t, func(n *harness, d *Dependencies) {
-			d.Handover, n.protocol, n.holders.complete = &h, r.protocol, false
+			d.Handover, n.protocol, n.holders.complete = &handover, h.protocol, false
 		}, "a", "b")
 		next.run()
 		if got := next.grants(); got != 4 {
--- a/pkg/goosedispatch/shutdown.go
+++ b/pkg/goosedispatch/shutdown.go
@@ -34,7 +34,7 @@
 }
 
 func (m *Manager) handOver(ctx context.Context, r *runningDispatcher) {
-	h := r.pool.Resign()
+	handover := r.pool.Resign()
 	r.cancel()
 	if r.lease == nil {
 		return
@@ -44,8 +44,8 @@
 		defer cancel()
 		var reply HandoverReply
 		// If the call fails, the successor collects the permits from the holders.
-		if err := m.options.PeerClient.Call(ctx, a.Address, KindHandover, h, &reply); err == nil && reply.Accepted {
-			gooseevent.PoolHandedOver.Log(m.options.Log, "pool", r.id.String(), "to", a.Instance, "permits", len(h.Held))
+		if err := m.options.PeerClient.Call(ctx, a.Address, KindHandover, handover, &reply); err == nil && reply.Accepted {
+			gooseevent.PoolHandedOver.Log(m.options.Log, "pool", r.id.String(), "to", a.Instance, "permits", len(handover.Held))
 		}
 	}
 	m.resignLease(r.lease)
--- a/pkg/goosedispatch/takeover.go
+++ b/pkg/goosedispatch/takeover.go
@@ -18,7 +18,7 @@
 	// unreachable for minutes.
 	lateCollectInterval = 5 * time.Second
 	// maxWarmEvidenceAge bounds the age of evidence that a replica is warm: the
-	// replica may have turned cold since.
+	// replica may have become cold since.
 	maxWarmEvidenceAge = 30 * time.Second
 )
 
@@ -63,8 +63,8 @@
 // takeoverLateness returns by how much a request that waits for the end of the
 // quarantine would be late. It is zero if the request would be in time, a replica
 // is usable, or the instances that have not replied may still do so. A refused
-// request can go to another data centre. The wait may take half of the time left
-// at most: the rest is for the run, whose duration a new dispatcher does not know.
+// request can go to another data centre. The wait may take half of the time left at
+// most: the rest is for the run, whose duration a new dispatcher cannot estimate.
 func (p *Pool) takeoverLateness(r goose.PermitRequest, left time.Duration, now time.Time) time.Duration {
 	since, quarantine := now.Sub(p.takeover.startedAt), p.quarantine()
 	late := 2*(quarantine-since) - left
@@ -187,7 +187,7 @@
 	p.grantWaiting(now)
 }
 
-// finishCollect ends a collect round; complete tells whether all instances have
+// finishCollect ends a collect round; complete is set if all instances have
 // reported their permits after since. A round from before the takeover restarted
 // does not end the takeover.
 func (p *Pool) finishCollect(since time.Time, complete bool) {
@@ -248,7 +248,7 @@
 		polledAt:  now,
 		started:   h.Started,
 		exclusive: p.grade(h.Request) == goose.SuspicionSuspect,
-		askedAt:   now,
+		queriedAt: now,
 	}
 	for i, s := range h.Permit.Replicas {
 		r, ok := p.replicas[s.Replica]
--- a/pkg/goosedispatch/wire.go
+++ b/pkg/goosedispatch/wire.go
@@ -58,14 +58,14 @@
 }
 
 // HeldReply lists the permits that are still held. Incarnation is the incarnation of
-// the instance: a restarted instance does not know what its former process left
+// the instance: a restarted instance has no record of what its former process left
 // running.
 type HeldReply struct {
 	Permits     []goose.PermitID `cbor:"1,keyasint"`
 	Incarnation int64            `cbor:"2,keyasint"`
 }
 
-// HandoverReply tells whether the successor accepts the state.
+// HandoverReply states whether the successor accepts the state.
 type HandoverReply struct {
 	Accepted bool `cbor:"1,keyasint"`
 }
@@ -76,7 +76,7 @@
 	Epoch goose.Epoch `cbor:"2,keyasint"`
 }
 
-// ConsentReply tells whether the peer promises. A promise is valid for
+// ConsentReply states whether the peer promises. A promise is valid for
 // PromiseValidity from when the request was sent.
 type ConsentReply struct {
 	Promised bool `cbor:"1,keyasint"`
--- a/pkg/goosegossip/gossip.go
+++ b/pkg/goosegossip/gossip.go
@@ -87,11 +87,11 @@
 
 // peer is an instance from which a report was received.
 type peer struct {
-	address     net.Addr
-	incarnation int64
-	sequence    uint64
-	lastHeard   time.Time
-	silent      bool
+	address      net.Addr
+	incarnation  int64
+	sequence     uint64
+	lastReportAt time.Time
+	silent       bool
 	// storeReachableFor is for how long the peer had reached the store, at its last report.
 	storeReachableFor time.Duration
 	// partial collects the datagrams of one report; parts are those received.
@@ -192,7 +192,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, p := range g.peers {
-		if _, registered := addresses[id]; !registered && now.Sub(p.lastHeard) < unregisteredTTL {
+		if _, registered := addresses[id]; !registered && now.Sub(p.lastReportAt) < unregisteredTTL {
 			addresses[id] = p.address
 		}
 	}
@@ -237,7 +237,7 @@
 	}
 	// A process that starts after the system clock was set back has a smaller incarnation
 	// than its predecessor. Its reports are accepted once the predecessor is silent.
-	earlier := m.Incarnation < p.incarnation && now.Sub(p.lastHeard) <= gooseplacement.PeerTimeout
+	earlier := m.Incarnation < p.incarnation && now.Sub(p.lastReportAt) <= gooseplacement.PeerTimeout
 	if earlier || m.Incarnation == p.incarnation && m.Sequence < p.sequence {
 		g.mu.Unlock()
 		return
@@ -246,7 +246,7 @@
 		p.partial = gooseplacement.Report{Replicas: map[goose.ReplicaID]gooseplacement.Load{}}
 		p.parts = map[int]bool{}
 	}
-	p.incarnation, p.sequence, p.address, p.lastHeard, p.storeReachableFor = m.Incarnation, m.Sequence, from, now, m.Store.ReachableFor
+	p.incarnation, p.sequence, p.address, p.lastReportAt, p.storeReachableFor = m.Incarnation, m.Sequence, from, now, m.Store.ReachableFor
 	p.parts[m.Part] = true
 	for id, l := range m.Report.Replicas {
 		p.partial.Replicas[id] = l
@@ -270,9 +270,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, p := range g.peers {
-		if !p.silent && now.Sub(p.lastHeard) > gooseplacement.PeerTimeout {
+		if !p.silent && now.Sub(p.lastReportAt) > gooseplacement.PeerTimeout {
 			p.silent = true
-			gooseevent.PeerSilent.Log(g.o.Log, slog.String("peer", string(id)), slog.Duration("age", now.Sub(p.lastHeard)))
+			gooseevent.PeerSilent.Log(g.o.Log, slog.String("peer", string(id)), slog.Duration("age", now.Sub(p.lastReportAt)))
 		}
 	}
 }
@@ -284,7 +284,7 @@
 	defer g.mu.Unlock()
 	var longest time.Duration
 	for _, p := range g.peers {
-		if now.Sub(p.lastHeard) <= gooseplacement.PeerTimeout {
+		if now.Sub(p.lastReportAt) <= gooseplacement.PeerTimeout {
 			longest = max(longest, p.storeReachableFor)
 		}
 	}
--- a/pkg/goosegossip/instance.go
+++ b/pkg/goosegossip/instance.go
@@ -115,8 +115,8 @@
 // unavailable the expiry of the lease may be suspended, so it is renewed until the store
 // reports that it does not exist.
 func (r *Registration) renew(ctx context.Context, lease goose.LeaseID) error {
-	// Instances that started together renew at different times, so that one of them
-	// notices a short outage.
+	// Instances that started together renew at different times, so that one of them detects
+	// a short outage.
 	for goose.Sleep(ctx, renewInterval/2+rand.N(renewInterval)) {
 		_, err := r.store.KeepAlive(ctx, lease)
 		switch {
--- a/pkg/gooselease/held.go
+++ b/pkg/gooselease/held.go
@@ -90,9 +90,9 @@
 	return StatusUnreachable
 }
 
-// Resign gives up the key, at once in this process and then in the store. An
-// error means that the store did not confirm the revocation; the key then
-// expires with its TTL.
+// Resign releases the key, at once in this process and then in the store. An error
+// means that the store did not confirm the revocation; the key then expires with its
+// TTL.
 func (h *HeldLease) Resign(ctx context.Context) error {
 	h.end(StatusResigned)
 	select {
--- a/pkg/gooselease/lease_test.go
+++ b/pkg/gooselease/lease_test.go
@@ -208,8 +208,8 @@
 }
 
 // Guards against a campaign whose lost response leaves the key without a holder
-// that knows of it, and against a campaign that acquires the key after its caller
-// was told that it failed.
+// that uses it, and against a campaign that acquires the key after its caller got
+// an error.
 func TestCampaignUnderFaults(t *testing.T) {
 	t.Parallel()
 	tests := map[string]struct {
--- a/pkg/gooseledger/batch_test.go
+++ b/pkg/gooseledger/batch_test.go
@@ -54,7 +54,8 @@
 }
 
 // Guards against a transaction with an expired lease that makes its whole batch
-// fail, and against callers that are told that a sent transaction had no effect.
+// fail, and against callers that get the result that a sent transaction had no
+// effect.
 func TestBatchIsolation(t *testing.T) {
 	inBubble(t, func(t *testing.T, m *goosestore.Memory) {
 		b := newBatcher(t.Context(), m, DefaultBatchWindow, DefaultStoreCallRate)
@@ -87,8 +88,8 @@
 	})
 }
 
-// Guards against a transaction that is sent although its caller was told that it
-// was not.
+// Guards against a transaction that is sent although its caller got the result
+// that it was not.
 func TestBatchDropsAbandoned(t *testing.T) {
 	inBubble(t, func(t *testing.T, m *goosestore.Memory) {
 		b := newBatcher(t.Context(), m, DefaultBatchWindow, DefaultStoreCallRate)
--- a/pkg/gooseledger/faults_test.go
+++ b/pkg/gooseledger/faults_test.go
@@ -26,7 +26,8 @@
 
 // Guards against a claim that is granted without the store's confirmation, a
 // claim that is refused although its own write took effect, and a record that
-// stays claimed although its caller was told that the order did not run.
+// stays claimed although its caller got a refusal which states that the order did
+// not run.
 func TestClaimUnderFaults(t *testing.T) {
 	tests := map[string]struct {
 		faults goosestore.Faults
@@ -243,8 +244,9 @@
 	})
 }
 
-// Guards against a repeated request that is told that its order did not run
-// because the store is down, although the order runs or ran on the same instance.
+// Guards against a repeated request that gets the result that its order did not
+// run because the store is down, although the order runs or ran on the same
+// instance.
 func TestRepeatsWhileStoreIsDown(t *testing.T) {
 	tests := map[goose.ClaimStatus]func(*Ledger, goose.Order){
 		goose.ClaimRunning:     func(*Ledger, goose.Order) {},
--- a/pkg/gooseledger/history_test.go
+++ b/pkg/gooseledger/history_test.go
@@ -117,43 +117,43 @@
 	},
 }
 
-func (s modelState) applyEnd(i input) (bool, any) {
-	if s.claimant != i.instance || s.orderState != goose.OrderClaimed && s.orderState != goose.OrderUnknown {
-		return false, s
+func (m modelState) applyEnd(i input) (bool, any) {
+	if m.claimant != i.instance || m.orderState != goose.OrderClaimed && m.orderState != goose.OrderUnknown {
+		return false, m
 	}
-	s.orderState = i.end
-	return true, s
+	m.orderState = i.end
+	return true, m
 }
 
-func (s modelState) applyClaim(instance int, out goose.ClaimStatus) (bool, any) {
-	free := s.orderState == goose.OrderNotRun
+func (m modelState) applyClaim(instance int, out goose.ClaimStatus) (bool, any) {
+	free := m.orderState == goose.OrderNotRun
 	switch out {
 	case goose.ClaimGranted:
-		return free, modelState{orderState: goose.OrderClaimed, claimant: instance, crashed: s.crashed}
+		return free, modelState{orderState: goose.OrderClaimed, claimant: instance, crashed: m.crashed}
 	case goose.ClaimUnavailable:
 		if free {
-			s.unconfirmed |= 1 << instance
+			m.unconfirmed |= 1 << instance
 		}
-		return true, s
+		return true, m
 	case goose.ClaimRunning:
-		ended := s.orderState == goose.OrderDone || s.orderState == goose.OrderUnknown
-		return s.orderState == goose.OrderClaimed || ended && !s.durable && instance != s.claimant || free && s.unconfirmed != 0, s
+		ended := m.orderState == goose.OrderDone || m.orderState == goose.OrderUnknown
+		return m.orderState == goose.OrderClaimed || ended && !m.durable && instance != m.claimant || free && m.unconfirmed != 0, m
 	case goose.ClaimDone:
-		s.durable = s.durable || instance != s.claimant
-		if s.orderState == goose.OrderUnknown && s.lateWrite {
-			s.orderState = goose.OrderDone
+		m.durable = m.durable || instance != m.claimant
+		if m.orderState == goose.OrderUnknown && m.lateWrite {
+			m.orderState = goose.OrderDone
 		}
-		return s.orderState == goose.OrderDone, s
+		return m.orderState == goose.OrderDone, m
 	case goose.ClaimUnknown:
-		lost := s.orderState == goose.OrderClaimed || s.orderState == goose.OrderDone && !s.durable
-		if lost && s.crashed&(1<<s.claimant) != 0 || free && s.unconfirmed&s.crashed != 0 {
-			s.lateWrite = s.orderState == goose.OrderDone
-			s.orderState = goose.OrderUnknown
+		lost := m.orderState == goose.OrderClaimed || m.orderState == goose.OrderDone && !m.durable
+		if lost && m.crashed&(1<<m.claimant) != 0 || free && m.unconfirmed&m.crashed != 0 {
+			m.lateWrite = m.orderState == goose.OrderDone
+			m.orderState = goose.OrderUnknown
 		}
-		s.durable = s.durable || instance != s.claimant
-		return s.orderState == goose.OrderUnknown, s
+		m.durable = m.durable || instance != m.claimant
+		return m.orderState == goose.OrderUnknown, m
 	}
-	return false, s
+	return false, m
 }
 
 // history runs a plan and records its operations.
--- a/pkg/gooseledger/join_test.go
+++ b/pkg/gooseledger/join_test.go
@@ -29,17 +29,17 @@
 	return p
 }
 
-func (p *link) Self() goose.Member { return goose.Member{Instance: p.self} }
+func (l *link) Self() goose.Member { return goose.Member{Instance: l.self} }
 
-func (p *link) Members() []goose.Member { return *p.members.Load() }
+func (l *link) Members() []goose.Member { return *l.members.Load() }
 
-func (p *link) Dispatcher(goose.Pool) (goose.Member, bool) { return goose.Member{}, false }
+func (l *link) Dispatcher(goose.Pool) (goose.Member, bool) { return goose.Member{}, false }
 
-func (p *link) Call(ctx context.Context, address, kind string, request, reply any) error {
-	if p.down.Load() {
+func (l *link) Call(ctx context.Context, address, kind string, request, reply any) error {
+	if l.down.Load() {
 		return goosepeertest.ErrNoReply
 	}
-	return p.Link.Call(ctx, address, kind, request, reply)
+	return l.Link.Call(ctx, address, kind, request, reply)
 }
 
 func noFault(goosepeertest.Call) goosepeertest.Fault { return goosepeertest.FaultNone }
@@ -177,16 +177,16 @@
 
 // Guards against a joiner that misses a large answer because the order ends
 // between two of its calls, and against answers that stay in memory for ever.
-func TestAnswerLingers(t *testing.T) {
+func TestAnswerOfFinishedRunIsKept(t *testing.T) {
 	inBubble(t, func(t *testing.T, m *goosestore.Memory) {
 		a := openLedger(t, m, "a")
 		o := requireClaim(t, a, "body", goose.ClaimGranted)
 		a.MarkDone(o, goose.PlainResponse{Body: make([]byte, MaxStoredAnswerBytes+1)})
-		time.Sleep(lingerTime / 2)
+		time.Sleep(finishedRunRetention / 2)
 		if got := len(a.awaitOutcome(t.Context(), o.Nonce).Order.Answer.Body); got != MaxStoredAnswerBytes+1 {
 			t.Errorf("got %d bytes, want the whole answer", got)
 		}
-		time.Sleep(lingerTime)
+		time.Sleep(finishedRunRetention)
 		if a.findRun(o.Nonce) != nil {
 			t.Error("got an answer that is still kept")
 		}
--- a/pkg/gooseledger/ledger.go
+++ b/pkg/gooseledger/ledger.go
@@ -37,8 +37,8 @@
 	Self  goose.InstanceID
 	// Incarnation increases with each start of this instance.
 	Incarnation int64
-	// Members tells which claiming instances are live. If it is nil, IsDead
-	// alone decides.
+	// Members shows which claiming instances are live. If it is nil, IsDead alone
+	// decides.
 	Members goose.Membership
 	// IsDead, if set, decides instead of Members whether a claiming instance
 	// is dead.
@@ -105,8 +105,8 @@
 	// decreases.
 	pendingWrites int
 	writeDone     *sync.Cond
-	// runsByNonce holds the orders that this instance claimed, until lingerTime
-	// after their outcome was written.
+	// runsByNonce holds the orders that this instance claimed, until
+	// finishedRunRetention after their outcome was written.
 	runsByNonce map[string]*run
 	// runsByKey holds the newest of these runs for each order key.
 	runsByKey map[goose.OrderKey]*run
@@ -194,7 +194,7 @@
 
 // commit repeats the same conditional write while its outcome is uncertain. The
 // condition allows the write to take effect at most once, and the nonce in the
-// record tells which claim wrote it.
+// record shows which claim wrote it.
 func (c *claim) commit(ctx context.Context) goose.Claim {
 	for {
 		result, done := c.tryCommit(ctx)
@@ -202,7 +202,7 @@
 			return result
 		}
 		if !goose.Sleep(ctx, claimRetryPause) {
-			return c.giveUp()
+			return c.abandon()
 		}
 	}
 }
@@ -213,7 +213,7 @@
 	var err error
 	if c.lease == 0 {
 		if c.lease, err = c.ledger.retention.lease(ctx, c.remaining()); err != nil {
-			return c.giveUp(), true
+			return c.abandon(), true
 		}
 	}
 	res, err := c.ledger.committer.commit(ctx, c.ledger.keys.updateTxn(c.order, c.lease))
@@ -233,7 +233,7 @@
 	case errors.Is(err, goose.ErrUnavailable) && c.uncertain:
 		return goose.Claim{}, false
 	default:
-		return c.giveUp(), true
+		return c.abandon(), true
 	}
 }
 
@@ -259,7 +259,7 @@
 		// The store confirmed that this write had no effect, so only an earlier
 		// uncertain write can have taken effect.
 		if !c.uncertain {
-			return c.giveUp(), true
+			return c.abandon(), true
 		}
 		return goose.Claim{}, false
 	}
@@ -295,12 +295,12 @@
 		return c.grant(found.Revision)
 	}
 	c.order = found
-	return c.giveUp()
+	return c.abandon()
 }
 
-// giveUp ends a claim that was not confirmed. If its write may still take
+// abandon ends a claim that was not confirmed. If its write may still take
 // effect, the record is set to not-run in the background.
-func (c *claim) giveUp() goose.Claim {
+func (c *claim) abandon() goose.Claim {
 	if c.uncertain {
 		o := c.order
 		o.State = goose.OrderNotRun
--- a/pkg/gooseledger/run.go
+++ b/pkg/gooseledger/run.go
@@ -16,10 +16,10 @@
 	maxBackoff = 2 * time.Second
 )
 
-// lingerTime is how long a finished run and its answer stay in memory, for
+// finishedRunRetention is how long a finished run and its answer stay in memory, for
 // joiners that are between two peer calls. Answers above MaxStoredAnswerBytes exist
 // nowhere else.
-const lingerTime = 2 * time.Second
+const finishedRunRetention = 2 * time.Second
 
 // run is an order that this instance claimed. outcome is set before done is
 // closed; written is set once the store has accepted the outcome.
@@ -93,12 +93,12 @@
 	return r
 }
 
-// removeLater removes a run whose outcome was written, after lingerTime.
+// removeLater removes a run whose outcome was written, after finishedRunRetention.
 func (l *Ledger) removeLater(r *run) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r.written = true
-	time.AfterFunc(lingerTime, func() {
+	time.AfterFunc(finishedRunRetention, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		delete(l.runsByNonce, r.order.Nonce)
--- a/pkg/gooselimit/limit.go
+++ b/pkg/gooselimit/limit.go
@@ -64,7 +64,7 @@
 	rampFactor int
 	// successes is the number of successes since the last doubling of rampFactor.
 	successes int
-	// generation increases each time the replica turns cold. Permits of an older generation
+	// generation increases each time the replica becomes cold. Permits of an older generation
 	// are no evidence that the replica is warm.
 	generation int64
 	warm       bool
@@ -255,7 +255,7 @@
 
 // Remove frees the capacity of a permit. It returns false if the permit is not counted.
 // success is set if the response was complete and its first token arrived in time. A success
-// counts towards the ramp-up if the permit was granted since the replica last turned cold.
+// counts towards the ramp-up if the permit was granted since the replica last became cold.
 func (l *Limiter) Remove(id goose.PermitID, success bool) bool {
 	e, ok := l.entries[id]
 	if !ok {
@@ -304,9 +304,9 @@
 	l.warm = l.concurrency() >= l.spec.Concurrency && l.tokenLimit() >= l.spec.MemoryTokens
 }
 
-// TurnCold resets the replica to its cold limits. It returns false if the replica was cold
+// ResetToCold resets the replica to its cold limits. It returns false if the replica was cold
 // and its ramp-up had not begun.
-func (l *Limiter) TurnCold() bool {
+func (l *Limiter) ResetToCold() bool {
 	changed := l.warm || l.rampFactor > 1
 	l.rampFactor, l.successes, l.warm = 1, 0, false
 	l.generation++
@@ -338,8 +338,8 @@
 	return ok
 }
 
-// GrantedSinceCold reports whether the permit is counted and was granted since the
-// replica last turned cold.
+// GrantedSinceCold reports whether the permit is counted and was granted since the replica
+// last became cold.
 func (l *Limiter) GrantedSinceCold(id goose.PermitID) bool {
 	e, ok := l.entries[id]
 	return ok && e.generation == l.generation
--- a/pkg/gooselimit/limit_test.go
+++ b/pkg/gooselimit/limit_test.go
@@ -15,7 +15,7 @@
 }
 
 // Guards against any sequence of events after which a replica has more in flight than its
-// cold limit plus the successes of permits granted since it turned cold, or more in memory,
+// cold limit plus the successes of permits granted since it became cold, or more in memory,
 // complete outputs included, than it has.
 func TestColdBoundHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -71,7 +71,7 @@
 				ids = append(ids[:k], ids[k+1:]...)
 			},
 			"turn cold": func(*rapid.T) {
-				l.TurnCold()
+				l.ResetToCold()
 				generation++
 				successes = 0
 			},
@@ -149,7 +149,7 @@
 }
 
 // Guards against two dispatchers, each with one half of the limits, that together exceed the
-// limits of a warm replica, no matter how much of each other's work they know, and against
+// limits of a warm replica, no matter how much of each other's work they count, and against
 // known work of the other dispatcher that counts against a dispatcher's own half.
 func TestSharesStayWithinLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/gooseload/log.go
+++ b/pkg/gooseload/log.go
@@ -1,5 +1,5 @@
 // Package gooseload records commands to backend servers in the platform's store and
-// enforces the load rate of the weight store over all dispatchers of a fleet.
+// enforces the weight store's rate of model loads over all dispatchers of a fleet.
 package gooseload
 
 import (
@@ -19,8 +19,9 @@
 
 const (
 	// SendTimeout is how long a command may be sent, counted from before its first call
-	// to the store. A slot of the load rate stays taken for this much longer than the
-	// period, so that a late load and the next one in the slot are still a period apart.
+	// to the store. A slot of the rate of model loads stays taken for this much longer
+	// than the period, so that a late model load and the next one in the slot are still
+	// a period apart.
 	SendTimeout = 3 * time.Second
 	// slotMargin covers the time that the command takes to reach the backend server,
 	// and that server's call to reach the weight store.
@@ -51,7 +52,7 @@
 type Options struct {
 	Store goose.Store
 	Fleet string
-	// LoadRate returns the load rate in force; nil if none is configured.
+	// LoadRate returns the rate of model loads in force; nil if none is configured.
 	LoadRate func() *goose.WeightStore
 	Clock    goose.Clock
 }
@@ -172,9 +173,9 @@
 	return l.confirmWrite(ctx, err, record.Key, t.record.ID)
 }
 
-// claimSlot takes one of the slots of the load rate and writes the record in the same
-// transaction. A slot is a key with a lease, so that only the store's clock measures the
-// period.
+// claimSlot takes one of the slots of the rate of model loads and writes the record in
+// the same transaction. A slot is a key with a lease, so that only the store's clock
+// measures the period.
 func (l *Log) claimSlot(ctx context.Context, t *ticket, rate goose.WeightStore, record goose.Op) error {
 	var lease goose.LeaseID
 	for range maxClaimAttempts {
@@ -186,8 +187,8 @@
 			return fmt.Errorf("%w: %d loads within %s", ErrRateExceeded, rate.MaxLoads, rate.Period)
 		}
 		if lease == 0 {
-			// The lease is granted after the ticket's time began, so that it outlasts
-			// the ticket by the whole period.
+			// The lease is granted after the ticket's validity began, so that it
+			// outlasts the ticket by the full period.
 			if lease, err = l.o.Store.Grant(ctx, wholeSeconds(rate.Period+SendTimeout+slotMargin)); err != nil {
 				return err
 			}
@@ -220,7 +221,7 @@
 	return errors.Wrapf(err, "record of %s", id)
 }
 
-// freeSlots returns the numbers of the slots that no load holds.
+// freeSlots returns the numbers of the slots that no model load holds.
 func (l *Log) freeSlots(ctx context.Context, loads int) ([]int, error) {
 	taken, _, err := l.o.Store.List(ctx, l.slotPrefix(), 0)
 	if err != nil || len(taken) >= loads {
--- a/pkg/gooseload/log_test.go
+++ b/pkg/gooseload/log_test.go
@@ -26,8 +26,8 @@
 	}
 }
 
-// Guards against more loads within a period than the weight store allows, if several
-// dispatchers send each load as late as permitted and responses of the store are lost.
+// Guards against more model loads within a period than the weight store allows, if several
+// dispatchers send each command as late as permitted and responses of the store are lost.
 func TestRateOverTheFleet(t *testing.T) {
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/pkg/goosemember/digest.go
+++ b/pkg/goosemember/digest.go
@@ -137,9 +137,9 @@
 }
 
 // serveDigest replies to the relay of another data centre. The digest that this
-// relay sends is confirmed if its hash is the one known here. A different
-// digest is not fetched from the sender: while a data centre is split, it has
-// two relays, and only the one that this instance calls itself counts.
+// relay sends is confirmed if its hash is the one known here. A different digest
+// is not fetched from the sender: while a data centre is partitioned, it has two
+// relays, and only the one that this instance calls itself counts.
 func (c *Cluster) serveDigest(_ context.Context, _ goose.InstanceID, decode func(any) error) (any, error) {
 	var req fetchRequest
 	if err := decode(&req); err != nil {
--- a/pkg/goosemember/digest_test.go
+++ b/pkg/goosemember/digest_test.go
@@ -62,7 +62,7 @@
 
 // Guards against a relay that sends no calls because the other relay calls it,
 // while that relay receives none of its replies: it must send calls of its own,
-// so that the other side hears from it.
+// so that its messages reach the other side.
 func TestRelayCallsPeerThatMissesReplies(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context) {
 		f := startFleet(ctx, threeCentresOfTwo)
@@ -87,7 +87,7 @@
 }
 
 // Guards against a view that alternates between the digests of the two relays of
-// a split data centre.
+// a partitioned data centre.
 func TestSplitDataCentreHasOneDigest(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context) {
 		f := startFleet(ctx, threeCentresOfTwo)
--- a/pkg/goosemember/member_test.go
+++ b/pkg/goosemember/member_test.go
@@ -381,7 +381,7 @@
 				t.Errorf("%s: got version %d of a-3, want 9", name, got)
 			}
 		}
-		// Like a restarted instance, a-1 no longer knows the other members.
+		// Like a restarted instance, a-1 has no records of the other members.
 		c := f.clusters["a-1"]
 		c.table.mu.Lock()
 		clear(c.table.records)
--- a/pkg/goosemember/table.go
+++ b/pkg/goosemember/table.go
@@ -300,10 +300,10 @@
 	return summaries
 }
 
-// lastHeard returns when the member was last heard from. The digest of another
-// data centre counts as a message from its members: otherwise the holder of a
-// permit there would count as silent between two reports, and its stream would
-// be cancelled.
+// lastHeard returns when the last message of the member arrived. The digest of
+// another data centre counts as a message from its members: otherwise the holder
+// of a permit there would count as silent between two reports, and its stream
+// would be cancelled.
 func (t *table) lastHeard(r *record) time.Time {
 	if d := t.digests[r.member.DataCentre]; r.inDigest && d.confirmedAt.After(r.lastMessage) {
 		return d.confirmedAt
@@ -345,8 +345,8 @@
 }
 
 // dispatchers returns, for each pool, the live member that dispatches it with the
-// newest epoch. Of equal epochs the member with the lower name wins, so that all
-// instances choose the same member.
+// newest epoch. Of equal epochs the member with the lower name is chosen, so that
+// all instances choose the same member.
 func dispatchers(members []goose.Member) map[goose.Pool]goose.Member {
 	result := map[goose.Pool]goose.Member{}
 	epochs := map[goose.Pool]goose.Epoch{}
--- a/pkg/goosepermit/cluster_test.go
+++ b/pkg/goosepermit/cluster_test.go
@@ -304,42 +304,42 @@
 	c *cluster
 }
 
-func (k catalogue) Version() int64 {
-	k.c.mu.Lock()
-	defer k.c.mu.Unlock()
-	return k.c.version
+func (c catalogue) Version() int64 {
+	c.c.mu.Lock()
+	defer c.c.mu.Unlock()
+	return c.c.version
 }
 
-func (k catalogue) Service(n goose.ServiceName) (goose.ServiceSpec, bool) {
+func (c catalogue) Service(n goose.ServiceName) (goose.ServiceSpec, bool) {
 	return goose.ServiceSpec{Name: n, Kind: goose.KindModel, Protocol: "fake", Deadline: time.Minute}, true
 }
 
-func (k catalogue) Workspace(n goose.WorkspaceName) (goose.WorkspaceSpec, bool) {
+func (c catalogue) Workspace(n goose.WorkspaceName) (goose.WorkspaceSpec, bool) {
 	return goose.WorkspaceSpec{Name: n, Weight: 1}, true
 }
 
-func (k catalogue) DataCentre(n goose.DataCentre) (goose.DataCentreSpec, bool) {
+func (c catalogue) DataCentre(n goose.DataCentre) (goose.DataCentreSpec, bool) {
 	return goose.DataCentreSpec{Name: n, State: goose.StateActive}, true
 }
 
-func (k catalogue) InstanceState(id goose.InstanceID) goose.AdminState {
-	k.c.mu.Lock()
-	defer k.c.mu.Unlock()
-	if id == k.c.leaving {
+func (c catalogue) InstanceState(id goose.InstanceID) goose.AdminState {
+	c.c.mu.Lock()
+	defer c.c.mu.Unlock()
+	if id == c.c.leaving {
 		return goose.StateLeaving
 	}
 	return goose.StateActive
 }
-func (k catalogue) Pool(goose.Pool) []goose.BackendServer { return k.c.servers }
+func (c catalogue) Pool(goose.Pool) []goose.BackendServer { return c.c.servers }
 
-func (k catalogue) Pools(goose.DataCentre) []goose.Pool {
-	k.c.mu.Lock()
-	defer k.c.mu.Unlock()
-	return k.c.pools
+func (c catalogue) Pools(goose.DataCentre) []goose.Pool {
+	c.c.mu.Lock()
+	defer c.c.mu.Unlock()
+	return c.c.pools
 }
 
-func (k catalogue) Allowed(goose.WorkspaceName, goose.Pool) []goose.BackendServer {
-	return k.c.servers
+func (c catalogue) Allowed(goose.WorkspaceName, goose.Pool) []goose.BackendServer {
+	return c.c.servers
 }
 
 // engines is the protocol of the engines. They respond to load polls as process "p1" and keep a
--- a/pkg/goosepermit/holder.go
+++ b/pkg/goosepermit/holder.go
@@ -197,8 +197,8 @@
 	return &p, true
 }
 
-// abandon tells the dispatcher that the request no longer waits for a permit. A lost call is
-// not repeated because the dispatcher removes requests that are no longer polled from its
+// abandon notifies the dispatcher that the request no longer waits for a permit. A lost call
+// is not repeated because the dispatcher removes requests that are no longer polled from its
 // queue.
 func (h *Holder) abandon(r goose.PermitRequest) {
 	if d, ok := h.localDispatcher(r.Pool); ok {
--- a/pkg/goosepermit/holder_test.go
+++ b/pkg/goosepermit/holder_test.go
@@ -149,9 +149,9 @@
 	})
 }
 
-// Guards against a planned shutdown that interrupts the pool: the succeeding dispatcher must
-// grant permits within a second, even if one instance does not reply to it, and must know the
-// held permits.
+// Guards against a graceful shutdown that interrupts the pool: the succeeding dispatcher
+// must grant permits within a second, even if one instance does not reply to it, and must
+// have the list of held permits.
 func TestShutdownHandsOver(t *testing.T) {
 	inCluster(t, 4, 2, func(t *testing.T, c *cluster) {
 		_, others := c.dispatcher()
--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -42,7 +42,8 @@
 	Helpers   []Helper
 	// Expected is the estimated time to the first event.
 	Expected time.Duration
-	// Load is the load of the replica before this attempt, as far as this instance knows it.
+	// Load is the load of the replica before this attempt, according to the information at
+	// this instance.
 	Load Load
 }
 
@@ -183,7 +184,7 @@
 	// coldMargin is added to the time until which a replica reports that it is cold.
 	coldMargin = time.Second
 	// warmFactor raises an instance's share of the bound for a replica that does not report
-	// that it is cold. Such a replica can turn cold before the instances learn of it, but
+	// that it is cold. Such a replica can become cold before the instances learn of it, but
 	// they rarely all send to the same replica.
 	warmFactor = 2.5
 )
--- a/pkg/gooseplacement/placement_test.go
+++ b/pkg/gooseplacement/placement_test.go
@@ -211,8 +211,7 @@
 	}
 }
 
-// Guards against wrong obstacles: the time after which the caller is told to retry depends
-// on them.
+// Guards against wrong obstacles: the Retry-After time of the caller depends on them.
 func TestObstacles(t *testing.T) {
 	t.Parallel()
 	late := shortDemand()
@@ -412,8 +411,8 @@
 	}
 }
 
-// Guards against instances that all choose the same replica because they do not know each
-// other's latest requests. The load pattern is a burst at many instances.
+// Guards against instances that all choose the same replica because they have no data about
+// each other's latest requests. The load pattern is a burst at many instances.
 func TestInstancesSpreadBurst(t *testing.T) {
 	t.Parallel()
 	all := replicas("desk", 20)
--- a/pkg/goosequarantine/report.go
+++ b/pkg/goosequarantine/report.go
@@ -78,7 +78,7 @@
 	return lostSaveDelay
 }
 
-// dueForSave returns the entries whose time to be saved has come, by descending weight.
+// dueForSave returns the entries that are due to be saved, by descending weight.
 func (t *Table) dueForSave(now time.Time) []entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/goosequarantine/store.go
+++ b/pkg/goosequarantine/store.go
@@ -38,29 +38,30 @@
 	ChangedMS int64 `json:"changed-ms"`
 }
 
-// StoreDecoder extends the decoder of a platform by the crash records.
+// StoreDecoder decodes crash records and leaves all other entries to the decoder that it
+// wraps.
 type StoreDecoder struct {
 	goose.StoreDecoder
 	clock goose.Clock
 }
 
-// NewStoreDecoder returns a decoder that also decodes crash records.
-func NewStoreDecoder(r goose.StoreDecoder, clock goose.Clock) StoreDecoder {
-	return StoreDecoder{StoreDecoder: r, clock: clock}
+// NewStoreDecoder adds the crash records to another decoder.
+func NewStoreDecoder(wrapped goose.StoreDecoder, clock goose.Clock) StoreDecoder {
+	return StoreDecoder{StoreDecoder: wrapped, clock: clock}
 }
 
 // KindPrefixes implements goose.StoreDecoder.
-func (r StoreDecoder) KindPrefixes() map[goose.ChangeKind]string {
-	kinds := r.StoreDecoder.KindPrefixes()
+func (d StoreDecoder) KindPrefixes() map[goose.ChangeKind]string {
+	kinds := d.StoreDecoder.KindPrefixes()
 	kinds[goose.ChangeCrash] = ""
 	return kinds
 }
 
 // Decode implements goose.StoreDecoder.
-func (r StoreDecoder) Decode(e goose.Entry, deleted bool) (goose.StoreChange, error) {
+func (d StoreDecoder) Decode(e goose.Entry, deleted bool) (goose.StoreChange, error) {
 	name, ok := strings.CutPrefix(e.Key, keyPrefix)
 	if !ok {
-		return r.StoreDecoder.Decode(e, deleted)
+		return d.StoreDecoder.Decode(e, deleted)
 	}
 	f, err := strconv.ParseUint(name, 16, 64)
 	if err != nil {
@@ -75,7 +76,7 @@
 		return goose.StoreChange{Kind: goose.ChangeNone}, errors.Wrapf(err, "crash record %s", name)
 	}
 	s.Fingerprint = c.Crash.Fingerprint
-	c.Crash = s.WithAge(r.clock.Now().Sub(time.UnixMilli(s.ChangedMS)))
+	c.Crash = s.WithAge(d.clock.Now().Sub(time.UnixMilli(s.ChangedMS)))
 	return c, nil
 }
 
@@ -159,7 +160,7 @@
 	s.applyToTable(listed, deleted)
 }
 
-// recordStored remembers the state of a record in the store. The lock must be held.
+// recordStored keeps the state of a record in the store. The lock must be held.
 func (s *StoreSync) recordStored(c goose.StoreChange) {
 	changedAt := s.clock.Now().Add(-c.Crash.Age)
 	s.stored[c.Crash.Fingerprint] = storedState{
--- a/pkg/goosequarantine/table.go
+++ b/pkg/goosequarantine/table.go
@@ -75,7 +75,7 @@
 	return e.record.WithAge(now.Sub(e.changedAt))
 }
 
-// Table holds the records that an instance knows. It is safe for concurrent use.
+// Table holds the records of an instance. It is safe for concurrent use.
 type Table struct {
 	log *slog.Logger
 	// reportDue holds a value while a report to the peers is due at once.
--- a/pkg/goosestore/etcd_watch.go
+++ b/pkg/goosestore/etcd_watch.go
@@ -116,7 +116,7 @@
 }
 
 // run sends the request and delivers events until the stream ends. It sends nil to
-// created for the first message, or the error that came instead.
+// created for the first message, or the error that arrived instead.
 func (w *etcdWatcher) run(e *Etcd, body []byte, timeout time.Duration, created chan<- error) {
 	defer close(w.events)
 	defer w.stop()
--- a/pkg/goosestore/fault.go
+++ b/pkg/goosestore/fault.go
@@ -32,7 +32,7 @@
 	// LossRequest loses the request, so that the call has no effect.
 	LossRequest Loss = "request"
 	// LossResponseLateEffect loses the response at once and delays the effect, like a request that
-	// stays in a buffer after its caller gave up.
+	// stays in a buffer after its caller stopped waiting.
 	LossResponseLateEffect Loss = "late"
 )
 
--- a/pkg/goosesuspect/replicator.go
+++ b/pkg/goosesuspect/replicator.go
@@ -65,7 +65,7 @@
 }
 
 // announce sends marks and waits for the replies until callTimeout. That is shorter than the
-// lifetime of the permit that the caller holds meanwhile.
+// lifetime of the permit that the caller holds during the call.
 func (r *Replicator) announce(ctx context.Context, marks []Mark) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/pkg/goosesuspect/replicator_test.go
+++ b/pkg/goosesuspect/replicator_test.go
@@ -130,8 +130,8 @@
 	})
 }
 
-// Guards against a trial that begins before the reachable instances know of it, and against
-// a trial that waits too long for an unreachable instance.
+// Guards against a trial that begins before the reachable instances have its mark, and
+// against a trial that waits too long for an unreachable instance.
 func TestTrialIsAnnounced(t *testing.T) {
 	t.Parallel()
 	for name, silent := range map[string]bool{"all reply": false, "one is silent": true} {
--- a/pkg/goosesuspect/table.go
+++ b/pkg/goosesuspect/table.go
@@ -21,7 +21,7 @@
 
 // unknownProcessWindow is the time within which crashes of a replica count as the same crash if
 // one of their process ids is unknown. The dispatcher and the instances whose streams broke
-// record the same crash within moments, and some of them may not know the process id.
+// record the same crash within moments, and some of them may lack the process id.
 const unknownProcessWindow = 2 * time.Second
 
 // Table implements goose.SuspectTracker. Grade does not take a lock.
