goosegossip: records of crashes grow with the instances, not with their square

Cause: every instance sent each crash record that it had heard of to all others, four times. With 295 instances and answers lost at many replicas that is about 1 GB a second of datagrams in the fleet, on links of 20 Mbit/s.

Change: an instance sends to all peers only what it lost itself. Records of others are relayed if they prove a crash, in fleets of 24 instances and more to three random peers at a time.

--- a/pkg/goosegossip/crash.go
+++ b/pkg/goosegossip/crash.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
 const (
@@ -18,6 +22,8 @@
 	// crashesPerDatagram limits the records of one report, so that it stays below
 	// maxDatagramBytes.
 	crashesPerDatagram = 12
+	// relayFanout is the number of peers that get a relayed record at one time.
+	relayFanout = 3
 )
 
 // sendCrashes sends the crash records to the peers: new ones at once and then a few more
@@ -26,23 +32,41 @@
 	pause := crashInterval
 	for g.waitForCrashes(ctx, pause) {
 		now := g.o.Clock.Now()
-		records, fresh := g.o.Quarantine.Report(crashesPerDatagram, resendCount, now)
+		reports := g.o.Quarantine.Report(crashesPerDatagram, resendCount, now)
 		pause = crashInterval
-		if fresh {
+		if reports.Fresh {
 			pause = resendInterval
 		}
-		if len(records) == 0 {
-			continue
-		}
-		datagram, err := cbor.Marshal(message{From: g.o.Instance, Incarnation: g.o.Incarnation, Crashes: records})
-		if err != nil {
-			panic(err)
-		}
-		for _, to := range g.targets(now) {
-			// An error is ignored: the next datagram, or the store, replaces a lost one.
-			_, _ = g.o.Conn.WriteTo(datagram, to)
-		}
+		targets := g.targets(now)
+		g.sendRecords(reports.Own, targets)
+		g.sendRecords(reports.Relayed, relayTargets(targets))
+	}
+}
+
+// sendRecords sends crash records to the given peers.
+func (g *Gossip) sendRecords(records []goose.CrashRecord, targets []net.Addr) {
+	if len(records) == 0 {
+		return
+	}
+	datagram, err := cbor.Marshal(message{From: g.o.Instance, Incarnation: g.o.Incarnation, Crashes: records})
+	if err != nil {
+		panic(err)
+	}
+	for _, to := range targets {
+		// An error is ignored: the next datagram, or the store, replaces a lost one.
+		_, _ = g.o.Conn.WriteTo(datagram, to)
+	}
+}
+
+// relayTargets returns the peers that get the records of other instances: all of them in a
+// small fleet, otherwise a random few. Since every instance relays, each peer still gets a
+// record from several others.
+func relayTargets(targets []net.Addr) []net.Addr {
+	if len(targets) < instancesPerInterval {
+		return targets
 	}
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	return targets[:relayFanout]
 }
 
 // waitForCrashes returns when the next report of crash records is due, or at once if there
--- a/pkg/goosegossip/crash_test.go
+++ b/pkg/goosegossip/crash_test.go
@@ -1,6 +1,7 @@
 package goosegossip
 
 import (
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -59,3 +60,55 @@
 		})
 	}
 }
+
+// Guards against datagrams that grow with the square of the instances: responses that are
+// lost at many replicas, each known to one instance of a large fleet, with every instance
+// sending each record that it hears of to all others. Every instance has to know a request
+// that crashes replicas within half a second all the same.
+func TestCrashRecordsOfLargeFleet(t *testing.T) {
+	t.Parallel()
+	const (
+		instances = 50
+		// lostPerSecond is the number of responses that are lost at each instance in a second.
+		lostPerSecond = 1
+		// maxDatagrams allows each instance resendCount datagrams to each other one in each
+		// second, for what it lost itself, and as many again for what others report.
+		maxDatagrams = 2 * resendCount * lostPerSecond * instances * (instances - 1)
+	)
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{}
+		addresses := map[goose.InstanceID]string{}
+		for i := range instances {
+			addresses[goose.InstanceID(fmt.Sprint("edge-", i))] = fmt.Sprintf("10.0.%d.1:7", i)
+		}
+		var registered atomic.Pointer[map[goose.InstanceID]string]
+		registered.Store(&addresses)
+		var fleet []*Gossip
+		for name, address := range addresses {
+			g, stop := startGossip(t, n, string(name), address, &registered, newPlacer())
+			defer stop()
+			fleet = append(fleet, g)
+		}
+		time.Sleep(2 * time.Second)
+		before := n.crashDatagrams.Load()
+		begin := time.Now()
+		for i, g := range fleet {
+			known := g.o.Quarantine.CrashRecord(goose.Fingerprint(1000+i), begin)
+			g.o.Quarantine.RecordLost(known, goose.Replica{ID: goose.ReplicaID(fmt.Sprint("i-", i))}, goose.EvidenceLost, begin)
+		}
+		time.Sleep(time.Second)
+		if got := n.crashDatagrams.Load() - before; got > maxDatagrams {
+			t.Errorf("got %d datagrams in a second, want at most %d", got, maxDatagrams)
+		}
+		for born := range 2 {
+			known := fleet[0].o.Quarantine.CrashRecord(7, time.Now())
+			fleet[0].o.Quarantine.RecordLost(known, goose.Replica{ID: "i-0", StartedUnixMS: int64(born + 1)}, goose.EvidenceCrash, time.Now())
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, g := range fleet {
+			if _, got := g.o.Quarantine.Quarantined(7, time.Now()); !got {
+				t.Errorf("%s: got a request that may run half a second after its second crash", g.o.Instance)
+			}
+		}
+	})
+}
--- a/pkg/goosegossip/gossip_test.go
+++ b/pkg/goosegossip/gossip_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/gooseberryhold/gooseberryhold/internal/goosestoretest"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosedirectory"
@@ -25,7 +27,11 @@
 }
 
 // network is an in-memory network that connects instances by their addresses.
-type network struct{ conns sync.Map }
+type network struct {
+	conns sync.Map
+	// crashDatagrams counts the datagrams with crash records.
+	crashDatagrams atomic.Int64
+}
 
 // conn is a net.PacketConn of a network.
 type conn struct {
@@ -59,6 +65,10 @@
 	if len(b) > maxDatagramBytes {
 		panic("datagram too long")
 	}
+	var m message
+	if err := cbor.Unmarshal(b, &m); err == nil && len(m.Crashes) > 0 {
+		c.network.crashDatagrams.Add(1)
+	}
 	if peer, ok := c.network.conns.Load(to.String()); ok {
 		select {
 		case peer.(*conn).in <- packet{data: append([]byte(nil), b...), from: c.address}:
--- a/pkg/goosequarantine/report.go
+++ b/pkg/goosequarantine/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -32,17 +33,34 @@
 	}
 }
 
-// Report returns up to n records for the peers, and whether any of them is fresh: reported
-// less than retell times, so that some peer may not have it yet. Fresh records with enough
-// weight to quarantine a request come first. Records with that weight are reported without end,
-// lighter ones only while they are fresh; a peer that missed one of these reads it from the
-// store.
-func (t *Table) Report(n, retell int, now time.Time) (records []goose.CrashRecord, fresh bool) {
+// Reports are the records that an instance sends to its peers at one time.
+type Reports struct {
+	// Own are records of attempts that this instance lost. No other instance knows them, so
+	// all peers get them.
+	Own []goose.CrashRecord
+	// Relayed are records that other instances have reported, too. If every instance sent
+	// them to all peers, a fleet's datagrams for one crash would grow with the square of
+	// its instances.
+	Relayed []goose.CrashRecord
+	// Fresh is set if any of the records was reported less often than requested, so that
+	// some peer may not have it yet.
+	Fresh bool
+}
+
+// All returns all records of the reports.
+func (r Reports) All() []goose.CrashRecord { return slices.Concat(r.Own, r.Relayed) }
+
+// Report returns up to n records for the peers. A record is fresh until it was reported
+// retell times. Fresh records with enough weight to quarantine a request come first. Records
+// with that weight are reported without end, lighter ones only while they are fresh, and
+// those without proof of a crash only by the instance that lost the response: a peer that
+// missed a lighter record reads it from the store.
+func (t *Table) Report(n, retell int, now time.Time) Reports {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var all []*entry
 	for _, e := range t.entries {
-		if !e.expired(now) && (e.reportCount < retell || e.record.Weight >= soleSuspectLimit) {
+		if !e.expired(now) && e.reportable(retell) {
 			all = append(all, e)
 		}
 	}
@@ -57,12 +75,29 @@
 		}
 		return a.record.Fingerprint < b.record.Fingerprint
 	})
+	var r Reports
 	for _, e := range all[:min(n, len(all))] {
-		fresh = fresh || e.reportCount < retell
+		own := e.source == SourceOwn && e.reportCount < retell
+		r.Fresh = r.Fresh || e.reportCount < retell
 		e.reportCount++
-		records = append(records, e.recordAt(now))
+		if own {
+			r.Own = append(r.Own, e.recordAt(now))
+			continue
+		}
+		r.Relayed = append(r.Relayed, e.recordAt(now))
+	}
+	return r
+}
+
+// reportable reports whether the record is due to be reported to peers.
+func (e *entry) reportable(retell int) bool {
+	switch {
+	case e.record.Weight >= soleSuspectLimit:
+		return true
+	case e.reportCount >= retell:
+		return false
 	}
-	return records, fresh
+	return e.source == SourceOwn || e.record.Weight >= weights[goose.EvidenceCrash]
 }
 
 // saveDelay returns how long a record may stay unsaved.
--- a/pkg/goosequarantine/store_test.go
+++ b/pkg/goosequarantine/store_test.go
@@ -130,7 +130,7 @@
 		"the writer died after it had reported to a peer": {want: true, run: func(a, b *instance) {
 			a.crash(1)
 			a.crash(2)
-			records, _ := a.table.Report(MaxRecords, 1, a.clock.now)
+			records := a.table.Report(MaxRecords, 1, a.clock.now).All()
 			b.table.Merge(records, SourcePeer, b.clock.now)
 			b.clock.now = b.clock.now.Add(2 * peerSaveDelay)
 			b.mustSave()
--- a/pkg/goosequarantine/table.go
+++ b/pkg/goosequarantine/table.go
@@ -58,6 +58,8 @@
 // entry is a record with the local state of its reporting and saving.
 type entry struct {
 	record goose.CrashRecord
+	// source is where the last change of the record came from.
+	source Source
 	// changedAt is the time of the last change of the weight, by the local clock. The Age
 	// of the record is not used.
 	changedAt time.Time
@@ -281,7 +283,7 @@
 		return
 	}
 	wasQuarantined := t.remainingQuarantine(t.liveEntry(r.Fingerprint, now), now) > 0
-	e := &entry{record: merged, changedAt: changedAt, saveAt: now.Add(saveDelay(merged, from))}
+	e := &entry{record: merged, source: from, changedAt: changedAt, saveAt: now.Add(saveDelay(merged, from))}
 	t.entries[r.Fingerprint] = e
 	t.evictOverflow(now)
 	t.logChange(wasQuarantined, e, from, now)
--- a/pkg/goosequarantine/table_test.go
+++ b/pkg/goosequarantine/table_test.go
@@ -46,7 +46,7 @@
 func (ts *tables) exchange() {
 	for range ts.all {
 		for n, from := range ts.all {
-			records, _ := from.Report(MaxRecords, 1<<30, ts.now)
+			records := from.Report(MaxRecords, 1<<30, ts.now).All()
 			for m, to := range ts.all {
 				if m != n {
 					to.Merge(records, SourcePeer, ts.now)
@@ -239,7 +239,7 @@
 			}
 		}
 		// This report is delayed on the network.
-		delayed, _ := ts.all[0].Report(MaxRecords, 1, ts.now)
+		delayed := ts.all[0].Report(MaxRecords, 1, ts.now).All()
 		ts.now = ts.now.Add(20 * time.Second)
 		ts.all[1].Merge(delayed, SourcePeer, ts.now)
 	}
@@ -306,14 +306,14 @@
 	for range 3 {
 		ts.all[0].Report(1, 1, ts.now)
 	}
-	if records, fresh := ts.all[0].Report(1, 1, ts.now); len(records) != 0 || fresh {
-		t.Fatalf("got %v, fresh %t after the last repetition, want nothing", records, fresh)
+	if r := ts.all[0].Report(1, 1, ts.now); len(r.All()) != 0 || r.Fresh {
+		t.Fatalf("got %+v after the last repetition, want nothing", r)
 	}
 	ts.recordLoss(1, culprit, 2, goose.EvidenceLost)
-	stale, _ := ts.all[1].Report(1, 1, ts.now)
+	stale := ts.all[1].Report(1, 1, ts.now).All()
 	ts.all[0].Merge(stale, SourcePeer, ts.now)
-	if records, fresh := ts.all[0].Report(1, 1, ts.now); len(records) != 1 || !fresh {
-		t.Errorf("got %v, fresh %t for a peer with a stale record, want the record", records, fresh)
+	if r := ts.all[0].Report(1, 1, ts.now); len(r.All()) != 1 || !r.Fresh {
+		t.Errorf("got %+v for a peer with a stale record, want the record", r)
 	}
 	select {
 	case <-ts.all[0].ReportDue():
