gooseforward: after a stream has begun only its next events follow

Cause: forwardResponse wrote whatever status below 500 came from the next replica, also into a stream that the caller already had: its text, at times with a second head, and an end that looked complete. A 2xx without the platform's stamp, and a 200 that a replica broke off right after its head, reached the caller as a complete success. Comments and events that were already delivered restarted the silence timer, so a stalled replica kept its caller until the deadline.

Change: a success counts only with the stamp, and on a route for streams only as a stream of events. Another replica's first event has to follow the last one as the events before did. Lines that are no field of an event end the attempt.

--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -245,7 +245,7 @@
 		return result{outcome: outcomeLost, err: errors.Errorf("response belongs to attempt %q", header.Attempt)}
 	}
 	if c.route.Kind == goose.RouteStream && u.resp.StatusCode == http.StatusOK {
-		return c.forwardStream(ctx, u, choice, silence)
+		return c.forwardStream(ctx, u, header, choice, silence)
 	}
 	return c.forwardResponse(ctx, u, header, choice, silence)
 }
@@ -268,7 +268,7 @@
 func (c *call) outgoingRequest(choice gooseplacement.Choice) outgoingRequest {
 	f := goose.ForwardHeader{
 		TimeLeft: c.deadline.Sub(c.o.Clock.Now()), Replica: choice.Replica.ID, Workspace: c.workspace.Name,
-		Urgency: c.urgency, LastEvent: c.lastEventID,
+		Urgency: c.urgency, LastEvent: c.sequence.lastID,
 	}
 	for _, h := range choice.Helpers {
 		helper := goose.PrefillHelper{Address: h.Replica.Address}
--- a/internal/gooseforward/endless_test.go
+++ b/internal/gooseforward/endless_test.go
@@ -18,7 +18,7 @@
 // the memory would grow until the process is killed, and callers would wait forever.
 func TestEndlessBytes(t *testing.T) {
 	t.Parallel()
-	const ok = "HTTP/1.1 200 OK\r\nID\r\n"
+	const ok = "HTTP/1.1 200 OK\r\nX-Stamp: s\r\nID\r\n"
 	tests := map[string]struct {
 		head, piece string
 		// streamOnly is set if only a stream reads such bytes.
--- a/internal/gooseforward/event_test.go
+++ b/internal/gooseforward/event_test.go
@@ -26,6 +26,9 @@
 		"blank lines":      {stream: "\n\nid: 1\n\n\n", ids: []string{"1"}, end: io.EOF},
 		"no blank line":    {stream: "id: 1\n\nid: 2\ndata: b\n", ids: []string{"1"}, end: io.ErrUnexpectedEOF},
 		"inside a line":    {stream: "id: 1\n\nid: 2\nda", ids: []string{"1"}, end: io.ErrUnexpectedEOF},
+		"comment":          {stream: ": ping\n\nid: 1\n\n", ids: []string{"", "1"}, end: io.EOF},
+		"head":             {stream: "id: 1\n\nHTTP/1.1 200 OK\nA: b\n\n", ids: []string{"1"}, end: errNotEvent},
+		"error document":   {stream: "id: 1\n\n{\"error\": 1}\n\n", ids: []string{"1"}, end: errNotEvent},
 		"version line":     {stream: "x-weight-versions: 5\nid: 1\n\n", ids: []string{"1"}, end: io.EOF},
 	}
 	for name, tc := range tests {
@@ -54,24 +57,35 @@
 	}
 }
 
-// Guards against events that are sent twice or dropped after a stream is resumed.
-func TestEventAfter(t *testing.T) {
+// Guards against events that are sent twice, dropped or missing after a stream is resumed.
+func TestEventPosition(t *testing.T) {
 	t.Parallel()
 	tests := map[string]struct {
 		id, last string
-		want     bool
+		maxStep  int64
+		resumed  bool
+		want     position
 	}{
-		"next":      {id: "13", last: "12", want: true},
-		"same":      {id: "12", last: "12", want: false},
-		"longer":    {id: "100", last: "99", want: true},
-		"no number": {id: "x", last: "12", want: true},
-		"no id":     {id: "", last: "12", want: true},
+		"next":                         {id: "13", last: "12", want: positionNext},
+		"same":                         {id: "12", last: "12", want: positionRepeated},
+		"longer":                       {id: "100", last: "99", want: positionNext},
+		"no number":                    {id: "x", last: "12", want: positionNext},
+		"no id":                        {id: "", last: "12", want: positionNext},
+		"first event":                  {id: "1", want: positionNext},
+		"resumed":                      {id: "13", last: "12", maxStep: 1, resumed: true, want: positionNext},
+		"resumed, with a gap":          {id: "14", last: "12", maxStep: 1, resumed: true, want: positionGap},
+		"resumed, steps of two":        {id: "14", last: "12", maxStep: 2, resumed: true, want: positionNext},
+		"resumed, step not known":      {id: "14", last: "12", resumed: true, want: positionNext},
+		"resumed, without an id":       {last: "12", resumed: true, want: positionGap},
+		"resumed, repeated":            {id: "11", last: "12", maxStep: 1, resumed: true, want: positionRepeated},
+		"ids jump at the same replica": {id: "20", last: "12", maxStep: 1, want: positionNext},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			if got := (event{id: tc.id}).isAfter(tc.last); got != tc.want {
-				t.Errorf("got %t, want %t", got, tc.want)
+			s := sequence{lastID: tc.last, maxStep: tc.maxStep}
+			if got := s.position(event{id: tc.id}, tc.resumed); got != tc.want {
+				t.Errorf("got %q, want %q", got, tc.want)
 			}
 		})
 	}
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -116,10 +116,10 @@
 	longestPause time.Duration
 	// responseBytes is the response memory that the request holds.
 	responseBytes int64
-	// committed is set once a status was sent to the caller, and lastEventID is the id of
-	// the last event that was sent.
-	committed   bool
-	lastEventID string
+	// committed is set once a status was sent to the caller.
+	committed bool
+	// sequence is the part of a stream that the caller has.
+	sequence sequence
 }
 
 // admit resolves the route, the workspace and the service of the request, or returns why
@@ -127,7 +127,7 @@
 func (c *call) admit() (goose.Refusal, bool) {
 	// The log line of a refusal contains the request's id, so the headers are read first.
 	header, malformed := c.o.HeaderCodec.ParseRequest(c.r.Header)
-	c.header, c.lastEventID = header, header.LastEvent
+	c.header, c.sequence.lastID = header, header.LastEvent
 	table := c.snapshot.Table
 	if table == nil {
 		return goose.NotRunRefusal(goose.CodeNotReady, "this instance knows no routing yet").WithRetryAfter(notReadyRetryAfter), false
--- a/internal/gooseforward/refusal_test.go
+++ b/internal/gooseforward/refusal_test.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		r.served.Add(1)
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+id+"Content-Length: 4\r\n\r\ndone")
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Stamp: s\r\n"+id+"Content-Length: 4\r\n\r\ndone")
 	}
 }
 
@@ -114,7 +114,7 @@
 func TestRefusalOfOtherRequest(t *testing.T) {
 	t.Parallel()
 	h := newHarness(t, raw("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: earlier\r\nContent-Length: 0\r\n\r\n"+
-		"HTTP/1.1 200 OK\r\nID\r\nContent-Length: 4\r\n\r\ndone"), succeed)
+		"HTTP/1.1 200 OK\r\nX-Stamp: s\r\nID\r\nContent-Length: 4\r\n\r\ndone"), succeed)
 	got := h.post("/order/x", "body")
 	if got.status != http.StatusBadGateway || !strings.Contains(got.body, `"run":"unknown"`) || h.reached("i-1") != 0 {
 		t.Errorf("got status %d, body %s, %d attempts at another replica, want 502, unknown and none", got.status, got.body, h.reached("i-1"))
--- a/internal/gooseforward/response.go
+++ b/internal/gooseforward/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -19,8 +18,17 @@
 	body   []byte
 }
 
+// errNoStamp reports a success without the platform's stamp. Callers do not accept it, and it
+// may come from another process than the replica.
+var errNoStamp = errors.New("the success has no stamp")
+
+// errNoStream reports a success on a route for streams that is no stream of events.
+var errNoStream = errors.New("the success is no stream of events")
+
 // forwardResponse reads a response that is no stream and writes it to the caller if it is
-// a success. A failure is returned instead, since another replica may succeed.
+// final. A failure is returned instead, since another replica may succeed. Once the caller
+// has a part of a stream, only events of that stream may follow, so that every other
+// response is a failed attempt.
 func (c *call) forwardResponse(ctx context.Context, u *upstream, h goose.ResponseHeader, choice gooseplacement.Choice, silence *silenceTimer) result {
 	u.reader.remaining = maxResponseBytes
 	body, held, err := c.responseMemory.readAll(u.resp.Body)
@@ -37,7 +45,14 @@
 		return c.classifyError(ctx, errors.Wrap(goose.ErrDisconnected, err.Error()))
 	}
 	resp := &response{status: u.resp.StatusCode, header: u.resp.Header, body: body}
-	if resp.status >= http.StatusInternalServerError {
+	switch {
+	case isSuccess(resp.status) && !h.Stamped:
+		return result{outcome: outcomeLost, status: resp.status, err: errNoStamp}
+	case isSuccess(resp.status) && c.route.Kind == goose.RouteStream:
+		return result{outcome: outcomeLost, status: resp.status, err: errNoStream}
+	case c.committed:
+		return result{outcome: outcomeFailed, status: resp.status}
+	case resp.status >= http.StatusInternalServerError:
 		return result{outcome: outcomeFailed, status: resp.status, response: resp}
 	}
 	c.recordFirstEvent(choice)
@@ -46,6 +61,10 @@
 	return result{outcome: outcomeDone, status: resp.status}
 }
 
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // writeResponse writes a replica's complete response to the caller, unchanged.
 func (c *call) writeResponse(resp *response) {
 	c.copyHeader(resp.header)
@@ -76,69 +95,3 @@
 	}
 	return goose.Classify(c.header.PromptTokens, memory)
 }
-
-// forwardStream forwards events as they arrive. It writes nothing to the caller before
-// the first complete event, so that until then another replica can start the response.
-func (c *call) forwardStream(ctx context.Context, u *upstream, choice gooseplacement.Choice, silence *silenceTimer) result {
-	u.reader.remaining = unbounded
-	events := newEventReader(u.resp.Body)
-	control := http.NewResponseController(c.w)
-	for first := true; ; first = false {
-		ev, err := events.next()
-		if errors.Is(err, io.EOF) {
-			if !c.committed {
-				c.writeStreamHeader(u)
-			}
-			return result{outcome: outcomeDone, status: u.resp.StatusCode}
-		}
-		if err != nil {
-			return c.classifyError(ctx, errors.Wrap(goose.ErrDisconnected, err.Error()))
-		}
-		if first {
-			c.recordFirstEvent(choice)
-		}
-		silence.reset()
-		if c.lastEventID != "" && !ev.isAfter(c.lastEventID) {
-			continue
-		}
-		if !c.committed {
-			c.writeStreamHeader(u)
-			c.o.Metrics.observeTimeToFirst(c.service.Name, c.promptClass(), c.o.Clock.Now().Sub(c.arrived))
-		}
-		events.markNew()
-		if _, err := c.w.Write(ev.data); err != nil {
-			return result{outcome: outcomeCallerDisconnected, err: err}
-		}
-		if err := control.Flush(); err != nil {
-			return result{outcome: outcomeCallerDisconnected, err: err}
-		}
-		c.recordEvent(ev)
-	}
-}
-
-// recordEvent records an event that was written to the caller.
-func (c *call) recordEvent(ev event) {
-	now := c.o.Clock.Now()
-	if !c.lastEventAt.IsZero() {
-		c.longestPause = max(c.longestPause, now.Sub(c.lastEventAt))
-	}
-	c.lastEventAt = now
-	if ev.id != "" {
-		c.lastEventID = ev.id
-	}
-}
-
-// recordFirstEvent records the time of an attempt's first event, or of its complete
-// response.
-func (c *call) recordFirstEvent(choice gooseplacement.Choice) {
-	now := c.o.Clock.Now()
-	c.timeToFirst = now.Sub(c.attemptStart)
-	c.o.Placer.RecordFirstEvent(choice.AttemptID, now)
-}
-
-// writeStreamHeader sends the status and the headers of the first replica of the stream.
-func (c *call) writeStreamHeader(u *upstream) {
-	c.copyHeader(u.resp.Header)
-	c.committed = true
-	c.w.WriteHeader(u.resp.StatusCode)
-}
--- a/internal/goosehosttest/fleet.go
+++ b/internal/goosehosttest/fleet.go
@@ -93,7 +93,7 @@
 
 // AddReplicaFunc registers a replica with the handler h.
 func (f *Fleet) AddReplicaFunc(id, service string, h http.HandlerFunc) {
-	server := httptest.NewServer(h)
+	server := httptest.NewServer(gooseplatformtest.WithStamp(id, h))
 	f.t.Cleanup(server.Close)
 	entry, err := json.Marshal(map[string]any{
 		"service": service, "addr": strings.TrimPrefix(server.URL, "http://"), "zone": "leith", "slots": 8, "state": "ready", "born": 1,
--- a/internal/gooseplatformtest/replica.go
+++ b/internal/gooseplatformtest/replica.go
@@ -51,11 +51,19 @@
 		return
 	}
 	r.starts++
-	r.server = &http.Server{Handler: r.handler(r), ReadHeaderTimeout: time.Minute}
+	r.server = &http.Server{Handler: WithStamp(r.id, r.handler(r)), ReadHeaderTimeout: time.Minute}
 	go func(s *http.Server) { _ = s.Serve(l) }(r.server)
 	r.store.Put("servers/"+r.id, r.entry())
 }
 
+// WithStamp adds the platform's stamp to the responses of h.
+func WithStamp(stamp string, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Stamp", stamp)
+		h.ServeHTTP(w, r)
+	})
+}
+
 func (r *Replica) entry() string {
 	b, err := json.Marshal(map[string]any{
 		"service": r.service, "addr": r.address, "zone": "leith", "slots": 8, "state": "ready", "born": r.starts,
--- a/pkg/goose/routing.go
+++ b/pkg/goose/routing.go
@@ -198,6 +198,9 @@
 	NotRun bool
 	// ProcessChanged is set if the process that responded is not the expected one.
 	ProcessChanged bool
+	// Stamped is set if the response has the platform's stamp, without which callers do not
+	// accept a success.
+	Stamped bool
 	// FaultyHelper names the helper that caused the failure; empty if the response names
 	// none.
 	FaultyHelper string
