--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -100,7 +100,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "setting platform.addr")
 	}
-	h.store = store.WithObserver(func(path string, status int, d time.Duration) {
+	watchPause := gooseplatform.WatchPause(s.ChangeBound)
+	h.store = store.WithWatchPause(watchPause).WithObserver(func(path string, status int, d time.Duration) {
 		h.metrics.GetOrCreateHistogram(fmt.Sprintf(`gooseberryhold_store_call_seconds{call=%q,status="%d"}`, path, status)).Update(d.Seconds())
 	})
 	h.droppedLines = h.metrics.NewCounter("gooseberryhold_log_lines_dropped_total")
@@ -111,7 +112,7 @@
 	decoder := goosequarantine.NewStoreDecoder(goosegossip.NewStoreDecoder(gooseplatform.NewStoreDecoder(s.DataCentres)), h.clock)
 	h.follower = goosedirectory.NewFollower(goosedirectory.FollowOptions{
 		Store: h.store, StoreDecoder: decoder, Directory: h.directory, CrashRecords: h.storeSync,
-		ReregistrationGrace: s.ReregistrationGrace, Log: log, Clock: h.clock,
+		ReregistrationGrace: s.ReregistrationGrace, WatchPause: watchPause, Log: log, Clock: h.clock,
 		PeerStoreReachableFor: func(now time.Time) time.Duration { return h.gossip.PeerStoreReachableFor(now) },
 	})
 	h.placer = gooseplacement.New(gooseplacement.Options{
--- a/pkg/goosedirectory/follow.go
+++ b/pkg/goosedirectory/follow.go
@@ -33,6 +33,9 @@
 	// ReregistrationGrace is the time after an outage of the store within which replicas write the
 	// entries again whose leases expired during the outage.
 	ReregistrationGrace time.Duration
+	// WatchPause is the pause that the store's watches make between two reads of events.
+	// Instances learn of the same change up to that time apart.
+	WatchPause time.Duration
 	// PeerStoreReachableFor returns for how long the calls of some peer to the store
 	// have succeeded without a failure. Leases cannot have expired because of an
 	// outage in that time.
--- a/pkg/goosedirectory/view.go
+++ b/pkg/goosedirectory/view.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// maxBehind is how long peers may have a newer revision before the watch counts as
-	// stalled. Instances learn of the same change up to a second apart.
-	maxBehind = 1200 * time.Millisecond
+	// behindMargin is how much longer than a pause of the watches peers may have a newer
+	// revision before the watch counts as stalled.
+	behindMargin = 400 * time.Millisecond
 	// minRestartInterval is the least time between two restarts of the watches because of
 	// peers.
 	minRestartInterval = 3 * time.Second
@@ -63,7 +63,7 @@
 	if f.peerRevision > f.revision && f.behindSince.IsZero() {
 		f.behindSince = now
 	}
-	behind := !f.behindSince.IsZero() && now.Sub(f.behindSince) > maxBehind
+	behind := !f.behindSince.IsZero() && now.Sub(f.behindSince) > f.o.WatchPause+behindMargin
 	outage := peer.RecoveredFor > 0 && now.Add(-peer.RecoveredFor).After(f.lastProgress)
 	if (behind || outage) && now.Sub(f.lastRestart) > minRestartInterval {
 		f.lastRestart, f.behindSince = now, time.Time{}
