gooserelay: one instance of each data centre reads the store for the others

Cause: every instance watches all keys of the store.

Change: in fleets of 12 instances and more, an instance that hears no relay reads the store and sends the changes to the others of its data centre, by datagrams, compressed and twice. They stop reading while the relay vouches for its revision: the store must have confirmed it within half of the bound for changes. What is missing is read from the store. A relay that was suspended, or that the store does not answer, stops at once. Followers renew their leases half as often, and failed reads are repeated less often where changes have more time.

Conclusion: calls grow with the data centres. Small fleets read as before.

--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -27,6 +27,7 @@
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosegossip"
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooseplacement"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosequarantine"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooserelay"
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooseretry"
 	gooseplatform "github.com/gooseberryhold/gooseberryhold/platform"
 )
@@ -63,6 +64,7 @@
 	logHandler   *gooselog.Handler
 	clock        goose.Clock
 	store        goose.Store
+	relay        *gooserelay.Relay
 	directory    *goosedirectory.Directory
 	follower     *goosedirectory.Follower
 	placer       *gooseplacement.Placer
@@ -101,9 +103,12 @@
 		return nil, errors.Wrap(err, "setting platform.addr")
 	}
 	watchPause := gooseplatform.WatchPause(s.ChangeBound)
-	h.store = store.WithWatchPause(watchPause).WithObserver(func(path string, status int, d time.Duration) {
+	store = store.WithWatchPause(watchPause).WithObserver(func(path string, status int, d time.Duration) {
 		h.metrics.GetOrCreateHistogram(fmt.Sprintf(`gooseberryhold_store_call_seconds{call=%q,status="%d"}`, path, status)).Update(d.Seconds())
 	})
+	if err := h.buildRelay(store, watchPause); err != nil {
+		return nil, err
+	}
 	h.droppedLines = h.metrics.NewCounter("gooseberryhold_log_lines_dropped_total")
 	h.registerGauges()
 	h.directory = goosedirectory.New()
@@ -129,6 +134,50 @@
 	return h, h.buildGossip()
 }
 
+// buildRelay opens the socket for the changes of the store on the second internal port. With
+// a single port, each instance reads the store itself.
+func (h *host) buildRelay(store *gooseplatform.Store, watchPause time.Duration) error {
+	h.store = store
+	if h.settings.LastPort == h.settings.FirstPort {
+		return nil
+	}
+	address := net.JoinHostPort(h.settings.Address, strconv.Itoa(h.settings.FirstPort+1))
+	conn, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return errors.Wrapf(err, "setting internal-ports: %s", address)
+	}
+	h.relay = gooserelay.New(gooserelay.Options{
+		Instance: h.settings.Instance, Store: store, Conn: conn, Neighbours: h.neighbourRelays,
+		Instances:   func(now time.Time) int { return h.placer.Instances(now) },
+		ChangeBound: h.settings.ChangeBound, WatchPause: watchPause, Log: h.log, Clock: h.clock,
+	})
+	h.store = h.relay
+	return nil
+}
+
+// neighbourRelays returns the addresses at which the other instances of the data centre
+// receive the changes of the store. The ports are the same on all machines.
+func (h *host) neighbourRelays(now time.Time) []net.Addr {
+	addresses := h.gossip.Neighbours(now)
+	for i, a := range addresses {
+		if udp, ok := a.(*net.UDPAddr); ok {
+			addresses[i] = &net.UDPAddr{IP: udp.IP, Port: udp.Port + 1}
+		}
+	}
+	return addresses
+}
+
+// followingRelay reports whether the changes of the store come from another instance.
+func (h *host) followingRelay() bool { return h.relay != nil && h.relay.Following(h.clock.Now()) }
+
+// onRenewalFailure reads the store again after a renewal of the lease without a response,
+// unless a relay shows that the store responds to others.
+func (h *host) onRenewalFailure(err error) {
+	if !h.followingRelay() {
+		h.follower.RestartWatches(err)
+	}
+}
+
 // buildGossip opens the socket for load reports on the first internal port and builds the
 // components that use it.
 func (h *host) buildGossip() error {
@@ -138,11 +187,11 @@
 		return errors.Wrapf(err, "setting internal-ports: %s", address)
 	}
 	h.gossip = goosegossip.New(goosegossip.Options{
-		Instance: h.settings.Instance, Incarnation: time.Now().UnixNano(), Conn: conn,
+		Instance: h.settings.Instance, DataCentre: h.settings.DataCentre, Incarnation: time.Now().UnixNano(), Conn: conn,
 		Instances: func() map[goose.InstanceID]string { return h.directory.Current().Instances() },
 		Placer:    h.placer, StoreView: h.follower.View, OnPeerView: h.follower.ObservePeer, Quarantine: h.quarantine, Log: h.log, Clock: h.clock,
 	})
-	h.registration = goosegossip.NewRegistration(h.store, h.settings.Instance, address, h.follower.RestartWatches, h.log)
+	h.registration = goosegossip.NewRegistration(h.store, h.settings.Instance, address, h.onRenewalFailure, h.followingRelay, h.log)
 	return nil
 }
 
@@ -167,6 +216,9 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { h.follower.Run(background) })
 	wg.Go(func() { h.gossip.Run(background) })
+	if h.relay != nil {
+		wg.Go(func() { h.relay.Run(background) })
+	}
 	wg.Go(func() { h.storeSync.Run(background) })
 	wg.Go(func() { h.maintain(background) })
 	// The registration uses ctx, so that it ends when the shutdown begins and not after the
@@ -251,6 +303,18 @@
 	gauge("gooseberryhold_store_reach_seconds", func(*goosedirectory.Snapshot) float64 {
 		return h.follower.ReachableFor(h.clock.Now()).Seconds()
 	})
+	gauge("gooseberryhold_store_relay", func(*goosedirectory.Snapshot) float64 {
+		if h.relay != nil && h.relay.Leading() {
+			return 1
+		}
+		return 0
+	})
+	gauge("gooseberryhold_store_relay_followed", func(*goosedirectory.Snapshot) float64 {
+		if h.followingRelay() {
+			return 1
+		}
+		return 0
+	})
 	gauge("gooseberryhold_ready", func(*goosedirectory.Snapshot) float64 {
 		if h.ready() {
 			return 1
--- a/internal/goosestoretest/store.go
+++ b/internal/goosestoretest/store.go
@@ -30,7 +30,7 @@
 	calls    map[string]int
 }
 
-var _ goose.Store = (*Store)(nil)
+var _ goose.PollingStore = (*Store)(nil)
 
 // New returns an empty store.
 func New() *Store {
@@ -62,8 +62,8 @@
 	s.SetFault(func(string) error { return goose.ErrUnavailable })
 }
 
-// CallCount returns how often a method was called: "get", "list", "commit", "watch" or
-// "keep-alive".
+// CallCount returns how often a method was called: "get", "list", "commit", "watch",
+// "poll" or "keep-alive".
 func (s *Store) CallCount(call string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -189,6 +189,36 @@
 // Close implements goose.Store.
 func (s *Store) Close() error { return nil }
 
+// pollInterval is the interval at which a waiting poll checks for changes.
+const pollInterval = 5 * time.Millisecond
+
+// Poll implements goose.PollingStore.
+func (s *Store) Poll(ctx context.Context, prefix string, after int64, wait time.Duration) ([]goose.WatchEvent, int64, error) {
+	until := time.Now().Add(wait)
+	var events []goose.WatchEvent
+	var revision int64
+	find := func() {
+		events, revision = nil, s.revision
+		for _, e := range s.history {
+			if e.Entry.ModRevision > after && strings.HasPrefix(e.Entry.Key, prefix) {
+				events = append(events, e)
+			}
+		}
+	}
+	if err := s.do("poll", find); err != nil {
+		return nil, 0, err
+	}
+	for len(events) == 0 && time.Now().Before(until) {
+		if !goose.Sleep(ctx, pollInterval) {
+			return nil, 0, errors.Wrap(goose.ErrUnavailable, "poll cancelled")
+		}
+		s.mu.Lock()
+		find()
+		s.mu.Unlock()
+	}
+	return events, revision, nil
+}
+
 // Watch implements goose.Store.
 func (s *Store) Watch(ctx context.Context, prefix string, from int64) (goose.Watcher, error) {
 	w := &watcher{prefix: prefix, events: make(chan goose.WatchEvent, 4096), done: make(chan struct{})}
--- a/pkg/goose/store.go
+++ b/pkg/goose/store.go
@@ -119,6 +119,14 @@
 	Close() error
 }
 
+// PollingStore is a store whose changes can also be read by single calls.
+type PollingStore interface {
+	Store
+	// Poll returns the changes of the prefix after a revision in order of revision, and the
+	// revision up to which they are complete. If there are none, it waits for at most wait.
+	Poll(ctx context.Context, prefix string, after int64, wait time.Duration) ([]WatchEvent, int64, error)
+}
+
 // Lease is one key that at most one instance holds.
 type Lease interface {
 	// Epoch is the fencing token; valid while the lease is held.
--- a/pkg/goosedirectory/follow.go
+++ b/pkg/goosedirectory/follow.go
@@ -16,10 +16,11 @@
 )
 
 const (
-	// minRetryPause and maxRetryPause bound the pause before the store is read again after
-	// a failure, since each attempt is counted and priced.
-	minRetryPause = 100 * time.Millisecond
-	maxRetryPause = 400 * time.Millisecond
+	// minRetryPause is the pause before the store is read again after a failure. It grows to
+	// retryPauseShare of the pause between two reads of events, since each attempt is counted
+	// and priced.
+	minRetryPause   = 100 * time.Millisecond
+	retryPauseShare = 0.5
 	// graceMargin is added to the configured grace time, since the outage may have ended
 	// slightly later than the first response that this instance received.
 	graceMargin = 200 * time.Millisecond
@@ -148,7 +149,7 @@
 		}
 		f.recordResult(prefix, err)
 		goose.Sleep(ctx, 3*pause/4+rand.N(pause/2))
-		pause = min(2*pause, maxRetryPause)
+		pause = min(2*pause, time.Duration(retryPauseShare*float64(f.o.WatchPause)))
 	}
 }
 
--- a/pkg/goosegossip/crash_test.go
+++ b/pkg/goosegossip/crash_test.go
@@ -33,12 +33,12 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				n := &network{}
+				n, _ := newNetwork(t)
 				var registered atomic.Pointer[map[goose.InstanceID]string]
 				registered.Store(&map[goose.InstanceID]string{"a": "10.0.0.1:7", "b": "10.0.0.2:7"})
 				a, stopA := startGossip(t, n, "a", "10.0.0.1:7", &registered, newPlacer())
 				b, stopB := startGossip(t, n, "b", "10.0.0.2:7", &registered, newPlacer())
-				peer, _ := n.conns.LoadAndDelete("10.0.0.2:7")
+				attach := n.Detach("10.0.0.2:7")
 				begin := time.Now()
 				// Many other requests failed once.
 				for f := range goose.Fingerprint(100) {
@@ -49,7 +49,7 @@
 					a.o.Quarantine.RecordLost(known, goose.Replica{ID: "i-0", StartedUnixMS: int64(born + 1)}, goose.EvidenceCrash, begin)
 				}
 				time.Sleep(tc.away)
-				n.conns.Store("10.0.0.2:7", peer)
+				attach()
 				time.Sleep(tc.within - tc.away)
 				if _, got := b.o.Quarantine.Quarantined(7, time.Now()); got != tc.want {
 					t.Errorf("got quarantined %t at the peer after %s, want %t", got, tc.within, tc.want)
@@ -76,7 +76,7 @@
 		maxDatagrams = 2 * resendCount * lostPerSecond * instances * (instances - 1)
 	)
 	synctest.Test(t, func(t *testing.T) {
-		n := &network{}
+		n, crashDatagrams := newNetwork(t)
 		addresses := map[goose.InstanceID]string{}
 		for i := range instances {
 			addresses[goose.InstanceID(fmt.Sprint("edge-", i))] = fmt.Sprintf("10.0.%d.1:7", i)
@@ -90,14 +90,14 @@
 			fleet = append(fleet, g)
 		}
 		time.Sleep(2 * time.Second)
-		before := n.crashDatagrams.Load()
+		before := crashDatagrams.Load()
 		begin := time.Now()
 		for i, g := range fleet {
 			known := g.o.Quarantine.CrashRecord(goose.Fingerprint(1000+i), begin)
 			g.o.Quarantine.RecordLost(known, goose.Replica{ID: goose.ReplicaID(fmt.Sprint("i-", i))}, goose.EvidenceLost, begin)
 		}
 		time.Sleep(time.Second)
-		if got := n.crashDatagrams.Load() - before; got > maxDatagrams {
+		if got := crashDatagrams.Load() - before; got > maxDatagrams {
 			t.Errorf("got %d datagrams in a second, want at most %d", got, maxDatagrams)
 		}
 		for born := range 2 {
--- a/pkg/goosegossip/gossip.go
+++ b/pkg/goosegossip/gossip.go
@@ -56,11 +56,14 @@
 	// Crashes are records of requests that crash replicas. They are sent in separate
 	// datagrams, without parts of a load report.
 	Crashes []goose.CrashRecord `cbor:"8,keyasint,omitempty"`
+	// DataCentre is the data centre of the sender.
+	DataCentre goose.DataCentre `cbor:"9,keyasint,omitempty"`
 }
 
 // Options are the dependencies of a Gossip; all are required.
 type Options struct {
-	Instance goose.InstanceID
+	Instance   goose.InstanceID
+	DataCentre goose.DataCentre
 	// Incarnation is the start time of the process in Unix nanoseconds.
 	Incarnation int64
 	Conn        net.PacketConn
@@ -88,6 +91,7 @@
 // peer is an instance from which a report was received.
 type peer struct {
 	address      net.Addr
+	dataCentre   goose.DataCentre
 	incarnation  int64
 	sequence     uint64
 	lastReportAt time.Time
@@ -168,7 +172,7 @@
 	datagrams := make([][]byte, 0, len(parts))
 	for i, replicas := range parts {
 		m := message{
-			From: g.o.Instance, Incarnation: g.o.Incarnation, Sequence: sequence, Part: i, Parts: len(parts),
+			From: g.o.Instance, DataCentre: g.o.DataCentre, Incarnation: g.o.Incarnation, Sequence: sequence, Part: i, Parts: len(parts),
 			Report: gooseplacement.Report{Replicas: replicas, OfferedLoad: r.OfferedLoad}, Store: g.o.StoreView(now),
 		}
 		b, err := cbor.Marshal(m)
@@ -203,6 +207,20 @@
 	return all
 }
 
+// Neighbours returns the addresses of the instances of the same data centre that sent a
+// report recently.
+func (g *Gossip) Neighbours(now time.Time) []net.Addr {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []net.Addr
+	for _, p := range g.peers {
+		if p.dataCentre == g.o.DataCentre && now.Sub(p.lastReportAt) < unregisteredTTL {
+			all = append(all, p.address)
+		}
+	}
+	return all
+}
+
 func (g *Gossip) receive(ctx context.Context) {
 	buffer := make([]byte, 2*maxDatagramBytes)
 	for ctx.Err() == nil {
@@ -247,6 +265,7 @@
 		p.parts = map[int]bool{}
 	}
 	p.incarnation, p.sequence, p.address, p.lastReportAt, p.storeReachableFor = m.Incarnation, m.Sequence, from, now, m.Store.ReachableFor
+	p.dataCentre = m.DataCentre
 	p.parts[m.Part] = true
 	for id, l := range m.Report.Replicas {
 		p.partial.Replicas[id] = l
--- a/pkg/goosegossip/gossip_test.go
+++ b/pkg/goosegossip/gossip_test.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"net"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,6 +12,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/gooseberryhold/gooseberryhold/internal/goosepackettest"
 	"github.com/gooseberryhold/gooseberryhold/internal/goosestoretest"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosedirectory"
@@ -20,75 +20,29 @@
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosequarantine"
 )
 
-// packet is a datagram in a network.
-type packet struct {
-	data []byte
-	from net.Addr
-}
-
-// network is an in-memory network that connects instances by their addresses.
-type network struct {
-	conns sync.Map
-	// crashDatagrams counts the datagrams with crash records.
-	crashDatagrams atomic.Int64
-}
-
-// conn is a net.PacketConn of a network.
-type conn struct {
-	net.PacketConn
-	network *network
-	address *net.UDPAddr
-	in      chan packet
-	closed  chan struct{}
-}
-
-func (n *network) listen(address string) *conn {
-	a, err := net.ResolveUDPAddr("udp4", address)
-	if err != nil {
-		panic(err)
-	}
-	c := &conn{network: n, address: a, in: make(chan packet, 100), closed: make(chan struct{})}
-	n.conns.Store(address, c)
-	return c
-}
-
-func (c *conn) ReadFrom(b []byte) (int, net.Addr, error) {
-	select {
-	case p := <-c.in:
-		return copy(b, p.data), p.from, nil
-	case <-c.closed:
-		return 0, nil, net.ErrClosed
-	}
-}
-
-func (c *conn) WriteTo(b []byte, to net.Addr) (int, error) {
-	if len(b) > maxDatagramBytes {
-		panic("datagram too long")
-	}
-	var m message
-	if err := cbor.Unmarshal(b, &m); err == nil && len(m.Crashes) > 0 {
-		c.network.crashDatagrams.Add(1)
-	}
-	if peer, ok := c.network.conns.Load(to.String()); ok {
-		select {
-		case peer.(*conn).in <- packet{data: append([]byte(nil), b...), from: c.address}:
-		default:
+// newNetwork returns a network that fails the test if a datagram is too long, and counts the
+// datagrams with crash records.
+func newNetwork(t *testing.T) (*goosepackettest.Network, *atomic.Int64) {
+	t.Helper()
+	crashDatagrams := &atomic.Int64{}
+	return &goosepackettest.Network{Drop: func(_, _ string, data []byte) bool {
+		if len(data) > maxDatagramBytes {
+			t.Errorf("got a datagram of %d bytes, limit %d", len(data), maxDatagramBytes)
 		}
-	}
-	return len(b), nil
-}
-
-func (c *conn) Close() error {
-	close(c.closed)
-	return nil
+		var m message
+		if err := cbor.Unmarshal(data, &m); err == nil && len(m.Crashes) > 0 {
+			crashDatagrams.Add(1)
+		}
+		return false
+	}}, crashDatagrams
 }
 
 // startGossip runs the Gossip of an instance. The returned function stops it.
-func startGossip(t *testing.T, n *network, name, address string, registered *atomic.Pointer[map[goose.InstanceID]string], pl *gooseplacement.Placer) (*Gossip, context.CancelFunc) {
+func startGossip(t *testing.T, n *goosepackettest.Network, name, address string, registered *atomic.Pointer[map[goose.InstanceID]string], pl *gooseplacement.Placer) (*Gossip, context.CancelFunc) {
 	t.Helper()
 	g := New(Options{
 		Quarantine: goosequarantine.New(slog.New(slog.DiscardHandler)),
-		Instance:   goose.InstanceID(name), Incarnation: time.Now().UnixNano(), Conn: n.listen(address),
+		Instance:   goose.InstanceID(name), Incarnation: time.Now().UnixNano(), Conn: n.Listen(address),
 		Instances: func() map[goose.InstanceID]string { return *registered.Load() }, Placer: pl,
 		StoreView:  func(time.Time) goosedirectory.StoreView { return goosedirectory.StoreView{ReachableFor: time.Minute} },
 		OnPeerView: func(goosedirectory.StoreView) {},
@@ -115,7 +69,7 @@
 func TestGossip(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		n := &network{}
+		n, _ := newNetwork(t)
 		var registered atomic.Pointer[map[goose.InstanceID]string]
 		registered.Store(&map[goose.InstanceID]string{"a": "10.0.0.1:7", "b": "10.0.0.2:7"})
 		placerA, placerB := newPlacer(), newPlacer()
@@ -245,7 +199,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := goosestoretest.New()
 		var failures atomic.Int64
-		r := NewRegistration(store, "a", "10.0.0.1:7", func(error) { failures.Add(1) }, slog.New(slog.DiscardHandler))
+		r := NewRegistration(store, "a", "10.0.0.1:7", func(error) { failures.Add(1) }, func() bool { return false }, slog.New(slog.DiscardHandler))
 		store.SetDown(true)
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan struct{})
--- a/pkg/goosegossip/instance.go
+++ b/pkg/goosegossip/instance.go
@@ -26,6 +26,9 @@
 	// responds while a watch has nothing to deliver.
 	leaseTTL      = 15 * time.Second
 	renewInterval = 2 * time.Second
+	// followerRenewInterval is the mean time between renewals of an instance that receives the
+	// changes of the store from a relay, so that nothing waits for it to notice an outage.
+	followerRenewInterval = 4 * time.Second
 	// retryDelay is the pause after a failed registration.
 	retryDelay = time.Second
 )
@@ -71,15 +74,27 @@
 	instance  goose.InstanceID
 	address   string
 	onFailure func(error)
+	following func() bool
 	log       *slog.Logger
 }
 
 // NewRegistration returns a registration; Run keeps it. onFailure is called with the error
-// of each renewal to which the store did not respond.
+// of each renewal to which the store did not respond. following reports whether the changes
+// of the store come from a relay.
 func NewRegistration(
-	store goose.Store, instance goose.InstanceID, address string, failed func(error), log *slog.Logger,
+	store goose.Store, instance goose.InstanceID, address string, onFailure func(error), following func() bool, log *slog.Logger,
 ) *Registration {
-	return &Registration{store: store, instance: instance, address: address, onFailure: failed, log: log}
+	return &Registration{store: store, instance: instance, address: address, onFailure: onFailure, following: following, log: log}
+}
+
+// renewPause returns the time until the next renewal. Instances that started together renew
+// at different times, so that one of them detects a short outage.
+func (r *Registration) renewPause() time.Duration {
+	interval := renewInterval
+	if r.following() {
+		interval = followerRenewInterval
+	}
+	return interval/2 + rand.N(interval)
 }
 
 // Run registers the instance and renews its lease until ctx ends; then it revokes the
@@ -115,9 +130,7 @@
 // unavailable the expiry of the lease may be suspended, so it is renewed until the store
 // reports that it does not exist.
 func (r *Registration) renew(ctx context.Context, lease goose.LeaseID) error {
-	// Instances that started together renew at different times, so that one of them detects
-	// a short outage.
-	for goose.Sleep(ctx, renewInterval/2+rand.N(renewInterval)) {
+	for goose.Sleep(ctx, r.renewPause()) {
 		_, err := r.store.KeepAlive(ctx, lease)
 		switch {
 		case errors.Is(err, goose.ErrLeaseNotFound):
