--- a/pkg/gooserelay/relay_test.go
+++ b/pkg/gooserelay/relay_test.go
@@ -236,12 +236,11 @@
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, tc.instances, nil)
-				var last int64
 				for begin := time.Now(); time.Since(begin) < duration; time.Sleep(100 * time.Millisecond) {
-					last = f.put(fmt.Sprint("servers/i-", rand.IntN(200)), "draining")
+					f.put(fmt.Sprint("servers/i-", rand.IntN(200)), "draining")
 				}
 				f.put("op/config", strings.Repeat("routes ", 5000))
-				last = f.put("op/config", strings.Repeat("routes ", 5001))
+				last := f.put("op/config", strings.Repeat("routes ", 5001))
 				time.Sleep(changeBound / 2)
 				f.check("op/config", last)
 				if got := f.polls(); got < tc.minPolls || got > tc.maxPolls {
