goosegossip, gooseplacement: data centres exchange sums, instances report a new request at once

Cause: each instance sent its load to all others. So that the datagrams did not fill the links, the reports became rare: each 1.5 s with 295 instances, beside objectives of 0.4 s, so instances met on the same replicas. The bound for cold replicas was split into shares that nobody could use, and an instance that heard nobody took all of it.

Change: in fleets of 24 instances and more an instance reports to those of its data centre, at once when a request begins; the relay sends the sum of the data centre to the others each 400 ms. An instance uses the replicas of its data centre first. Sums of loads are kept up to date instead of computed. 0.7 of the bound for a cold replica belongs to its data centre. Registered instances count for shares. Reports with values that no instance can send are dropped: one with an infinite load made every later request of the receiver fail.

--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -121,7 +121,7 @@
 		PeerStoreReachableFor: func(now time.Time) time.Duration { return h.gossip.PeerStoreReachableFor(now) },
 	})
 	h.placer = gooseplacement.New(gooseplacement.Options{
-		DataCentre: s.DataCentre, ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack,
+		DataCentre: s.DataCentre, ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, Registered: h.registeredInstances,
 	})
 	h.forwarder = gooseforward.New(gooseforward.Options{
 		Directory: h.directory, Placer: h.placer, Quarantine: h.quarantine, HeaderCodec: gooseplatform.HeaderCodec{},
@@ -167,6 +167,12 @@
 	return addresses
 }
 
+// registeredInstances returns the number of instances that the store lists.
+func (h *host) registeredInstances() gooseplacement.Registered {
+	s := h.directory.Current()
+	return gooseplacement.Registered{Own: s.InstancesIn(h.settings.DataCentre), All: len(s.Instances())}
+}
+
 // followingRelay reports whether the changes of the store come from another instance.
 func (h *host) followingRelay() bool { return h.relay != nil && h.relay.Following(h.clock.Now()) }
 
@@ -188,10 +194,12 @@
 	}
 	h.gossip = goosegossip.New(goosegossip.Options{
 		Instance: h.settings.Instance, DataCentre: h.settings.DataCentre, Incarnation: time.Now().UnixNano(), Conn: conn,
-		Instances: func() map[goose.InstanceID]string { return h.directory.Current().Instances() },
+		Instances: func() map[goose.InstanceID]goose.RegisteredInstance { return h.directory.Current().Instances() },
+		SendsSums: func() bool { return h.relay != nil && h.relay.Leading() },
 		Placer:    h.placer, StoreView: h.follower.View, OnPeerView: h.follower.ObservePeer, Quarantine: h.quarantine, Log: h.log, Clock: h.clock,
 	})
-	h.registration = goosegossip.NewRegistration(h.store, h.settings.Instance, address, h.onRenewalFailure, h.followingRelay, h.log)
+	at := goose.RegisteredInstance{Address: address, DataCentre: h.settings.DataCentre}
+	h.registration = goosegossip.NewRegistration(h.store, h.settings.Instance, at, h.onRenewalFailure, h.followingRelay, h.log)
 	return nil
 }
 
--- a/pkg/goose/routing.go
+++ b/pkg/goose/routing.go
@@ -264,8 +264,8 @@
 	Routing *Routing
 	// Replica is set by ChangeReplica; only its ID if Removed.
 	Replica Replica
-	// DataCentre is set by ChangeEvacuation; the data centre gets no work until the
-	// entry is removed.
+	// DataCentre is set by ChangeEvacuation: it gets no work until the entry is removed. It is
+	// also set by ChangeInstance: the data centre of the instance, empty if not known.
 	DataCentre DataCentre
 	// Instance and Address are set by ChangeInstance; Address, which takes the load
 	// reports of peers, is empty if Removed.
@@ -277,6 +277,14 @@
 	Revision int64
 }
 
+// RegisteredInstance is an instance that the store lists.
+type RegisteredInstance struct {
+	// Address receives the load reports of peers.
+	Address string
+	// DataCentre is empty if it is not known.
+	DataCentre DataCentre
+}
+
 // StoreDecoder decodes the entries of a platform's store that describe routing, replicas
 // and evacuations.
 type StoreDecoder interface {
--- a/pkg/goosedirectory/directory.go
+++ b/pkg/goosedirectory/directory.go
@@ -29,9 +29,10 @@
 	activeReplicas map[goose.ServiceName][]Replica
 	// replicas contains all replicas, including those that get no new work.
 	replicas map[goose.ReplicaID]Replica
-	// instances contains the addresses at which the registered instances receive load
-	// reports; it must not be modified.
-	instances map[goose.InstanceID]string
+	// instances contains the registered instances; it must not be modified.
+	instances map[goose.InstanceID]goose.RegisteredInstance
+	// instancesIn is the number of registered instances of each data centre.
+	instancesIn map[goose.DataCentre]int
 }
 
 // Replicas returns the replicas of a service that may get new work, in order of
@@ -44,9 +45,11 @@
 	return r, ok
 }
 
-// Instances returns the addresses at which the registered instances receive load reports.
-// The map must not be modified.
-func (s *Snapshot) Instances() map[goose.InstanceID]string { return s.instances }
+// Instances returns the registered instances. The map must not be modified.
+func (s *Snapshot) Instances() map[goose.InstanceID]goose.RegisteredInstance { return s.instances }
+
+// InstancesIn returns the number of registered instances of a data centre.
+func (s *Snapshot) InstancesIn(dc goose.DataCentre) int { return s.instancesIn[dc] }
 
 // Len returns the number of replicas in the snapshot.
 func (s *Snapshot) Len() int { return len(s.replicas) }
@@ -67,7 +70,7 @@
 	table     *goosetable.Table
 	entries   map[goose.ReplicaID]*entry
 	evacuated map[goose.DataCentre]bool
-	instances map[goose.InstanceID]string
+	instances map[goose.InstanceID]goose.RegisteredInstance
 	// keepMissingUntil is until when missing replicas are kept, since their leases may have
 	// expired only because the store was unavailable.
 	keepMissingUntil time.Time
@@ -76,7 +79,7 @@
 // New returns an empty directory.
 func New() *Directory {
 	d := &Directory{
-		entries: map[goose.ReplicaID]*entry{}, evacuated: map[goose.DataCentre]bool{}, instances: map[goose.InstanceID]string{},
+		entries: map[goose.ReplicaID]*entry{}, evacuated: map[goose.DataCentre]bool{}, instances: map[goose.InstanceID]goose.RegisteredInstance{},
 	}
 	d.publish()
 	return d
@@ -117,7 +120,7 @@
 		case goose.ChangeEvacuation:
 			d.evacuated = map[goose.DataCentre]bool{}
 		case goose.ChangeInstance:
-			d.instances = map[goose.InstanceID]string{}
+			d.instances = map[goose.InstanceID]goose.RegisteredInstance{}
 		}
 	}
 	for _, c := range changes {
@@ -172,10 +175,11 @@
 		d.evacuated[c.DataCentre] = !c.Removed
 		return true
 	case goose.ChangeInstance:
-		if d.instances[c.Instance] == c.Address {
+		registered := goose.RegisteredInstance{Address: c.Address, DataCentre: c.DataCentre}
+		if d.instances[c.Instance] == registered {
 			return false
 		}
-		d.instances[c.Instance] = c.Address
+		d.instances[c.Instance] = registered
 		if c.Removed {
 			delete(d.instances, c.Instance)
 		}
@@ -231,7 +235,10 @@
 func (d *Directory) publish() {
 	s := &Snapshot{
 		Table: d.table, activeReplicas: map[goose.ServiceName][]Replica{}, replicas: make(map[goose.ReplicaID]Replica, len(d.entries)),
-		instances: maps.Clone(d.instances),
+		instances: maps.Clone(d.instances), instancesIn: map[goose.DataCentre]int{},
+	}
+	for _, i := range d.instances {
+		s.instancesIn[i.DataCentre]++
 	}
 	for id, e := range d.entries {
 		r := e.replica
--- a/pkg/goosegossip/crash_test.go
+++ b/pkg/goosegossip/crash_test.go
@@ -34,8 +34,8 @@
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				n, _ := newNetwork(t)
-				var registered atomic.Pointer[map[goose.InstanceID]string]
-				registered.Store(&map[goose.InstanceID]string{"a": "10.0.0.1:7", "b": "10.0.0.2:7"})
+				var registered atomic.Pointer[map[goose.InstanceID]goose.RegisteredInstance]
+				registered.Store(&map[goose.InstanceID]goose.RegisteredInstance{"a": {Address: "10.0.0.1:7"}, "b": {Address: "10.0.0.2:7"}})
 				a, stopA := startGossip(t, n, "a", "10.0.0.1:7", &registered, newPlacer())
 				b, stopB := startGossip(t, n, "b", "10.0.0.2:7", &registered, newPlacer())
 				attach := n.Detach("10.0.0.2:7")
@@ -77,15 +77,15 @@
 	)
 	synctest.Test(t, func(t *testing.T) {
 		n, crashDatagrams := newNetwork(t)
-		addresses := map[goose.InstanceID]string{}
+		addresses := map[goose.InstanceID]goose.RegisteredInstance{}
 		for i := range instances {
-			addresses[goose.InstanceID(fmt.Sprint("edge-", i))] = fmt.Sprintf("10.0.%d.1:7", i)
+			addresses[goose.InstanceID(fmt.Sprint("edge-", i))] = goose.RegisteredInstance{Address: fmt.Sprintf("10.0.%d.1:7", i)}
 		}
-		var registered atomic.Pointer[map[goose.InstanceID]string]
+		var registered atomic.Pointer[map[goose.InstanceID]goose.RegisteredInstance]
 		registered.Store(&addresses)
 		var fleet []*Gossip
-		for name, address := range addresses {
-			g, stop := startGossip(t, n, string(name), address, &registered, newPlacer())
+		for name, at := range addresses {
+			g, stop := startGossip(t, n, string(name), at.Address, &registered, newPlacer())
 			defer stop()
 			fleet = append(fleet, g)
 		}
--- a/pkg/goosegossip/gossip.go
+++ b/pkg/goosegossip/gossip.go
@@ -21,15 +21,18 @@
 )
 
 const (
-	// reportInterval is the time between load reports. Requests of other instances that
-	// started since their last report are not known.
+	// reportInterval is the time between load reports of requests that have made progress.
 	reportInterval = 120 * time.Millisecond
-	// instancesPerInterval is the number of instances above which the time between
-	// reports grows with their number.
+	// instancesPerInterval is the number of receivers of a report above which the time
+	// between reports grows with their number. In a fleet of that many instances the data
+	// centres exchange only the sums of their reports.
 	instancesPerInterval = 24
-	// reportDueDelay is the pause before a report that is due at once because of a long
-	// prompt.
+	// sumInterval is the time between two sums that a data centre sends to the others.
+	sumInterval = 400 * time.Millisecond
+	// reportDueDelay is the pause before a report that is due at once because of a new
+	// request, and minReportPause the least time between two such reports.
 	reportDueDelay = 2 * time.Millisecond
+	minReportPause = 20 * time.Millisecond
 	// unchangedInterval is the time between reports of an unchanged load.
 	unchangedInterval = 600 * time.Millisecond
 	// maxDatagramBytes bounds a datagram; larger reports are split by replicas.
@@ -58,6 +61,26 @@
 	Crashes []goose.CrashRecord `cbor:"8,keyasint,omitempty"`
 	// DataCentre is the data centre of the sender.
 	DataCentre goose.DataCentre `cbor:"9,keyasint,omitempty"`
+	// Sum is set if the report is the sum of the reports of the sender's data centre.
+	Sum bool `cbor:"10,keyasint,omitempty"`
+}
+
+// maxParts bounds the datagrams of one report.
+const maxParts = 1 << 10
+
+// validate returns an error if no instance can have sent the message.
+func (m message) validate() error {
+	switch {
+	case m.From == "":
+		return errors.New("no sender")
+	case m.Parts < 0 || m.Parts > maxParts || m.Part < 0 || m.Part > m.Parts:
+		return errors.Errorf("part %d of %d", m.Part, m.Parts)
+	case m.Sum && m.DataCentre == "":
+		return errors.New("sum without a data centre")
+	case m.Store.ReachableFor < 0 || m.Store.RecoveredFor < 0:
+		return errors.Errorf("view of the store: %+v", m.Store)
+	}
+	return m.Report.Validate()
 }
 
 // Options are the dependencies of a Gossip; all are required.
@@ -67,8 +90,10 @@
 	// Incarnation is the start time of the process in Unix nanoseconds.
 	Incarnation int64
 	Conn        net.PacketConn
-	// Instances returns the registered instances with their addresses.
-	Instances func() map[goose.InstanceID]string
+	// Instances returns the registered instances.
+	Instances func() map[goose.InstanceID]goose.RegisteredInstance
+	// SendsSums reports whether this instance sends the sums of its data centre to the others.
+	SendsSums func() bool
 	Placer    *gooseplacement.Placer
 	// StoreView returns this instance's view of the store.
 	StoreView func(now time.Time) goosedirectory.StoreView
@@ -85,7 +110,14 @@
 	o Options
 
 	mu    sync.Mutex
-	peers map[goose.InstanceID]*peer
+	peers map[peerKey]*peer
+}
+
+// peerKey identifies the reports that replace each other: those of an instance, and the sums
+// that it sends for its data centre.
+type peerKey struct {
+	id  goose.InstanceID
+	sum bool
 }
 
 // peer is an instance from which a report was received.
@@ -104,7 +136,7 @@
 }
 
 // New returns a Gossip; Run starts it.
-func New(o Options) *Gossip { return &Gossip{o: o, peers: map[goose.InstanceID]*peer{}} }
+func New(o Options) *Gossip { return &Gossip{o: o, peers: map[peerKey]*peer{}} }
 
 // Run sends and receives reports until ctx ends; it closes the connection.
 func (g *Gossip) Run(ctx context.Context) {
@@ -112,6 +144,7 @@
 	defer stop()
 	var wg conc.WaitGroup
 	wg.Go(func() { g.sendReports(ctx) })
+	wg.Go(func() { g.sendSums(ctx) })
 	wg.Go(func() { g.sendCrashes(ctx) })
 	wg.Go(func() { g.receive(ctx) })
 	wg.Wait()
@@ -121,7 +154,7 @@
 	var last string
 	var lastAt time.Time
 	sequence := uint64(0)
-	for g.waitForReport(ctx) {
+	for g.waitForReport(ctx, lastAt) {
 		now := g.o.Clock.Now()
 		g.markSilentPeers(now)
 		report := g.o.Placer.Report(now)
@@ -134,34 +167,56 @@
 		}
 		last, lastAt = string(summary), now
 		sequence++
-		for _, datagram := range g.encodeReport(report, sequence, now) {
-			for _, to := range g.targets(now) {
-				// An error is ignored: the next report replaces a lost one.
-				_, _ = g.o.Conn.WriteTo(datagram, to)
-			}
+		near, _ := g.splitTargets(now)
+		g.sendAll(g.encodeReport(report, false, sequence, now), near)
+	}
+}
+
+// sendSums sends the sum of the reports of the data centre to the instances of all others,
+// while this instance does so for its data centre.
+func (g *Gossip) sendSums(ctx context.Context) {
+	sequence := uint64(0)
+	for goose.Sleep(ctx, sumInterval) {
+		now := g.o.Clock.Now()
+		_, far := g.splitTargets(now)
+		if len(far) == 0 || !g.o.SendsSums() {
+			continue
+		}
+		sequence++
+		g.sendAll(g.encodeReport(g.o.Placer.DataCentreReport(now), true, sequence, now), far)
+	}
+}
+
+// sendAll sends datagrams to the given peers.
+func (g *Gossip) sendAll(datagrams [][]byte, targets []net.Addr) {
+	for _, datagram := range datagrams {
+		for _, to := range targets {
+			// An error is ignored: the next report replaces a lost one.
+			_, _ = g.o.Conn.WriteTo(datagram, to)
 		}
 	}
 }
 
 // waitForReport returns when the next report is due: after a time that grows with the
-// number of instances, since each sends its reports to all others, or at once if a long
-// prompt was placed. It returns false if ctx has ended.
-func (g *Gossip) waitForReport(ctx context.Context) bool {
-	instances := g.o.Placer.Instances(g.o.Clock.Now())
+// number of receivers, or shortly after an attempt was placed. It returns false if ctx has
+// ended.
+func (g *Gossip) waitForReport(ctx context.Context, lastAt time.Time) bool {
+	near, _ := g.splitTargets(g.o.Clock.Now())
+	instances := 1 + len(near)
 	t := time.NewTimer(reportInterval * time.Duration(max(instances, instancesPerInterval)) / instancesPerInterval)
 	defer t.Stop()
 	select {
 	case <-t.C:
 	case <-g.o.Placer.ReportDue():
-		// Prompts that are placed together are reported together.
-		return goose.Sleep(ctx, reportDueDelay)
+		// Requests that are placed together are reported together.
+		return goose.Sleep(ctx, max(reportDueDelay, minReportPause-g.o.Clock.Now().Sub(lastAt)))
 	case <-ctx.Done():
 	}
 	return ctx.Err() == nil
 }
 
-// encodeReport splits a report into datagrams.
-func (g *Gossip) encodeReport(r gooseplacement.Report, sequence uint64, now time.Time) [][]byte {
+// encodeReport splits a report, or the sum of a data centre, into datagrams.
+func (g *Gossip) encodeReport(r gooseplacement.Report, sum bool, sequence uint64, now time.Time) [][]byte {
 	parts := []map[goose.ReplicaID]gooseplacement.Load{{}}
 	for id, load := range r.Replicas {
 		if len(parts[len(parts)-1]) == replicasPerDatagram {
@@ -173,7 +228,8 @@
 	for i, replicas := range parts {
 		m := message{
 			From: g.o.Instance, DataCentre: g.o.DataCentre, Incarnation: g.o.Incarnation, Sequence: sequence, Part: i, Parts: len(parts),
-			Report: gooseplacement.Report{Replicas: replicas, OfferedLoad: r.OfferedLoad}, Store: g.o.StoreView(now),
+			Report: gooseplacement.Report{Replicas: replicas, OfferedLoad: r.OfferedLoad, Instances: r.Instances},
+			Store:  g.o.StoreView(now), Sum: sum,
 		}
 		b, err := cbor.Marshal(m)
 		if err != nil {
@@ -184,37 +240,64 @@
 	return datagrams
 }
 
-// targets returns the addresses of the registered instances and of those that sent a
-// report recently: registrations can expire while the store is unavailable.
-func (g *Gossip) targets(now time.Time) []net.Addr {
-	addresses := map[goose.InstanceID]net.Addr{}
-	for id, address := range g.o.Instances() {
-		if a, err := netip.ParseAddrPort(address); err == nil && id != g.o.Instance {
-			addresses[id] = net.UDPAddrFromAddrPort(a)
+// target is an instance that receives datagrams.
+type target struct {
+	address    net.Addr
+	dataCentre goose.DataCentre
+}
+
+// allTargets returns the registered instances and those that sent a report recently:
+// registrations can expire while the store is unavailable.
+func (g *Gossip) allTargets(now time.Time) map[goose.InstanceID]target {
+	all := map[goose.InstanceID]target{}
+	for id, registered := range g.o.Instances() {
+		if a, err := netip.ParseAddrPort(registered.Address); err == nil && id != g.o.Instance {
+			all[id] = target{address: net.UDPAddrFromAddrPort(a), dataCentre: registered.DataCentre}
 		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for id, p := range g.peers {
-		if _, registered := addresses[id]; !registered && now.Sub(p.lastReportAt) < unregisteredTTL {
-			addresses[id] = p.address
+	for key, p := range g.peers {
+		if _, registered := all[key.id]; !registered && now.Sub(p.lastReportAt) < unregisteredTTL {
+			all[key.id] = target{address: p.address, dataCentre: p.dataCentre}
 		}
 	}
-	all := make([]net.Addr, 0, len(addresses))
-	for _, a := range addresses {
-		all = append(all, a)
-	}
 	return all
 }
 
+// targets returns the addresses of all other instances.
+func (g *Gossip) targets(now time.Time) []net.Addr {
+	var addresses []net.Addr
+	for _, t := range g.allTargets(now) {
+		addresses = append(addresses, t.address)
+	}
+	return addresses
+}
+
+// splitTargets returns the addresses of the instances that get this instance's reports, and
+// of those that get only the sums of the data centre. In a large fleet these are the
+// instances of the other data centres: if all sent their reports to all others, the reports
+// of one would have to be so rare that they are useless.
+func (g *Gossip) splitTargets(now time.Time) (near, far []net.Addr) {
+	all := g.allTargets(now)
+	for _, t := range all {
+		if len(all) < instancesPerInterval || t.dataCentre == "" || t.dataCentre == g.o.DataCentre {
+			near = append(near, t.address)
+			continue
+		}
+		far = append(far, t.address)
+	}
+	return near, far
+}
+
 // Neighbours returns the addresses of the instances of the same data centre that sent a
 // report recently.
 func (g *Gossip) Neighbours(now time.Time) []net.Addr {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var all []net.Addr
-	for _, p := range g.peers {
-		if p.dataCentre == g.o.DataCentre && now.Sub(p.lastReportAt) < unregisteredTTL {
+	for key, p := range g.peers {
+		if !key.sum && p.dataCentre == g.o.DataCentre && now.Sub(p.lastReportAt) < unregisteredTTL {
 			all = append(all, p.address)
 		}
 	}
@@ -233,7 +316,7 @@
 			continue
 		}
 		var m message
-		if err := cbor.Unmarshal(buffer[:n], &m); err != nil || m.From == "" || m.From == g.o.Instance {
+		if err := cbor.Unmarshal(buffer[:n], &m); err != nil || m.From == g.o.Instance || m.validate() != nil {
 			continue
 		}
 		g.o.Quarantine.Merge(m.Crashes, goosequarantine.SourcePeer, g.o.Clock.Now())
@@ -248,10 +331,11 @@
 func (g *Gossip) handleReport(m message, from net.Addr) {
 	now := g.o.Clock.Now()
 	g.mu.Lock()
-	p, ok := g.peers[m.From]
+	key := peerKey{id: m.From, sum: m.Sum}
+	p, ok := g.peers[key]
 	if !ok {
 		p = &peer{silent: true}
-		g.peers[m.From] = p
+		g.peers[key] = p
 	}
 	// A process that starts after the system clock was set back has a smaller incarnation
 	// than its predecessor. Its reports are accepted once the predecessor is silent.
@@ -270,28 +354,35 @@
 	for id, l := range m.Report.Replicas {
 		p.partial.Replicas[id] = l
 	}
-	p.partial.OfferedLoad = m.Report.OfferedLoad
+	p.partial.OfferedLoad, p.partial.Instances = m.Report.OfferedLoad, m.Report.Instances
 	complete := len(p.parts) >= m.Parts
-	report := gooseplacement.Report{Replicas: maps.Clone(p.partial.Replicas), OfferedLoad: p.partial.OfferedLoad}
+	report := p.partial
+	report.Replicas = maps.Clone(report.Replicas)
 	wasSilent := p.silent
 	p.silent = false
 	g.mu.Unlock()
 	if wasSilent {
-		gooseevent.PeerSeen.Log(g.o.Log, slog.String("peer", string(m.From)), slog.Int64("incarnation", m.Incarnation))
+		gooseevent.PeerSeen.Log(g.o.Log, slog.String("peer", string(m.From)), slog.Bool("sum", m.Sum), slog.Int64("incarnation", m.Incarnation))
+	}
+	if !complete {
+		return
 	}
-	if complete {
+	g.o.OnPeerView(m.Store)
+	switch {
+	case !m.Sum:
 		g.o.Placer.SetPeerReport(m.From, report, now)
-		g.o.OnPeerView(m.Store)
+	case m.DataCentre != g.o.DataCentre:
+		g.o.Placer.SetDataCentreReport(m.DataCentre, report, now)
 	}
 }
 
 func (g *Gossip) markSilentPeers(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for id, p := range g.peers {
+	for key, p := range g.peers {
 		if !p.silent && now.Sub(p.lastReportAt) > gooseplacement.PeerTimeout {
 			p.silent = true
-			gooseevent.PeerSilent.Log(g.o.Log, slog.String("peer", string(id)), slog.Duration("age", now.Sub(p.lastReportAt)))
+			gooseevent.PeerSilent.Log(g.o.Log, slog.String("peer", string(key.id)), slog.Bool("sum", key.sum), slog.Duration("age", now.Sub(p.lastReportAt)))
 		}
 	}
 }
--- a/pkg/goosegossip/gossip_test.go
+++ b/pkg/goosegossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"strings"
@@ -38,15 +39,15 @@
 }
 
 // startGossip runs the Gossip of an instance. The returned function stops it.
-func startGossip(t *testing.T, n *goosepackettest.Network, name, address string, registered *atomic.Pointer[map[goose.InstanceID]string], pl *gooseplacement.Placer) (*Gossip, context.CancelFunc) {
+func startGossip(t *testing.T, n *goosepackettest.Network, name, address string, registered *atomic.Pointer[map[goose.InstanceID]goose.RegisteredInstance], pl *gooseplacement.Placer) (*Gossip, context.CancelFunc) {
 	t.Helper()
 	g := New(Options{
 		Quarantine: goosequarantine.New(slog.New(slog.DiscardHandler)),
 		Instance:   goose.InstanceID(name), Incarnation: time.Now().UnixNano(), Conn: n.Listen(address),
-		Instances: func() map[goose.InstanceID]string { return *registered.Load() }, Placer: pl,
+		Instances: func() map[goose.InstanceID]goose.RegisteredInstance { return *registered.Load() }, Placer: pl,
 		StoreView:  func(time.Time) goosedirectory.StoreView { return goosedirectory.StoreView{ReachableFor: time.Minute} },
-		OnPeerView: func(goosedirectory.StoreView) {},
-		Log:        slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
+		OnPeerView: func(goosedirectory.StoreView) {}, SendsSums: func() bool { return false },
+		Log: slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -70,8 +71,8 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		n, _ := newNetwork(t)
-		var registered atomic.Pointer[map[goose.InstanceID]string]
-		registered.Store(&map[goose.InstanceID]string{"a": "10.0.0.1:7", "b": "10.0.0.2:7"})
+		var registered atomic.Pointer[map[goose.InstanceID]goose.RegisteredInstance]
+		registered.Store(&map[goose.InstanceID]goose.RegisteredInstance{"a": {Address: "10.0.0.1:7"}, "b": {Address: "10.0.0.2:7"}})
 		placerA, placerB := newPlacer(), newPlacer()
 		a, stopA := startGossip(t, n, "a", "10.0.0.1:7", &registered, placerA)
 		_, stopB := startGossip(t, n, "b", "10.0.0.2:7", &registered, placerB)
@@ -82,7 +83,7 @@
 		if got := a.PeerStoreReachableFor(time.Now()); got != time.Minute {
 			t.Errorf("got a reach of %s, want that of the peer", got)
 		}
-		registered.Store(&map[goose.InstanceID]string{})
+		registered.Store(&map[goose.InstanceID]goose.RegisteredInstance{})
 		time.Sleep(time.Minute)
 		if got := placerA.Instances(time.Now()); got != 2 {
 			t.Errorf("got %d instances after the registrations lapsed, want 2", got)
@@ -171,6 +172,88 @@
 	return all
 }
 
+// Guards against load reports of a large fleet that grow with the square of its instances, or
+// that are so rare that each instance chooses blindly: instances know of a new request in
+// their data centre at once, and of those in others by its sums.
+func TestDataCentresExchangeSums(t *testing.T) {
+	t.Parallel()
+	const (
+		dataCentres, instances = 3, 12
+		// maxReports allows each instance a report to each other one of its data centre in
+		// each unchangedInterval, and one to all others for each data centre in each
+		// sumInterval, in two seconds.
+		maxReports = dataCentres*instances*(instances-1)*4 + dataCentres*(dataCentres-1)*instances*6
+	)
+	synctest.Test(t, func(t *testing.T) {
+		var reports atomic.Int64
+		n := &goosepackettest.Network{Drop: func(string, string, []byte) bool {
+			reports.Add(1)
+			return false
+		}}
+		all := map[goose.InstanceID]goose.RegisteredInstance{}
+		for i := range dataCentres * instances {
+			all[goose.InstanceID(fmt.Sprint("edge-", i))] = goose.RegisteredInstance{
+				Address: fmt.Sprintf("10.0.%d.1:7", i), DataCentre: goose.DataCentre(fmt.Sprint("dc-", i%dataCentres)),
+			}
+		}
+		var registered atomic.Pointer[map[goose.InstanceID]goose.RegisteredInstance]
+		registered.Store(&all)
+		placers := map[goose.DataCentre][]*gooseplacement.Placer{}
+		for i := range dataCentres * instances {
+			name := goose.InstanceID(fmt.Sprint("edge-", i))
+			at := all[name]
+			pl := gooseplacement.New(gooseplacement.Options{DataCentre: at.DataCentre, Rand: func(int) int { return 0 }})
+			placers[at.DataCentre] = append(placers[at.DataCentre], pl)
+			g := New(Options{
+				Quarantine: goosequarantine.New(slog.New(slog.DiscardHandler)), Instance: name, DataCentre: at.DataCentre,
+				Incarnation: time.Now().UnixNano(), Conn: n.Listen(at.Address),
+				Instances: func() map[goose.InstanceID]goose.RegisteredInstance { return *registered.Load() }, Placer: pl,
+				SendsSums:  func() bool { return i < dataCentres },
+				StoreView:  func(time.Time) goosedirectory.StoreView { return goosedirectory.StoreView{} },
+				OnPeerView: func(goosedirectory.StoreView) {},
+				Log:        slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
+			})
+			ctx, stop := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				g.Run(ctx)
+			}()
+			defer func() {
+				stop()
+				<-done
+			}()
+		}
+		time.Sleep(2 * time.Second)
+		before := reports.Load()
+		time.Sleep(2 * time.Second)
+		if got := reports.Load() - before; got > maxReports {
+			t.Errorf("got %d datagrams of an idle fleet in two seconds, want at most %d", got, maxReports)
+		}
+		at := placers["dc-1"][5]
+		if _, o := at.Choose(gooseplacement.Demand{}, twoReplicas(), time.Now()); o != gooseplacement.ObstacleNone {
+			t.Fatalf("got obstacle %q", o)
+		}
+		time.Sleep(2 * reportDueDelay)
+		check := func(dc goose.DataCentre) {
+			t.Helper()
+			for i, pl := range placers[dc] {
+				if got := pl.Instances(time.Now()); got != dataCentres*instances {
+					t.Errorf("got %d instances at instance %d of %s, want %d", got, i, dc, dataCentres*instances)
+				}
+				if c, _ := pl.Choose(gooseplacement.Demand{}, twoReplicas(), time.Now()); pl != at && (c.Replica.ID != "i-1" || c.Load.Requests != 0) {
+					t.Errorf("got replica %s with %d requests at instance %d of %s, want the idle one", c.Replica.ID, c.Load.Requests, i, dc)
+				}
+			}
+		}
+		check("dc-1")
+		time.Sleep(sumInterval + 10*time.Millisecond)
+		if got := placers["dc-0"][7].DataCentreReport(time.Now()).Instances; got != instances {
+			t.Errorf("got a sum of %d instances, want those of the data centre, %d", got, instances)
+		}
+	})
+}
+
 // Guards against datagrams that exceed the limit for reports of many replicas.
 func TestEncodeReport(t *testing.T) {
 	t.Parallel()
@@ -182,7 +265,7 @@
 		r.Replicas[id] = gooseplacement.Load{Requests: 16, Waiting: 16, Tokens: 315_000, Prefill: 9_999_999_999, ShortPauseStreams: 16}
 	}
 	g := New(Options{Instance: "edge-musselburgh-1", StoreView: func(time.Time) goosedirectory.StoreView { return goosedirectory.StoreView{ReachableFor: time.Hour} }})
-	datagrams := g.encodeReport(r, 1, time.Now())
+	datagrams := g.encodeReport(r, false, 1, time.Now())
 	if len(datagrams) < 2 {
 		t.Fatalf("got %d datagrams, want several", len(datagrams))
 	}
@@ -199,7 +282,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := goosestoretest.New()
 		var failures atomic.Int64
-		r := NewRegistration(store, "a", "10.0.0.1:7", func(error) { failures.Add(1) }, func() bool { return false }, slog.New(slog.DiscardHandler))
+		r := NewRegistration(store, "a", goose.RegisteredInstance{Address: "10.0.0.1:7"}, func(error) { failures.Add(1) }, func() bool { return false }, slog.New(slog.DiscardHandler))
 		store.SetDown(true)
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan struct{})
@@ -237,10 +320,11 @@
 		want    goose.StoreChange
 		wantErr bool
 	}{
-		"address":  {value: "10.0.0.1:7", want: goose.StoreChange{Kind: goose.ChangeInstance, Instance: "a", Address: "10.0.0.1:7"}},
-		"gone":     {deleted: true, want: goose.StoreChange{Kind: goose.ChangeInstance, Instance: "a", Removed: true}},
-		"rubbish":  {value: "\x00", want: goose.StoreChange{Kind: goose.ChangeInstance, Instance: "a", Removed: true}, wantErr: true},
-		"no value": {want: goose.StoreChange{Kind: goose.ChangeInstance, Instance: "a", Removed: true}, wantErr: true},
+		"data centre": {value: "10.0.0.1:7 leith", want: goose.StoreChange{Kind: goose.ChangeInstance, Instance: "a", Address: "10.0.0.1:7", DataCentre: "leith"}},
+		"address":     {value: "10.0.0.1:7", want: goose.StoreChange{Kind: goose.ChangeInstance, Instance: "a", Address: "10.0.0.1:7"}},
+		"gone":        {deleted: true, want: goose.StoreChange{Kind: goose.ChangeInstance, Instance: "a", Removed: true}},
+		"rubbish":     {value: "\x00", want: goose.StoreChange{Kind: goose.ChangeInstance, Instance: "a", Removed: true}, wantErr: true},
+		"no value":    {want: goose.StoreChange{Kind: goose.ChangeInstance, Instance: "a", Removed: true}, wantErr: true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/goosegossip/instance.go
+++ b/pkg/goosegossip/instance.go
@@ -17,7 +17,7 @@
 )
 
 // instancePrefix is the key prefix of registered instances. The value of a key is the
-// address that receives load reports.
+// address that receives load reports and, after a space, the data centre.
 const instancePrefix = "gooseberryhold/instances/"
 
 const (
@@ -59,20 +59,21 @@
 	if deleted {
 		return c, nil
 	}
-	address := string(e.Value)
+	address, dc, _ := strings.Cut(string(e.Value), " ")
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		c.Removed = true
 		return c, errors.Wrapf(err, "registration of instance %s", name)
 	}
-	c.Address = address
+	c.Address, c.DataCentre = address, goose.DataCentre(dc)
 	return c, nil
 }
 
 // Registration keeps an instance registered under a lease.
 type Registration struct {
-	store     goose.Store
-	instance  goose.InstanceID
-	address   string
+	store    goose.Store
+	instance goose.InstanceID
+	// value is the value of the instance's key.
+	value     string
 	onFailure func(error)
 	following func() bool
 	log       *slog.Logger
@@ -82,9 +83,13 @@
 // of each renewal to which the store did not respond. following reports whether the changes
 // of the store come from a relay.
 func NewRegistration(
-	store goose.Store, instance goose.InstanceID, address string, onFailure func(error), following func() bool, log *slog.Logger,
+	store goose.Store, instance goose.InstanceID, at goose.RegisteredInstance, onFailure func(error), following func() bool, log *slog.Logger,
 ) *Registration {
-	return &Registration{store: store, instance: instance, address: address, onFailure: onFailure, following: following, log: log}
+	value := at.Address
+	if at.DataCentre != "" {
+		value += " " + string(at.DataCentre)
+	}
+	return &Registration{store: store, instance: instance, value: value, onFailure: onFailure, following: following, log: log}
 }
 
 // renewPause returns the time until the next renewal. Instances that started together renew
@@ -106,7 +111,7 @@
 			goose.Sleep(ctx, retryDelay)
 			continue
 		}
-		gooseevent.InstanceRegistered.Log(r.log, slog.String("address", r.address), slog.Duration("ttl", leaseTTL))
+		gooseevent.InstanceRegistered.Log(r.log, slog.String("address", r.value), slog.Duration("ttl", leaseTTL))
 		err = r.renew(ctx, lease)
 		if ctx.Err() != nil {
 			r.revoke(lease)
@@ -121,7 +126,7 @@
 	if err != nil {
 		return 0, err
 	}
-	put := goose.Put(instancePrefix+string(r.instance), []byte(r.address)).WithLease(lease)
+	put := goose.Put(instancePrefix+string(r.instance), []byte(r.value)).WithLease(lease)
 	_, err = r.store.Commit(ctx, goose.Txn{Then: []goose.Op{put}})
 	return lease, err
 }
--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -1,6 +1,7 @@
 package gooseplacement
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -130,9 +131,11 @@
 	return o == ObstacleNone
 }
 
-// place picks the replicas of a request without counting an attempt.
+// place picks the replicas of a request without counting an attempt. If the data centres
+// report sums, the loads of its own replicas are known best, so the replicas of the others
+// are used only if none of its own can serve the request in good time.
 func (pl *Placer) place(d Demand, replicas []goosedirectory.Replica, now time.Time) (placement, Obstacle) {
-	pl.removeStalePeers(now)
+	pl.table.removeStale(now)
 	all, atBound := pl.candidates(d, replicas, now)
 	if len(all) == 0 {
 		if atBound {
@@ -140,17 +143,74 @@
 		}
 		return placement{}, ObstacleNoReplica
 	}
+	own := all
+	if pl.table.split() {
+		own = pl.ownCandidates(all)
+	}
+	if len(own) == 0 || len(own) == len(all) {
+		return pl.placeAmong(d, all, now)
+	}
+	near, obstacle := pl.placeAmong(d, own, now)
+	if obstacle == ObstacleNone && near.inGoodTime(d) {
+		return near, ObstacleNone
+	}
+	far, farObstacle := pl.placeAmong(d, all, now)
+	if farObstacle != ObstacleNone || obstacle == ObstacleNone && far.freeSlots(d) <= near.freeSlots(d) && near.expected <= far.expected {
+		return near, obstacle
+	}
+	return far, ObstacleNone
+}
+
+// inGoodTime reports whether the first replica has more than the last of its slots free,
+// which a request of a peer may take at the same time, and the estimate is well within the
+// objective.
+func (p placement) inGoodTime(d Demand) bool {
+	return p.freeSlots(d) > 1 && (d.Objective <= 0 || p.expected <= time.Duration(nearShare*float64(d.Objective)))
+}
+
+// freeSlots returns the number of free slots of the first replica.
+func (p placement) freeSlots(d Demand) int {
+	slots := p.replicas[0].Slots
+	if d.Service.Engine != nil {
+		slots = d.Service.Engine.Slots
+	}
+	return slots - p.replicas[0].load.Requests
+}
+
+// nearShare is the part of the objective that the estimate for the replicas of the own data
+// centre may take; above it, those of the others are considered.
+const nearShare = 0.8
+
+// placeAmong picks the replicas of a request among the candidates, whose order it may change.
+func (pl *Placer) placeAmong(d Demand, all []candidate, now time.Time) (placement, Obstacle) {
 	if d.Service.Engine == nil {
 		return pl.placePlain(all, now), ObstacleNone
 	}
 	return pl.placeEngine(d, all, now)
 }
 
+// anyFar reports whether any of the candidates belongs to another data centre.
+func (pl *Placer) anyFar(all []candidate) bool {
+	return slices.ContainsFunc(all, func(c candidate) bool { return c.DataCentre != pl.opts.DataCentre })
+}
+
+// ownCandidates returns the candidates of the own data centre.
+func (pl *Placer) ownCandidates(all []candidate) []candidate {
+	var own []candidate
+	for _, c := range all {
+		if c.DataCentre == pl.opts.DataCentre {
+			own = append(own, c)
+		}
+	}
+	return own
+}
+
 // candidates returns the replicas that were not already tried and are not suspended. If all
 // of them are suspended, it returns the suspended ones. The second result is true if some
 // replicas were left out because they have reached the cold bound.
 func (pl *Placer) candidates(d Demand, replicas []goosedirectory.Replica, now time.Time) ([]candidate, bool) {
 	long := pl.longPool(d.Service, replicas, now)
+	bound := pl.coldBound(d.Service, now)
 	var healthy, suspended []candidate
 	atBound := false
 	for _, r := range replicas {
@@ -158,7 +218,7 @@
 			continue
 		}
 		s := pl.stateOf(r.Replica)
-		if pl.atColdBound(d.Service, s, now.Before(r.ColdUntil.Add(coldMargin)), now) {
+		if bound.reached(s, r.DataCentre == pl.opts.DataCentre, now.Before(r.ColdUntil.Add(coldMargin)), now) {
 			atBound = true
 			continue
 		}
@@ -189,13 +249,42 @@
 	warmFactor = 2.5
 )
 
-// atColdBound reports whether this instance has sent the replica its share of the requests
-// that a cold replica may get.
-func (pl *Placer) atColdBound(s goose.RoutedService, r *replicaState, cold bool, now time.Time) bool {
+// ownColdShare is the part of the cold bound of a replica that the instances of its data
+// centre share if the data centres report sums. The other instances share the rest.
+const ownColdShare = 0.7
+
+// coldBound is this instance's share of the requests that a cold replica may get in a
+// coldWindow.
+type coldBound struct {
+	// limited is false if the service sets no bound.
+	limited bool
+	// own is the share for replicas of the own data centre, other that for the others.
+	own, other float64
+}
+
+// coldBound returns the share of this instance.
+func (pl *Placer) coldBound(s goose.RoutedService, now time.Time) coldBound {
 	if s.ColdRate <= 0 {
+		return coldBound{}
+	}
+	total := coldShare * (s.ColdRate*pl.opts.ColdFactor + pl.opts.ColdSlack)
+	own, all := pl.instances(now)
+	if !pl.table.split() {
+		return coldBound{limited: true, own: total / float64(all), other: total / float64(all)}
+	}
+	return coldBound{limited: true, own: ownColdShare * total / float64(own), other: (1 - ownColdShare) * total / float64(max(all-own, 1))}
+}
+
+// reached reports whether this instance has sent the replica its share of the requests
+// that a cold replica may get.
+func (b coldBound) reached(r *replicaState, own, cold bool, now time.Time) bool {
+	if !b.limited {
 		return false
 	}
-	share := coldShare * (s.ColdRate*pl.opts.ColdFactor + pl.opts.ColdSlack) / float64(1+len(pl.peers))
+	share := b.other
+	if own {
+		share = b.own
+	}
 	if !cold {
 		share *= warmFactor
 	}
@@ -204,12 +293,11 @@
 		window = time.Duration(float64(coldWindow) / share)
 		share = 1
 	}
-	expired := 0
-	for expired < len(r.attemptTimes) && now.Sub(r.attemptTimes[expired]) > window {
-		expired++
+	recent := 0
+	for i := len(r.attemptTimes); i > 0 && now.Sub(r.attemptTimes[i-1]) <= window; i-- {
+		recent++
 	}
-	r.attemptTimes = r.attemptTimes[expired:]
-	return len(r.attemptTimes) >= int(share)
+	return recent >= int(share)
 }
 
 // placePlain picks the replica of a service without an engine, by the number of requests in
@@ -277,7 +365,7 @@
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].cost < all[j].cost })
 	if short {
-		unreported := pl.unreportedLoad(d.Service.Name, now)
+		unreported := pl.unreportedLoad(d.Service.Name, pl.anyFar(all), now)
 		for n := range shortPartCount(all, prefill) {
 			i := n + pl.pickWeighted(all[n:], unreported)
 			all[n], all[i] = all[i], all[n]
--- a/pkg/gooseplacement/load.go
+++ b/pkg/gooseplacement/load.go
@@ -6,6 +6,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
@@ -34,6 +36,14 @@
 	}
 }
 
+// minus returns the difference of two loads.
+func (l Load) minus(o Load) Load {
+	return Load{
+		Requests: l.Requests - o.Requests, Waiting: l.Waiting - o.Waiting, Tokens: l.Tokens - o.Tokens,
+		Prefill: l.Prefill - o.Prefill, ShortPauseStreams: l.ShortPauseStreams - o.ShortPauseStreams, MediumPauseStreams: l.MediumPauseStreams - o.MediumPauseStreams,
+	}
+}
+
 // OfferedLoad is the offered load of a service: the seconds of prefill that arrive per second,
 // separately for short and long prompts.
 type OfferedLoad struct {
@@ -41,10 +51,53 @@
 	Long  float64 `cbor:"2,keyasint,omitempty"`
 }
 
-// Report is the load of one instance, as sent to its peers.
+// plus returns the sum of two offered loads.
+func (l OfferedLoad) plus(o OfferedLoad) OfferedLoad {
+	return OfferedLoad{Short: l.Short + o.Short, Long: l.Long + o.Long}
+}
+
+// Report is the load of one instance, as sent to its peers, or of a data centre.
 type Report struct {
 	Replicas    map[goose.ReplicaID]Load          `cbor:"1,keyasint,omitempty"`
 	OfferedLoad map[goose.ServiceName]OfferedLoad `cbor:"2,keyasint,omitempty"`
+	// Instances is the number of instances whose reports are summed; zero stands for one.
+	Instances int `cbor:"3,keyasint,omitempty"`
+}
+
+// Bounds on what one report may contain. They are far above any real load, so a report that
+// exceeds one was not sent by an instance.
+const (
+	maxReportedRequests = 1 << 16
+	maxReportedTokens   = 1 << 40
+	maxReportedPrefill  = time.Hour
+	// maxReportedOffered is in seconds of prefill per second.
+	maxReportedOffered   = 1e6
+	maxReportedInstances = 1 << 16
+)
+
+// Validate returns an error if no instance can have sent the report. Its values are used in
+// sums and as bounds of random numbers, which must not overflow.
+func (r Report) Validate() error {
+	if r.Instances < 0 || r.Instances > maxReportedInstances {
+		return errors.Errorf("%d instances", r.Instances)
+	}
+	for id, l := range r.Replicas {
+		for _, n := range []int{l.Requests, l.Waiting, l.ShortPauseStreams, l.MediumPauseStreams} {
+			if n < 0 || n > maxReportedRequests {
+				return errors.Errorf("replica %.60q: %d requests", string(id), n)
+			}
+		}
+		if l.Tokens < 0 || l.Tokens > maxReportedTokens || l.Prefill < 0 || l.Prefill > maxReportedPrefill {
+			return errors.Errorf("replica %.60q: %d tokens, prefill %s", string(id), l.Tokens, l.Prefill)
+		}
+	}
+	for s, o := range r.OfferedLoad {
+		// The negation also rejects values that are no numbers.
+		if !(o.Short >= 0 && o.Short <= maxReportedOffered && o.Long >= 0 && o.Long <= maxReportedOffered) {
+			return errors.Errorf("service %.60q: offered load %g, %g", string(s), o.Short, o.Long)
+		}
+	}
+	return nil
 }
 
 // attempt is one attempt in flight.
--- a/pkg/gooseplacement/longpool.go
+++ b/pkg/gooseplacement/longpool.go
@@ -1,8 +1,9 @@
 package gooseplacement
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,31 +60,57 @@
 func isShort(prefill time.Duration) bool { return prefill <= shortPrefill }
 
 // longPool returns the pool of replicas for long prompts. Instances that know the same
-// replicas and the same offered load compute the same pool.
+// replicas and the same offered load compute the same pool. If the data centres report sums,
+// each has a pool of its own, since its instances use its own replicas first.
 func (pl *Placer) longPool(s goose.RoutedService, replicas []goosedirectory.Replica, now time.Time) map[goose.ReplicaID]bool {
-	if s.Engine == nil || len(replicas) < 2 {
-		return nil
+	pool := map[goose.ReplicaID]bool{}
+	if s.Engine == nil {
+		return pool
 	}
-	var offered OfferedLoad
+	own := pl.table.offered(s.Name)
 	if m, ok := pl.offered[s.Name]; ok {
-		offered = m.rate(now)
+		own = own.plus(m.rate(now))
+	}
+	if !pl.table.split() {
+		pl.addLongPool(pool, own, replicas, now)
+		return pool
+	}
+	byDataCentre := map[goose.DataCentre][]goosedirectory.Replica{}
+	for _, r := range replicas {
+		byDataCentre[r.DataCentre] = append(byDataCentre[r.DataCentre], r)
 	}
-	for _, p := range pl.peers {
-		offered.Short += p.report.OfferedLoad[s.Name].Short
-		offered.Long += p.report.OfferedLoad[s.Name].Long
+	for dc, of := range byDataCentre {
+		offered := own
+		if dc != pl.opts.DataCentre {
+			offered = pl.table.dataCentres[dc].report.OfferedLoad[s.Name]
+		}
+		pl.addLongPool(pool, offered, of, now)
+	}
+	return pool
+}
+
+// addLongPool adds those of the replicas to the pool that the offered load of short prompts
+// does not need.
+func (pl *Placer) addLongPool(pool map[goose.ReplicaID]bool, offered OfferedLoad, replicas []goosedirectory.Replica, now time.Time) {
+	if len(replicas) < 2 {
+		return
 	}
-	ids := make([]goose.ReplicaID, len(replicas))
+	ranked := make([]rankedReplica, len(replicas))
 	streams := 0
 	for i, r := range replicas {
-		ids[i] = r.ID
+		ranked[i] = rankedReplica{id: r.ID, rank: rank(r.ID)}
 		streams += pl.load(r.ID, now).ShortPauseStreams
 	}
-	sort.Slice(ids, func(i, j int) bool { return rank(ids[i]) < rank(ids[j]) })
-	pool := map[goose.ReplicaID]bool{}
-	for _, id := range ids[:longPoolSize(offered, streams, len(ids))] {
-		pool[id] = true
+	slices.SortFunc(ranked, func(a, b rankedReplica) int { return cmp.Compare(a.rank, b.rank) })
+	for _, r := range ranked[:longPoolSize(offered, streams, len(ranked))] {
+		pool[r.id] = true
 	}
-	return pool
+}
+
+// rankedReplica is a replica with its sort key.
+type rankedReplica struct {
+	id   goose.ReplicaID
+	rank uint64
 }
 
 // rank returns the sort key of a replica. The order is the same on every instance and does
--- a/pkg/gooseplacement/placer.go
+++ b/pkg/gooseplacement/placer.go
@@ -8,17 +8,17 @@
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
-// PeerTimeout is how long the load of a peer counts after its last report. When a peer
-// dies, its connections break and the replicas drop its requests.
-const PeerTimeout = 2 * time.Second
-
-// Options configures a Placer. All fields except Rand are required.
+// Options configures a Placer. All fields except Registered and Rand are
+// required.
 type Options struct {
 	// DataCentre is the data centre of this instance. Its replicas are slightly preferred.
 	DataCentre goose.DataCentre
 	// ColdFactor and ColdSlack define how many requests per second all instances together
 	// may send to a cold replica: ColdFactor times its configured cold rate plus ColdSlack.
 	ColdFactor, ColdSlack float64
+	// Registered returns the number of instances that the store lists. If nil, only those
+	// that report their load are counted.
+	Registered func() Registered
 	// Rand returns a random number in [0, n). If nil, rand.IntN is used.
 	Rand func(n int) int
 }
@@ -33,11 +33,11 @@
 	lastID   uint64
 	attempts map[uint64]*attempt
 	replicas map[goose.ReplicaID]*replicaState
-	peers    map[goose.InstanceID]peerReport
+	table    peerTable
 	// offered measures the offered load of each service at this instance.
 	offered map[goose.ServiceName]*loadMeter
-	// reportDue holds a value while a report to the peers is due at once because of a long
-	// prompt.
+	// reportDue holds a value while a report to the peers is due at once because of a new
+	// attempt.
 	reportDue chan struct{}
 }
 
@@ -53,10 +53,16 @@
 	startedUnixMS int64
 }
 
-// peerReport is the latest report of a peer and the time of its receipt.
-type peerReport struct {
-	report     Report
-	receivedAt time.Time
+// attemptTimesKept is how long the times of attempts are kept: longer than the window of the
+// smallest share of the bound for cold replicas.
+const attemptTimesKept = time.Minute
+
+func (s *replicaState) addAttemptTime(now time.Time) {
+	expired := 0
+	for expired < len(s.attemptTimes) && now.Sub(s.attemptTimes[expired]) > attemptTimesKept {
+		expired++
+	}
+	s.attemptTimes = append(s.attemptTimes[expired:], now)
 }
 
 // New returns a placer without any load.
@@ -66,41 +72,16 @@
 	}
 	return &Placer{
 		opts: o, attempts: map[uint64]*attempt{}, replicas: map[goose.ReplicaID]*replicaState{},
-		peers: map[goose.InstanceID]peerReport{}, offered: map[goose.ServiceName]*loadMeter{},
+		table: newPeerTable(), offered: map[goose.ServiceName]*loadMeter{},
 		reportDue: make(chan struct{}, 1),
 	}
 }
 
-// ReportDue delivers a value when a report should be sent to the peers at once because a long
-// prompt was placed. Until they know of it, peers may place another long prompt on the same
+// ReportDue delivers a value when a report should be sent to the peers at once because an
+// attempt was placed. Until they know of it, peers may place their requests on the same
 // replicas.
 func (pl *Placer) ReportDue() <-chan struct{} { return pl.reportDue }
 
-// SetPeerReport stores the report of a peer in place of its previous one.
-func (pl *Placer) SetPeerReport(from goose.InstanceID, r Report, now time.Time) {
-	pl.mu.Lock()
-	defer pl.mu.Unlock()
-	pl.peers[from] = peerReport{report: r, receivedAt: now}
-}
-
-// Instances returns the number of instances that share the replicas: this instance and the
-// peers whose last report is not older than PeerTimeout.
-func (pl *Placer) Instances(now time.Time) int {
-	pl.mu.Lock()
-	defer pl.mu.Unlock()
-	pl.removeStalePeers(now)
-	return 1 + len(pl.peers)
-}
-
-// removeStalePeers removes peers whose last report is older than PeerTimeout.
-func (pl *Placer) removeStalePeers(now time.Time) {
-	for id, p := range pl.peers {
-		if now.Sub(p.receivedAt) > PeerTimeout {
-			delete(pl.peers, id)
-		}
-	}
-}
-
 // Report returns the load that this instance reports to its peers.
 func (pl *Placer) Report(now time.Time) Report {
 	pl.mu.Lock()
@@ -132,10 +113,7 @@
 	if s, ok := pl.replicas[id]; ok {
 		l = pl.localLoad(s, now)
 	}
-	for _, p := range pl.peers {
-		l = l.plus(p.report.Replicas[id])
-	}
-	return l
+	return l.plus(pl.table.loads[id])
 }
 
 // stateOf returns the state of a replica. It creates the state if there is none, and resets
@@ -173,18 +151,16 @@
 		pl.replicas[p.replica].parts[pl.lastID] = i
 	}
 	first := pl.replicas[a.parts[0].replica]
-	first.attemptTimes = append(first.attemptTimes, now)
+	first.addAttemptTime(now)
 	m, ok := pl.offered[service]
 	if !ok {
 		m = &loadMeter{}
 		pl.offered[service] = m
 	}
 	m.add(now, prefill, short)
-	if !short {
-		select {
-		case pl.reportDue <- struct{}{}:
-		default:
-		}
+	select {
+	case pl.reportDue <- struct{}{}:
+	default:
 	}
 	return pl.lastID
 }
--- a/pkg/gooseplacement/unreported.go
+++ b/pkg/gooseplacement/unreported.go
@@ -17,15 +17,10 @@
 const minUnreported = 25 * time.Millisecond
 
 // unreportedLoad returns the expected prefill time of the short requests to a service that
-// peers have sent since their last reports.
-func (pl *Placer) unreportedLoad(service goose.ServiceName, now time.Time) time.Duration {
-	unreported := minUnreported
-	for _, p := range pl.peers {
-		if age := now.Sub(p.receivedAt); age > 0 {
-			unreported += time.Duration(p.report.OfferedLoad[service].Short * float64(age))
-		}
-	}
-	return unreported
+// peers have sent since their last reports. far is set if some of the candidates belong to
+// other data centres.
+func (pl *Placer) unreportedLoad(service goose.ServiceName, far bool, now time.Time) time.Duration {
+	return minUnreported + pl.table.unreported(service, far, now)
 }
 
 // equalisedCost returns how many of the candidates, ordered by cost, get a share of the
