goosegossip: at most two reports a second for progress in large fleets

Cause: with 59 instances in a data centre each one got about 250 reports a second, most of them about prefills that had gone on.

Change: in large fleets a report follows a new request at once, progress after 450 ms, and an unchanged load after 900 ms.

--- a/pkg/goosegossip/crash.go
+++ b/pkg/goosegossip/crash.go
@@ -62,7 +62,7 @@
 // small fleet, otherwise a random few. Since every instance relays, each peer still gets a
 // record from several others.
 func relayTargets(targets []net.Addr) []net.Addr {
-	if len(targets) < instancesPerInterval {
+	if len(targets)+1 < minSplitInstances {
 		return targets
 	}
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
--- a/pkg/goosegossip/gossip.go
+++ b/pkg/goosegossip/gossip.go
@@ -23,10 +23,11 @@
 const (
 	// reportInterval is the time between load reports of requests that have made progress.
 	reportInterval = 120 * time.Millisecond
-	// instancesPerInterval is the number of receivers of a report above which the time
-	// between reports grows with their number. In a fleet of that many instances the data
-	// centres exchange only the sums of their reports.
-	instancesPerInterval = 24
+	// minSplitInstances is the number of instances from which on the data centres exchange
+	// only the sums of their reports. Reports about progress are rarer there.
+	minSplitInstances      = 24
+	splitReportInterval    = 450 * time.Millisecond
+	splitUnchangedInterval = 900 * time.Millisecond
 	// sumInterval is the time between two sums that a data centre sends to the others.
 	sumInterval = 400 * time.Millisecond
 	// reportDueDelay is the pause before a report that is due at once because of a new
@@ -162,12 +163,12 @@
 		if err != nil {
 			panic(err)
 		}
-		if string(summary) == last && now.Sub(lastAt) < unchangedInterval {
+		near, far := g.splitTargets(now)
+		if string(summary) == last && now.Sub(lastAt) < maxReportAge(len(far) > 0) {
 			continue
 		}
 		last, lastAt = string(summary), now
 		sequence++
-		near, _ := g.splitTargets(now)
 		g.sendAll(g.encodeReport(report, false, sequence, now), near)
 	}
 }
@@ -197,13 +198,23 @@
 	}
 }
 
-// waitForReport returns when the next report is due: after a time that grows with the
-// number of receivers, or shortly after an attempt was placed. It returns false if ctx has
+// maxReportAge is the time after which an unchanged report is sent again.
+func maxReportAge(split bool) time.Duration {
+	if split {
+		return splitUnchangedInterval
+	}
+	return unchangedInterval
+}
+
+// waitForReport returns when the next report is due: after an interval, or shortly after an
+// attempt was placed of which the peers should know at once. It returns false if ctx has
 // ended.
 func (g *Gossip) waitForReport(ctx context.Context, lastAt time.Time) bool {
-	near, _ := g.splitTargets(g.o.Clock.Now())
-	instances := 1 + len(near)
-	t := time.NewTimer(reportInterval * time.Duration(max(instances, instancesPerInterval)) / instancesPerInterval)
+	interval := reportInterval
+	if _, far := g.splitTargets(g.o.Clock.Now()); len(far) > 0 {
+		interval = splitReportInterval
+	}
+	t := time.NewTimer(interval)
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -281,7 +292,7 @@
 func (g *Gossip) splitTargets(now time.Time) (near, far []net.Addr) {
 	all := g.allTargets(now)
 	for _, t := range all {
-		if len(all) < instancesPerInterval || t.dataCentre == "" || t.dataCentre == g.o.DataCentre {
+		if len(all)+1 < minSplitInstances || t.dataCentre == "" || t.dataCentre == g.o.DataCentre {
 			near = append(near, t.address)
 			continue
 		}
--- a/pkg/gooseplacement/placer.go
+++ b/pkg/gooseplacement/placer.go
@@ -77,9 +77,9 @@
 	}
 }
 
-// ReportDue delivers a value when a report should be sent to the peers at once because an
-// attempt was placed. Until they know of it, peers may place their requests on the same
-// replicas.
+// ReportDue delivers a value when a report should be sent to the peers at once because a long
+// prompt was placed, or any request in a large fleet, whose other reports are rare. Until
+// they know of it, peers may place their requests on the same replicas.
 func (pl *Placer) ReportDue() <-chan struct{} { return pl.reportDue }
 
 // Report returns the load that this instance reports to its peers.
@@ -158,9 +158,11 @@
 		pl.offered[service] = m
 	}
 	m.add(now, prefill, short)
-	select {
-	case pl.reportDue <- struct{}{}:
-	default:
+	if !short || pl.table.split() {
+		select {
+		case pl.reportDue <- struct{}{}:
+		default:
+		}
 	}
 	return pl.lastID
 }
