goosehost: a planned stop answers every connection that was accepted

Cause: net/http drops a request that it reads after its shutdown has begun, and closing the listener resets the connections that the kernel has accepted and the process has not. A request that had just been accepted during a planned stop was cut without an answer (a report of other operators).

Change: the listener first hands over the connections that wait and closes when none is left. The process then waits for connections with a request, and up to 1 s for new ones that have not sent theirs, before it closes the server.

TestListenerHandsOverWaitingConnections fails without the drained listener.

A connection that arrives within the microseconds between the last look and the close is still reset by the kernel.

--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -205,7 +205,7 @@
 
 // run serves until ctx ends and the instance has drained.
 func (h *host) run(ctx context.Context, metricsPort int) error {
-	callerListener, err := net.Listen("tcp4", h.settings.CallerAddress)
+	callerListener, err := listen(h.settings.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "setting listen.front")
 	}
@@ -232,8 +232,9 @@
 	// The registration uses ctx, so that it ends when the shutdown begins and not after the
 	// last request.
 	wg.Go(func() { h.registration.Run(ctx) })
+	conns := newConnTracker()
 	server := &http.Server{
-		Handler: h.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h.forwarder, ConnState: conns.handleState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
 	}
 	failed := make(chan error, 3)
@@ -245,15 +246,16 @@
 		return err
 	case <-ctx.Done():
 	}
-	h.drain(server)
+	h.drain(server, callerListener, conns)
 	stop()
 	wg.Wait()
 	gooseevent.InstanceStopped.Log(h.log)
 	return nil
 }
 
-// drain stops the server before SIGKILL arrives.
-func (h *host) drain(server *http.Server) {
+// drain stops the server before SIGKILL arrives. Every connection that was accepted before
+// the listener closes gets its response.
+func (h *host) drain(server *http.Server, callers *drainingListener, conns *connTracker) {
 	start := time.Now()
 	total := h.settings.StopTimeout
 	if total <= 0 {
@@ -264,9 +266,7 @@
 	time.Sleep(min(deregisterDelay, total/2))
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(total-stopMargin))
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		_ = server.Close()
-	}
+	drainServer(ctx, server, callers, conns)
 }
 
 // ready reports whether the instance should receive new callers.
--- a/internal/goosehosttest/fleet.go
+++ b/internal/goosehosttest/fleet.go
@@ -144,6 +144,9 @@
 	return e
 }
 
+// CallerAddress returns the address at which the instance accepts callers.
+func (i *Instance) CallerAddress() string { return i.settings.CallerAddress }
+
 // IsReady reports whether the instance's readiness endpoint responds with status 200.
 func (i *Instance) IsReady() bool {
 	resp, err := http.Get("http://" + i.settings.ReadyAddress + "/v1/readyz")
