goosegossip: a malformed datagram ends nothing

The panic ended the goroutine that reads all reports and left its lock held, so the instance heard no peer any more until its restart.

Change: the parts of a report are made with the peer, and the lock is released in any case.

--- a/pkg/goosedirectory/follow.go
+++ b/pkg/goosedirectory/follow.go
@@ -267,8 +267,9 @@
 
 // decode decodes an entry and logs a failure. The change of an unreadable entry contains
 // no usable replica.
-func (f *Follower) decode(e goose.Entry, deleted bool) goose.StoreChange {
-	c, err := f.o.StoreDecoder.Decode(e, deleted)
+func (f *Follower) decode(e goose.Entry, deleted bool) (c goose.StoreChange) {
+	var err error
+	gooseevent.Guard(f.o.Log, "entry "+e.Key, func() { c, err = f.o.StoreDecoder.Decode(e, deleted) })
 	if err != nil {
 		gooseevent.StoreEntryUnreadable.Log(f.o.Log, slog.String("key", e.Key), slog.Int64("revision", e.ModRevision), slog.Any("error", err))
 	}
--- a/pkg/goosegossip/gossip.go
+++ b/pkg/goosegossip/gossip.go
@@ -5,8 +5,8 @@
 	"log/slog"
 	"maps"
 	"net"
-	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -46,44 +46,6 @@
 	unregisteredTTL = 5 * time.Second
 )
 
-// message is one datagram. All datagrams of a report have the same Sequence.
-type message struct {
-	From goose.InstanceID `cbor:"1,keyasint"`
-	// Incarnation is the start time of the process; a larger one is a later process.
-	Incarnation int64                 `cbor:"2,keyasint"`
-	Sequence    uint64                `cbor:"3,keyasint"`
-	Part        int                   `cbor:"4,keyasint,omitempty"`
-	Parts       int                   `cbor:"5,keyasint"`
-	Report      gooseplacement.Report `cbor:"6,keyasint"`
-	// Store is the sender's view of the store.
-	Store goosedirectory.StoreView `cbor:"7,keyasint"`
-	// Crashes are records of requests that crash replicas. They are sent in separate
-	// datagrams, without parts of a load report.
-	Crashes []goose.CrashRecord `cbor:"8,keyasint,omitempty"`
-	// DataCentre is the data centre of the sender.
-	DataCentre goose.DataCentre `cbor:"9,keyasint,omitempty"`
-	// Sum is set if the report is the sum of the reports of the sender's data centre.
-	Sum bool `cbor:"10,keyasint,omitempty"`
-}
-
-// maxParts bounds the datagrams of one report.
-const maxParts = 1 << 10
-
-// validate returns an error if no instance can have sent the message.
-func (m message) validate() error {
-	switch {
-	case m.From == "":
-		return errors.New("no sender")
-	case m.Parts < 0 || m.Parts > maxParts || m.Part < 0 || m.Part > m.Parts:
-		return errors.Errorf("part %d of %d", m.Part, m.Parts)
-	case m.Sum && m.DataCentre == "":
-		return errors.New("sum without a data centre")
-	case m.Store.ReachableFor < 0 || m.Store.RecoveredFor < 0:
-		return errors.Errorf("view of the store: %+v", m.Store)
-	}
-	return m.Report.Validate()
-}
-
 // Options are the dependencies of a Gossip; all are required.
 type Options struct {
 	Instance   goose.InstanceID
@@ -109,6 +71,8 @@
 // Gossip sends this instance's load to its peers and records theirs.
 type Gossip struct {
 	o Options
+	// kept is the targets that were last computed.
+	kept atomic.Pointer[targetSet]
 
 	mu    sync.Mutex
 	peers map[peerKey]*peer
@@ -251,70 +215,6 @@
 	return datagrams
 }
 
-// target is an instance that receives datagrams.
-type target struct {
-	address    net.Addr
-	dataCentre goose.DataCentre
-}
-
-// allTargets returns the registered instances and those that sent a report recently:
-// registrations can expire while the store is unavailable.
-func (g *Gossip) allTargets(now time.Time) map[goose.InstanceID]target {
-	all := map[goose.InstanceID]target{}
-	for id, registered := range g.o.Instances() {
-		if a, err := netip.ParseAddrPort(registered.Address); err == nil && id != g.o.Instance {
-			all[id] = target{address: net.UDPAddrFromAddrPort(a), dataCentre: registered.DataCentre}
-		}
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for key, p := range g.peers {
-		if _, registered := all[key.id]; !registered && now.Sub(p.lastReportAt) < unregisteredTTL {
-			all[key.id] = target{address: p.address, dataCentre: p.dataCentre}
-		}
-	}
-	return all
-}
-
-// targets returns the addresses of all other instances.
-func (g *Gossip) targets(now time.Time) []net.Addr {
-	var addresses []net.Addr
-	for _, t := range g.allTargets(now) {
-		addresses = append(addresses, t.address)
-	}
-	return addresses
-}
-
-// splitTargets returns the addresses of the instances that get this instance's reports, and
-// of those that get only the sums of the data centre. In a large fleet these are the
-// instances of the other data centres: if all sent their reports to all others, the reports
-// of one would have to be so rare that they are useless.
-func (g *Gossip) splitTargets(now time.Time) (near, far []net.Addr) {
-	all := g.allTargets(now)
-	for _, t := range all {
-		if len(all)+1 < minSplitInstances || t.dataCentre == "" || t.dataCentre == g.o.DataCentre {
-			near = append(near, t.address)
-			continue
-		}
-		far = append(far, t.address)
-	}
-	return near, far
-}
-
-// Neighbours returns the addresses of the instances of the same data centre that sent a
-// report recently.
-func (g *Gossip) Neighbours(now time.Time) []net.Addr {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var all []net.Addr
-	for key, p := range g.peers {
-		if !key.sum && p.dataCentre == g.o.DataCentre && now.Sub(p.lastReportAt) < unregisteredTTL {
-			all = append(all, p.address)
-		}
-	}
-	return all
-}
-
 func (g *Gossip) receive(ctx context.Context) {
 	buffer := make([]byte, 2*maxDatagramBytes)
 	for ctx.Err() == nil {
@@ -326,14 +226,19 @@
 			goose.Sleep(ctx, reportInterval)
 			continue
 		}
-		var m message
-		if err := cbor.Unmarshal(buffer[:n], &m); err != nil || m.From == g.o.Instance || m.validate() != nil {
-			continue
-		}
-		g.o.Quarantine.Merge(m.Crashes, goosequarantine.SourcePeer, g.o.Clock.Now())
-		if m.Parts > 0 {
-			g.handleReport(m, from)
-		}
+		gooseevent.Guard(g.o.Log, "load report", func() { g.handleDatagram(buffer[:n], from) })
+	}
+}
+
+// handleDatagram applies a datagram of a peer. It drops those that no instance can have sent.
+func (g *Gossip) handleDatagram(datagram []byte, from net.Addr) {
+	var m message
+	if err := cbor.Unmarshal(datagram, &m); err != nil || m.From == g.o.Instance || m.validate() != nil {
+		return
+	}
+	g.o.Quarantine.Merge(m.Crashes, goosequarantine.SourcePeer, g.o.Clock.Now())
+	if m.Parts > 0 {
+		g.handleReport(m, from)
 	}
 }
 
@@ -341,50 +246,58 @@
 // reports.
 func (g *Gossip) handleReport(m message, from net.Addr) {
 	now := g.o.Clock.Now()
+	report, complete := g.collect(m, from, now)
+	if !complete {
+		return
+	}
+	g.o.OnPeerView(m.Store)
+	switch {
+	case !m.Sum:
+		g.o.Placer.SetPeerReport(m.From, report, now)
+	case m.DataCentre != g.o.DataCentre:
+		g.o.Placer.SetDataCentreReport(m.DataCentre, report, now)
+	}
+}
+
+// collect adds a datagram to the report that it is a part of. It returns the report once
+// that is complete.
+func (g *Gossip) collect(m message, from net.Addr, now time.Time) (gooseplacement.Report, bool) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	key := peerKey{id: m.From, sum: m.Sum}
 	p, ok := g.peers[key]
 	if !ok {
-		p = &peer{silent: true}
+		p = &peer{silent: true, incarnation: m.Incarnation, sequence: m.Sequence}
+		p.beginReport()
 		g.peers[key] = p
 	}
 	// A process that starts after the system clock was set back has a smaller incarnation
 	// than its predecessor. Its reports are accepted once the predecessor is silent.
 	earlier := m.Incarnation < p.incarnation && now.Sub(p.lastReportAt) <= gooseplacement.PeerTimeout
 	if earlier || m.Incarnation == p.incarnation && m.Sequence < p.sequence {
-		g.mu.Unlock()
-		return
+		return gooseplacement.Report{}, false
 	}
 	if m.Incarnation != p.incarnation || m.Sequence != p.sequence {
-		p.partial = gooseplacement.Report{Replicas: map[goose.ReplicaID]gooseplacement.Load{}}
-		p.parts = map[int]bool{}
+		p.beginReport()
 	}
 	p.incarnation, p.sequence, p.address, p.lastReportAt, p.storeReachableFor = m.Incarnation, m.Sequence, from, now, m.Store.ReachableFor
 	p.dataCentre = m.DataCentre
 	p.parts[m.Part] = true
-	for id, l := range m.Report.Replicas {
-		p.partial.Replicas[id] = l
-	}
+	maps.Copy(p.partial.Replicas, m.Report.Replicas)
 	p.partial.OfferedLoad, p.partial.Instances = m.Report.OfferedLoad, m.Report.Instances
-	complete := len(p.parts) >= m.Parts
-	report := p.partial
-	report.Replicas = maps.Clone(report.Replicas)
-	wasSilent := p.silent
-	p.silent = false
-	g.mu.Unlock()
-	if wasSilent {
+	if p.silent {
+		p.silent = false
 		gooseevent.PeerSeen.Log(g.o.Log, slog.String("peer", string(m.From)), slog.Bool("sum", m.Sum), slog.Int64("incarnation", m.Incarnation))
 	}
-	if !complete {
-		return
-	}
-	g.o.OnPeerView(m.Store)
-	switch {
-	case !m.Sum:
-		g.o.Placer.SetPeerReport(m.From, report, now)
-	case m.DataCentre != g.o.DataCentre:
-		g.o.Placer.SetDataCentreReport(m.DataCentre, report, now)
-	}
+	report := p.partial
+	report.Replicas = maps.Clone(report.Replicas)
+	return report, len(p.parts) >= m.Parts
+}
+
+// beginReport discards the parts of an earlier report.
+func (p *peer) beginReport() {
+	p.partial = gooseplacement.Report{Replicas: map[goose.ReplicaID]gooseplacement.Load{}}
+	p.parts = map[int]bool{}
 }
 
 func (g *Gossip) markSilentPeers(now time.Time) {
--- a/pkg/gooserelay/relay.go
+++ b/pkg/gooserelay/relay.go
@@ -294,12 +294,18 @@
 			goose.Sleep(ctx, r.o.ChangeBound/heartbeatDivisor)
 			continue
 		}
-		var m message
-		if err := cbor.Unmarshal(buffer[:n], &m); err != nil || m.validate() != nil || m.From == r.o.Instance {
-			continue
-		}
-		r.handle(m, r.o.Clock.Now())
+		gooseevent.Guard(r.o.Log, "changes of the store", func() { r.handleDatagram(buffer[:n]) })
+	}
+}
+
+// handleDatagram applies a datagram of another instance. It drops those that no relay can
+// have sent.
+func (r *Relay) handleDatagram(datagram []byte) {
+	var m message
+	if err := cbor.Unmarshal(datagram, &m); err != nil || m.validate() != nil || m.From == r.o.Instance {
+		return
 	}
+	r.handle(m, r.o.Clock.Now())
 }
 
 // handle applies a message of another instance.
