goosequarantine: one instance of a large fleet saves the record of a peer

Cause: each instance saves the record of a peer that the store lacks after 3 to 6 s. With 295 instances about a hundred try within the first second.

Change: the delays are spread over 3 s more for each six instances.

--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -123,6 +123,7 @@
 	h.placer = gooseplacement.New(gooseplacement.Options{
 		DataCentre: s.DataCentre, ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, Registered: h.registeredInstances,
 	})
+	h.quarantine.SetInstances(h.placer.Instances)
 	h.forwarder = gooseforward.New(gooseforward.Options{
 		Directory: h.directory, Placer: h.placer, Quarantine: h.quarantine, HeaderCodec: gooseplatform.HeaderCodec{},
 		Budget: gooseretry.New(gooseretry.Options{
--- a/pkg/goosequarantine/report.go
+++ b/pkg/goosequarantine/report.go
@@ -17,9 +17,11 @@
 	crashSaveDelay = 300 * time.Millisecond
 	lostSaveDelay  = 2 * time.Second
 	// peerSaveDelay is the lower bound of the random delay after which an instance saves the
-	// record of a peer that is not in the store, since the peer may have died. The upper
-	// bound is twice as long.
-	peerSaveDelay = 3 * time.Second
+	// record of a peer that is not in the store, since the peer may have died. The delays of
+	// a fleet are spread over as much again for each saversPerDelay instances, so that one
+	// instance saves the record and the others see it in the store.
+	peerSaveDelay  = 3 * time.Second
+	saversPerDelay = 6
 )
 
 // ReportDue delivers a value when a record should be reported to the peers at once.
@@ -101,10 +103,11 @@
 }
 
 // saveDelay returns how long a record may stay unsaved.
-func saveDelay(r goose.CrashRecord, from Source) time.Duration {
+func (t *Table) saveDelay(r goose.CrashRecord, from Source, now time.Time) time.Duration {
 	switch {
 	case from != SourceOwn:
-		return peerSaveDelay + rand.N(peerSaveDelay)
+		spread := max(time.Duration(t.instances(now))/saversPerDelay, 1)
+		return peerSaveDelay + rand.N(spread*peerSaveDelay)
 	case r.Weight >= soleSuspectLimit:
 		return 0
 	case r.Weight >= weights[goose.EvidenceCrash]:
--- a/pkg/goosequarantine/store_test.go
+++ b/pkg/goosequarantine/store_test.go
@@ -265,3 +265,53 @@
 		})
 	}
 }
+
+// Guards against hundreds of instances that all write the record of the same lost request:
+// the instance that lost it cannot reach the store, so one of its peers has to.
+func TestRecordOfLargeFleetIsSavedOnce(t *testing.T) {
+	t.Parallel()
+	const (
+		instances = 295
+		// step is the interval at which instances save, and deliverySteps how many steps later
+		// they see a change of the store.
+		step          = saveInterval
+		deliverySteps = 2
+		// maxSaves is the largest number of calls until all instances see the record.
+		maxSaves = 20
+		// steps is a minute.
+		steps = 120
+	)
+	begun := time.Unix(1_800_000_000, 0)
+	store := goosestoretest.New()
+	var fleet []*instance
+	for range instances {
+		i := newInstance(t, store, begun)
+		i.table.SetInstances(func(time.Time) int { return instances })
+		fleet = append(fleet, i)
+	}
+	lost := goose.CrashRecord{Fingerprint: culprit}.WithCrash(goose.NewCrashID(numberedReplica(1)), weights[goose.EvidenceCrash])
+	for _, i := range fleet {
+		i.table.Merge([]goose.CrashRecord{lost}, SourcePeer, begun)
+	}
+	var pending [][]goose.StoreChange
+	for range steps {
+		for _, i := range fleet {
+			i.clock.now = i.clock.now.Add(step)
+			i.mustSave()
+		}
+		all, _ := fleet[0].list()
+		pending = append(pending, all)
+		if len(pending) <= deliverySteps {
+			continue
+		}
+		for _, c := range pending[0] {
+			for _, i := range fleet {
+				i.ApplyChange(c)
+			}
+		}
+		pending = pending[1:]
+	}
+	if got := store.CallCount("commit"); got == 0 || got > maxSaves {
+		t.Errorf("got %d calls, want 1 to %d", got, maxSaves)
+	}
+}
--- a/pkg/goosequarantine/table.go
+++ b/pkg/goosequarantine/table.go
@@ -82,6 +82,8 @@
 	log *slog.Logger
 	// reportDue holds a value while a report to the peers is due at once.
 	reportDue chan struct{}
+	// instances returns the number of instances that have the same records.
+	instances func(now time.Time) int
 
 	mu      sync.Mutex
 	entries map[goose.Fingerprint]*entry
@@ -92,10 +94,14 @@
 // New returns an empty table.
 func New(log *slog.Logger) *Table {
 	return &Table{
-		log: log, reportDue: make(chan struct{}, 1), entries: map[goose.Fingerprint]*entry{}, running: map[goose.Fingerprint]int{},
+		log: log, instances: func(time.Time) int { return 1 }, reportDue: make(chan struct{}, 1), entries: map[goose.Fingerprint]*entry{}, running: map[goose.Fingerprint]int{},
 	}
 }
 
+// SetInstances sets the function that returns the number of instances with the same records.
+// It must be called before the table is used.
+func (t *Table) SetInstances(f func(now time.Time) int) { t.instances = f }
+
 // BeginAttempt returns the record of a request when one of its attempts begins. It returns
 // false if the request has evidence of a crash and this instance already runs another attempt
 // of an equal request: that attempt will show whether the request caused the crash. If
@@ -283,7 +289,7 @@
 		return
 	}
 	wasQuarantined := t.remainingQuarantine(t.liveEntry(r.Fingerprint, now), now) > 0
-	e := &entry{record: merged, source: from, changedAt: changedAt, saveAt: now.Add(saveDelay(merged, from))}
+	e := &entry{record: merged, source: from, changedAt: changedAt, saveAt: now.Add(t.saveDelay(merged, from, now))}
 	t.entries[r.Fingerprint] = e
 	t.evictOverflow(now)
 	t.logChange(wasQuarantined, e, from, now)
