goosegossip: every instance sends sums to a few, so that no link fills

Cause: the relay of a data centre sent its sums to all instances of the others, 236 of them, two or three datagrams each 400 ms: with the updates of the store that filled its link of 20 Mbit/s. At the start every instance was a relay for a moment.

Change: each instance sends the sum to those of its own rank in the other data centres, and to those of another rank that changes each round. Loads are sent as arrays of small numbers. Updates of more than two datagrams are sent once, those of more than eight not at all. An instance leads for the first time after a random part of half of the bound for changes.

Mixed builds do not read each other's loads, which they count as none.

--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -196,7 +196,6 @@
 	h.gossip = goosegossip.New(goosegossip.Options{
 		Instance: h.settings.Instance, DataCentre: h.settings.DataCentre, Incarnation: time.Now().UnixNano(), Conn: conn,
 		Instances: func() map[goose.InstanceID]goose.RegisteredInstance { return h.directory.Current().Instances() },
-		SendsSums: func() bool { return h.relay != nil && h.relay.Leading() },
 		Placer:    h.placer, StoreView: h.follower.View, OnPeerView: h.follower.ObservePeer, Quarantine: h.quarantine, Log: h.log, Clock: h.clock,
 	})
 	at := goose.RegisteredInstance{Address: address, DataCentre: h.settings.DataCentre}
--- a/pkg/goosegossip/bench_test.go
+++ b/pkg/goosegossip/bench_test.go
@@ -37,7 +37,7 @@
 	}
 	b.Run("targets", func(b *testing.B) {
 		for b.Loop() {
-			g.splitTargets(time.Now())
+			g.currentTargets(time.Now())
 		}
 	})
 	b.Run("encode", func(b *testing.B) {
--- a/pkg/goosegossip/gossip.go
+++ b/pkg/goosegossip/gossip.go
@@ -40,7 +40,7 @@
 	maxDatagramBytes = 1200
 	// replicasPerDatagram limits the replicas in one datagram, so that it stays below
 	// maxDatagramBytes.
-	replicasPerDatagram = 24
+	replicasPerDatagram = 28
 	// unregisteredTTL is how long reports are sent to an instance that is no longer
 	// registered, counted from the last report that it sent.
 	unregisteredTTL = 5 * time.Second
@@ -55,8 +55,6 @@
 	Conn        net.PacketConn
 	// Instances returns the registered instances.
 	Instances func() map[goose.InstanceID]goose.RegisteredInstance
-	// SendsSums reports whether this instance sends the sums of its data centre to the others.
-	SendsSums func() bool
 	Placer    *gooseplacement.Placer
 	// StoreView returns this instance's view of the store.
 	StoreView func(now time.Time) goosedirectory.StoreView
@@ -127,28 +125,25 @@
 		if err != nil {
 			panic(err)
 		}
-		near, far := g.splitTargets(now)
-		if string(summary) == last && now.Sub(lastAt) < maxReportAge(len(far) > 0) {
+		targets := g.currentTargets(now)
+		if string(summary) == last && now.Sub(lastAt) < maxReportAge(targets.split()) {
 			continue
 		}
 		last, lastAt = string(summary), now
 		sequence++
-		g.sendAll(g.encodeReport(report, false, sequence, now), near)
+		g.sendAll(g.encodeReport(report, false, sequence, now), targets.near)
 	}
 }
 
-// sendSums sends the sum of the reports of the data centre to the instances of all others,
-// while this instance does so for its data centre.
+// sendSums sends the sum of the reports of the data centre to a few instances of each other
+// data centre. Every instance does so, so that none has to send to hundreds.
 func (g *Gossip) sendSums(ctx context.Context) {
-	sequence := uint64(0)
-	for goose.Sleep(ctx, sumInterval) {
+	for round := uint64(1); goose.Sleep(ctx, sumInterval); round++ {
 		now := g.o.Clock.Now()
-		_, far := g.splitTargets(now)
-		if len(far) == 0 || !g.o.SendsSums() {
-			continue
+		targets := g.currentTargets(now).sumTargets(round)
+		if len(targets) > 0 {
+			g.sendAll(g.encodeReport(g.o.Placer.DataCentreReport(now), true, round, now), targets)
 		}
-		sequence++
-		g.sendAll(g.encodeReport(g.o.Placer.DataCentreReport(now), true, sequence, now), far)
 	}
 }
 
@@ -175,7 +170,7 @@
 // ended.
 func (g *Gossip) waitForReport(ctx context.Context, lastAt time.Time) bool {
 	interval := reportInterval
-	if _, far := g.splitTargets(g.o.Clock.Now()); len(far) > 0 {
+	if g.currentTargets(g.o.Clock.Now()).split() {
 		interval = splitReportInterval
 	}
 	t := time.NewTimer(interval)
@@ -192,18 +187,18 @@
 
 // encodeReport splits a report, or the sum of a data centre, into datagrams.
 func (g *Gossip) encodeReport(r gooseplacement.Report, sum bool, sequence uint64, now time.Time) [][]byte {
-	parts := []map[goose.ReplicaID]gooseplacement.Load{{}}
+	parts := []map[goose.ReplicaID]wireLoad{{}}
 	for id, load := range r.Replicas {
 		if len(parts[len(parts)-1]) == replicasPerDatagram {
-			parts = append(parts, map[goose.ReplicaID]gooseplacement.Load{})
+			parts = append(parts, map[goose.ReplicaID]wireLoad{})
 		}
-		parts[len(parts)-1][id] = load
+		parts[len(parts)-1][id] = encodeLoad(load)
 	}
 	datagrams := make([][]byte, 0, len(parts))
 	for i, replicas := range parts {
 		m := message{
 			From: g.o.Instance, DataCentre: g.o.DataCentre, Incarnation: g.o.Incarnation, Sequence: sequence, Part: i, Parts: len(parts),
-			Report: gooseplacement.Report{Replicas: replicas, OfferedLoad: r.OfferedLoad, Instances: r.Instances},
+			Report: wireReport{Replicas: replicas, OfferedLoad: r.OfferedLoad, Instances: r.Instances},
 			Store:  g.o.StoreView(now), Sum: sum,
 		}
 		b, err := cbor.Marshal(m)
@@ -245,8 +240,12 @@
 // handleReport applies a datagram of a load report; it drops late datagrams of older
 // reports.
 func (g *Gossip) handleReport(m message, from net.Addr) {
+	received, err := m.Report.decode()
+	if err != nil {
+		return
+	}
 	now := g.o.Clock.Now()
-	report, complete := g.collect(m, from, now)
+	report, complete := g.collect(m, received, from, now)
 	if !complete {
 		return
 	}
@@ -261,7 +260,7 @@
 
 // collect adds a datagram to the report that it is a part of. It returns the report once
 // that is complete.
-func (g *Gossip) collect(m message, from net.Addr, now time.Time) (gooseplacement.Report, bool) {
+func (g *Gossip) collect(m message, received gooseplacement.Report, from net.Addr, now time.Time) (gooseplacement.Report, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	key := peerKey{id: m.From, sum: m.Sum}
@@ -283,11 +282,11 @@
 	p.incarnation, p.sequence, p.address, p.lastReportAt, p.storeReachableFor = m.Incarnation, m.Sequence, from, now, m.Store.ReachableFor
 	p.dataCentre = m.DataCentre
 	p.parts[m.Part] = true
-	maps.Copy(p.partial.Replicas, m.Report.Replicas)
-	p.partial.OfferedLoad, p.partial.Instances = m.Report.OfferedLoad, m.Report.Instances
-	if p.silent {
+	maps.Copy(p.partial.Replicas, received.Replicas)
+	p.partial.OfferedLoad, p.partial.Instances = received.OfferedLoad, received.Instances
+	if p.silent && !m.Sum {
 		p.silent = false
-		gooseevent.PeerSeen.Log(g.o.Log, slog.String("peer", string(m.From)), slog.Bool("sum", m.Sum), slog.Int64("incarnation", m.Incarnation))
+		gooseevent.PeerSeen.Log(g.o.Log, slog.String("peer", string(m.From)), slog.Int64("incarnation", m.Incarnation))
 	}
 	report := p.partial
 	report.Replicas = maps.Clone(report.Replicas)
@@ -306,7 +305,7 @@
 	for key, p := range g.peers {
 		if !p.silent && now.Sub(p.lastReportAt) > gooseplacement.PeerTimeout {
 			p.silent = true
-			gooseevent.PeerSilent.Log(g.o.Log, slog.String("peer", string(key.id)), slog.Bool("sum", key.sum), slog.Duration("age", now.Sub(p.lastReportAt)))
+			gooseevent.PeerSilent.Log(g.o.Log, slog.String("peer", string(key.id)), slog.Duration("age", now.Sub(p.lastReportAt)))
 		}
 	}
 }
--- a/pkg/goosegossip/gossip_test.go
+++ b/pkg/goosegossip/gossip_test.go
@@ -46,8 +46,8 @@
 		Instance:   goose.InstanceID(name), Incarnation: time.Now().UnixNano(), Conn: n.Listen(address),
 		Instances: func() map[goose.InstanceID]goose.RegisteredInstance { return *registered.Load() }, Placer: pl,
 		StoreView:  func(time.Time) goosedirectory.StoreView { return goosedirectory.StoreView{ReachableFor: time.Minute} },
-		OnPeerView: func(goosedirectory.StoreView) {}, SendsSums: func() bool { return false },
-		Log: slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
+		OnPeerView: func(goosedirectory.StoreView) {},
+		Log:        slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -104,10 +104,10 @@
 // datagrams that are applied in part.
 func TestHandleReport(t *testing.T) {
 	t.Parallel()
-	report := func(requests int, ids ...goose.ReplicaID) gooseplacement.Report {
-		r := gooseplacement.Report{Replicas: map[goose.ReplicaID]gooseplacement.Load{}}
+	report := func(requests int, ids ...goose.ReplicaID) wireReport {
+		r := wireReport{Replicas: map[goose.ReplicaID]wireLoad{}}
 		for _, id := range ids {
-			r.Replicas[id] = gooseplacement.Load{Requests: requests}
+			r.Replicas[id] = wireLoad{Requests: requests}
 		}
 		return r
 	}
@@ -155,7 +155,7 @@
 		g.handleReport(one, &net.UDPAddr{})
 		time.Sleep(gooseplacement.PeerTimeout + time.Millisecond)
 		one.Incarnation, one.Sequence = 5, 1
-		one.Report.Replicas = map[goose.ReplicaID]gooseplacement.Load{"i-0": {Requests: 9}}
+		one.Report.Replicas = map[goose.ReplicaID]wireLoad{"i-0": {Requests: 9}}
 		g.handleReport(one, &net.UDPAddr{})
 		if c, _ := pl.Choose(gooseplacement.Demand{}, twoReplicas(), time.Now()); c.Replica.ID != "i-1" {
 			t.Errorf("got replica %s, want the one that the restarted peer has not loaded", c.Replica.ID)
@@ -180,9 +180,9 @@
 	const (
 		dataCentres, instances = 3, 12
 		// maxReports allows each instance a report to each other one of its data centre in
-		// each unchangedInterval, and one to all others for each data centre in each
-		// sumInterval, in two seconds.
-		maxReports = dataCentres*instances*(instances-1)*4 + dataCentres*(dataCentres-1)*instances*6
+		// each unchangedInterval, and two sums to each other data centre in each sumInterval,
+		// in two seconds.
+		maxReports = dataCentres*instances*(instances-1)*4 + 2*dataCentres*(dataCentres-1)*instances*6
 	)
 	synctest.Test(t, func(t *testing.T) {
 		var reports atomic.Int64
@@ -208,7 +208,6 @@
 				Quarantine: goosequarantine.New(slog.New(slog.DiscardHandler)), Instance: name, DataCentre: at.DataCentre,
 				Incarnation: time.Now().UnixNano(), Conn: n.Listen(at.Address),
 				Instances: func() map[goose.InstanceID]goose.RegisteredInstance { return *registered.Load() }, Placer: pl,
-				SendsSums:  func() bool { return i < dataCentres },
 				StoreView:  func(time.Time) goosedirectory.StoreView { return goosedirectory.StoreView{} },
 				OnPeerView: func(goosedirectory.StoreView) {},
 				Log:        slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
@@ -247,7 +246,13 @@
 			}
 		}
 		check("dc-1")
-		time.Sleep(sumInterval + 10*time.Millisecond)
+		// Another of the data centres learns of it by the sum, also if the usual sender is dead.
+		time.Sleep(2*sumInterval + 10*time.Millisecond)
+		for i, pl := range placers["dc-0"] {
+			if c, _ := pl.Choose(gooseplacement.Demand{}, twoReplicas()[:1], time.Now()); c.Load.Requests == 0 {
+				t.Errorf("got no request at the replica at instance %d of another data centre", i)
+			}
+		}
 		if got := placers["dc-0"][7].DataCentreReport(time.Now()).Instances; got != instances {
 			t.Errorf("got a sum of %d instances, want those of the data centre, %d", got, instances)
 		}
--- a/pkg/goosegossip/malformed_test.go
+++ b/pkg/goosegossip/malformed_test.go
@@ -64,8 +64,9 @@
 		"negative part":             {From: "b", Part: -1, Parts: 2},
 		"too many parts":            {From: "b", Parts: 1 << 30},
 		"sum without a data centre": {From: "b", Parts: 1, Sum: true},
-		"infinite load":             {From: "b", Parts: 1, Report: gooseplacement.Report{OfferedLoad: map[goose.ServiceName]gooseplacement.OfferedLoad{"": {Short: 1e300}}}},
-		"negative load":             {From: "b", Parts: 1, Report: gooseplacement.Report{Replicas: map[goose.ReplicaID]gooseplacement.Load{"i-1": {Requests: -100}}}},
+		"infinite load":             {From: "b", Parts: 1, Report: wireReport{OfferedLoad: map[goose.ServiceName]gooseplacement.OfferedLoad{"": {Short: 1e300}}}},
+		"negative load":             {From: "b", Parts: 1, Report: wireReport{Replicas: map[goose.ReplicaID]wireLoad{"i-1": {Requests: -100}}}},
+		"prefill":                   {From: "b", Parts: 1, Report: wireReport{Replicas: map[goose.ReplicaID]wireLoad{"i-1": {PrefillMS: 1 << 62}}}},
 		"view of the store":         {From: "b", Parts: 1, Store: goosedirectory.StoreView{RecoveredFor: -1}},
 	}
 	for name, m := range tests {
@@ -89,8 +90,8 @@
 	Seeds: func() [][]any {
 		var seeds [][]any
 		for _, m := range []message{
-			{From: "b", Parts: 1, Report: gooseplacement.Report{Replicas: map[goose.ReplicaID]gooseplacement.Load{"i-1": {Requests: 1, Prefill: time.Second}}}},
-			{From: "b", Parts: 2, Sum: true, DataCentre: "dalkeith", Report: gooseplacement.Report{Instances: 5}},
+			{From: "b", Parts: 1, Report: wireReport{Replicas: map[goose.ReplicaID]wireLoad{"i-1": {Requests: 1, PrefillMS: 1000}}}},
+			{From: "b", Parts: 2, Sum: true, DataCentre: "dalkeith", Report: wireReport{Instances: 5}},
 			{From: "b", Crashes: []goose.CrashRecord{{Fingerprint: 7}}},
 		} {
 			b, err := cbor.Marshal(m)
--- a/pkg/goosegossip/message.go
+++ b/pkg/goosegossip/message.go
@@ -1,6 +1,9 @@
 package goosegossip
 
 import (
+	"math"
+	"time"
+
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
@@ -12,11 +15,10 @@
 type message struct {
 	From goose.InstanceID `cbor:"1,keyasint"`
 	// Incarnation is the start time of the process; a larger one is a later process.
-	Incarnation int64                 `cbor:"2,keyasint"`
-	Sequence    uint64                `cbor:"3,keyasint"`
-	Part        int                   `cbor:"4,keyasint,omitempty"`
-	Parts       int                   `cbor:"5,keyasint"`
-	Report      gooseplacement.Report `cbor:"6,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint"`
+	Sequence    uint64 `cbor:"3,keyasint"`
+	Part        int    `cbor:"4,keyasint,omitempty"`
+	Parts       int    `cbor:"5,keyasint"`
 	// Store is the sender's view of the store.
 	Store goosedirectory.StoreView `cbor:"7,keyasint"`
 	// Crashes are records of requests that crash replicas. They are sent in separate
@@ -25,7 +27,51 @@
 	// DataCentre is the data centre of the sender.
 	DataCentre goose.DataCentre `cbor:"9,keyasint,omitempty"`
 	// Sum is set if the report is the sum of the reports of the sender's data centre.
-	Sum bool `cbor:"10,keyasint,omitempty"`
+	Sum    bool       `cbor:"10,keyasint,omitempty"`
+	Report wireReport `cbor:"11,keyasint"`
+}
+
+// wireReport is the encoding of a report. Loads are arrays of small numbers, so that the sum
+// of a data centre fits into one or two datagrams.
+type wireReport struct {
+	Replicas    map[goose.ReplicaID]wireLoad                     `cbor:"1,keyasint,omitempty"`
+	OfferedLoad map[goose.ServiceName]gooseplacement.OfferedLoad `cbor:"2,keyasint,omitempty"`
+	Instances   int                                              `cbor:"3,keyasint,omitempty"`
+}
+
+// wireLoad is the encoding of a load.
+type wireLoad struct {
+	_                  struct{} `cbor:",toarray"`
+	Requests           int
+	Waiting            int
+	Tokens             int
+	PrefillMS          int64
+	ShortPauseStreams  int
+	MediumPauseStreams int
+}
+
+func encodeLoad(l gooseplacement.Load) wireLoad {
+	return wireLoad{
+		Requests: l.Requests, Waiting: l.Waiting, Tokens: l.Tokens, PrefillMS: l.Prefill.Milliseconds(),
+		ShortPauseStreams: l.ShortPauseStreams, MediumPauseStreams: l.MediumPauseStreams,
+	}
+}
+
+// maxPrefillMS keeps a decoded prefill from overflowing.
+const maxPrefillMS = math.MaxInt64 / int64(time.Millisecond)
+
+func (r wireReport) decode() (gooseplacement.Report, error) {
+	report := gooseplacement.Report{OfferedLoad: r.OfferedLoad, Instances: r.Instances, Replicas: make(map[goose.ReplicaID]gooseplacement.Load, len(r.Replicas))}
+	for id, l := range r.Replicas {
+		if l.PrefillMS < 0 || l.PrefillMS > maxPrefillMS {
+			return gooseplacement.Report{}, errors.Errorf("replica %.60q: prefill of %d ms", string(id), l.PrefillMS)
+		}
+		report.Replicas[id] = gooseplacement.Load{
+			Requests: l.Requests, Waiting: l.Waiting, Tokens: l.Tokens, Prefill: time.Duration(l.PrefillMS) * time.Millisecond,
+			ShortPauseStreams: l.ShortPauseStreams, MediumPauseStreams: l.MediumPauseStreams,
+		}
+	}
+	return report, report.Validate()
 }
 
 // maxParts bounds the datagrams of one report.
@@ -43,5 +89,5 @@
 	case m.Store.ReachableFor < 0 || m.Store.RecoveredFor < 0:
 		return errors.Errorf("view of the store: %+v", m.Store)
 	}
-	return m.Report.Validate()
+	return nil
 }
--- a/pkg/goosegossip/targets.go
+++ b/pkg/goosegossip/targets.go
@@ -1,8 +1,10 @@
 package goosegossip
 
 import (
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
@@ -46,31 +48,65 @@
 // several reports in it.
 const targetsInterval = 200 * time.Millisecond
 
-// targetSet is the targets at one time.
+// targetSet is the targets at one time. It is immutable.
 type targetSet struct {
 	computedAt time.Time
-	near, far  []net.Addr
+	// near are the instances that get this instance's reports.
+	near []net.Addr
+	// far are the instances of the other data centres, in order of their ids, if they get only
+	// sums. In a large fleet that is so: if all sent their reports to all others, the reports
+	// of one would have to be so rare that they are useless.
+	far map[goose.DataCentre][]net.Addr
+	// rank is the position of this instance among those of its data centre, and size their
+	// number.
+	rank, size int
 }
 
-// splitTargets returns the addresses of the instances that get this instance's reports, and
-// of those that get only the sums of the data centre. In a large fleet these are the
-// instances of the other data centres: if all sent their reports to all others, the reports
-// of one would have to be so rare that they are useless. The slices must not be modified.
-func (g *Gossip) splitTargets(now time.Time) (near, far []net.Addr) {
-	kept := g.kept.Load()
-	if kept != nil && now.Sub(kept.computedAt) < targetsInterval {
-		return kept.near, kept.far
+// split reports whether the other data centres get only sums.
+func (t *targetSet) split() bool { return len(t.far) > 0 }
+
+// sumTargets returns the instances that get the sum from this one in a round: of each data
+// centre those of its own rank and, in case their usual sender is dead, those of another
+// rank that changes each round.
+func (t *targetSet) sumTargets(round uint64) []net.Addr {
+	other := (t.rank + int(round%uint64(t.size))) % t.size
+	var targets []net.Addr
+	for _, far := range t.far {
+		for i, address := range far {
+			if i%t.size == t.rank || i%t.size == other {
+				targets = append(targets, address)
+			}
+		}
+	}
+	return targets
+}
+
+// currentTargets returns the targets, which are computed again after targetsInterval.
+func (g *Gossip) currentTargets(now time.Time) *targetSet {
+	if kept := g.kept.Load(); kept != nil && now.Sub(kept.computedAt) < targetsInterval {
+		return kept
 	}
+	set := g.computeTargets(now)
+	g.kept.Store(set)
+	return set
+}
+
+func (g *Gossip) computeTargets(now time.Time) *targetSet {
 	all := g.allTargets(now)
-	for _, t := range all {
-		if len(all)+1 < minSplitInstances || t.dataCentre == "" || t.dataCentre == g.o.DataCentre {
-			near = append(near, t.address)
+	set := &targetSet{computedAt: now, far: map[goose.DataCentre][]net.Addr{}, size: 1}
+	for _, id := range slices.Sorted(maps.Keys(all)) {
+		t := all[id]
+		if len(all)+1 >= minSplitInstances && t.dataCentre != "" && t.dataCentre != g.o.DataCentre {
+			set.far[t.dataCentre] = append(set.far[t.dataCentre], t.address)
 			continue
 		}
-		far = append(far, t.address)
+		set.near = append(set.near, t.address)
+		set.size++
+		if id < g.o.Instance {
+			set.rank++
+		}
 	}
-	g.kept.Store(&targetSet{computedAt: now, near: near, far: far})
-	return near, far
+	return set
 }
 
 // Neighbours returns the addresses of the instances of the same data centre that sent a
--- a/pkg/gooserelay/message.go
+++ b/pkg/gooserelay/message.go
@@ -18,7 +18,7 @@
 	partBytes = 1000
 	// maxParts bounds the datagrams of one update. The others read a larger one from the
 	// store, since so many datagrams at once would fill the link of a small machine.
-	maxParts = 32
+	maxParts = 8
 	// maxUpdateBytes bounds an update that is received, after its decompression.
 	maxUpdateBytes = 8 << 20
 	// maxDatagramBytes bounds a datagram.
--- a/pkg/gooserelay/relay.go
+++ b/pkg/gooserelay/relay.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -29,8 +30,11 @@
 const (
 	// minInstances is the number of instances from which on relays save calls.
 	minInstances = 12
-	// sendCount is how often an update is sent, since datagrams can be lost.
-	sendCount = 2
+	// sendCount is how often an update of at most maxResentParts datagrams is sent, since
+	// datagrams can be lost. A longer one is sent once, so that it does not fill the link of a
+	// small machine.
+	sendCount      = 2
+	maxResentParts = 2
 	// maxOutgoing bounds the updates that wait to be sent.
 	maxOutgoing = 16
 	// maxReceived bounds the updates that wait for the watch.
@@ -47,6 +51,7 @@
 	pollDivisor      = 5
 	pauseDivisor     = 6
 	backoffDivisor   = 10
+	startDivisor     = 2
 	heartbeatDivisor = 16
 	// heartbeatsMissed is the number of heartbeats after which a relay counts as lost.
 	heartbeatsMissed = 3
@@ -82,6 +87,10 @@
 	// sendDue holds a value while an update should be sent at once.
 	sendDue chan struct{}
 
+	// leadFrom is when this instance may become a relay for the first time. Instances that
+	// start together have different times, so that one becomes a relay and not all.
+	leadFrom time.Time
+
 	mu sync.Mutex
 	// leading is set while this instance is a relay.
 	leading bool
@@ -117,7 +126,7 @@
 func New(o Options) *Relay {
 	return &Relay{
 		Store: o.Store, o: o, received: make(chan update, maxReceived), heard: make(chan struct{}, 1),
-		sendDue: make(chan struct{}, 1), lastTick: o.Clock.Now(),
+		sendDue: make(chan struct{}, 1), lastTick: o.Clock.Now(), leadFrom: o.Clock.Now().Add(rand.N(o.ChangeBound / startDivisor)),
 	}
 }
 
@@ -165,7 +174,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.revision, r.confirmedAt = u.until, now
-	if !r.leading && !r.sourceValid(now) && r.isLargeFleet(now) {
+	if !r.leading && !r.sourceValid(now) && r.isLargeFleet(now) && !now.Before(r.leadFrom) {
 		r.leading = true
 		gooseevent.RelayBegun.Log(r.o.Log, slog.Int64("revision", u.until))
 	}
@@ -274,7 +283,7 @@
 			m.After, m.Until, m.Part, m.Parts, m.Data = o.update.after, o.update.until, i, len(o.parts), data
 			messages = append(messages, m)
 		}
-		if o.sent++; o.sent < sendCount {
+		if o.sent++; o.sent < sendCount && len(o.parts) <= maxResentParts {
 			waiting = append(waiting, o)
 		}
 	}
