gooserelay: fewer calls in a storm of versions, at the start, and by refused instances

Instances that the store refuses repeated such a read each second. At the start each instance read the store once more right after it had read all of it.

Change: updates are compressed better and may have twelve datagrams, reads of missing updates that fail are repeated after up to the bound for changes, and the first watch of a process waits for a relay.

--- a/pkg/gooserelay/message.go
+++ b/pkg/gooserelay/message.go
@@ -18,7 +18,7 @@
 	partBytes = 1000
 	// maxParts bounds the datagrams of one update. The others read a larger one from the
 	// store, since so many datagrams at once would fill the link of a small machine.
-	maxParts = 8
+	maxParts = 12
 	// maxUpdateBytes bounds an update that is received, after its decompression.
 	maxUpdateBytes = 8 << 20
 	// maxDatagramBytes bounds a datagram.
@@ -104,7 +104,7 @@
 		return nil, errors.WithStack(err)
 	}
 	var data bytes.Buffer
-	w, err := flate.NewWriter(&data, flate.BestSpeed)
+	w, err := flate.NewWriter(&data, flate.DefaultCompression)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/pkg/gooserelay/watch.go
+++ b/pkg/gooserelay/watch.go
@@ -38,6 +38,8 @@
 	// response to the next poll in a small fleet.
 	polledAt time.Time
 	pollWait time.Duration
+	// failures is the number of polls that have failed since the last successful one.
+	failures int
 
 	mu  sync.Mutex
 	err error
@@ -69,10 +71,15 @@
 func (w *watcher) Close() { w.stop() }
 
 // run begins with a poll, since the watch may have been started because the relay is
-// behind. Then it follows a relay, or polls the store.
+// behind. Then it follows a relay, or polls the store. The first watch of an instance, which
+// has just read the whole store, waits for a relay instead.
 func (w *watcher) run() {
 	defer close(w.events)
 	defer w.stop()
+	w.wait(w.relay.leadFrom.Sub(w.relay.o.Clock.Now()))
+	for w.follow() && w.ctx.Err() == nil {
+		w.backOff()
+	}
 	for w.ctx.Err() == nil {
 		if err := w.poll(); err != nil && !w.mayGoOn(err) {
 			w.mu.Lock()
@@ -125,8 +132,10 @@
 	events, until, err := w.relay.o.Store.Poll(w.ctx, "", after, w.nextPollWait())
 	w.polledAt = w.relay.o.Clock.Now()
 	if err != nil {
+		w.failures++
 		return err
 	}
+	w.failures = 0
 	w.relay.recordPoll(newUpdate(after, until, events), w.polledAt)
 	if err := w.deliver(events); err != nil {
 		return err
@@ -203,11 +212,15 @@
 	}
 }
 
+// maxGapBackoff bounds the exponent of the time between reads of missing updates that fail.
+const maxGapBackoff = 2
+
 // readMissingAt returns when an update that has been missing since the given time is read
 // from the store.
 func (w *watcher) readMissingAt(since time.Time) time.Time {
 	at := since.Add(gapWait)
-	if next := w.polledAt.Add(w.relay.o.ChangeBound / gapPollDivisor); next.After(at) {
+	pause := w.relay.o.ChangeBound / gapPollDivisor << min(w.failures, maxGapBackoff)
+	if next := w.polledAt.Add(pause); next.After(at) {
 		return next
 	}
 	return at
