--- a/internal/goosesoak/instance_test.go
+++ b/internal/goosesoak/instance_test.go
@@ -84,6 +84,7 @@
 	callerPort = 8227 + iota
 	readyPort
 	metricsPort
+	// internalPort takes load reports, and the next port changes of the store.
 	internalPort
 )
 
@@ -117,7 +118,7 @@
 [platform]
 addr = %q
 form = "kv"
-`, i.name, dataCentre, address, internalPort, internalPort, address, callerPort, i.readyAddress, int(stopTimeout.Seconds()), i.storeProxy.address())
+`, i.name, dataCentre, address, internalPort, internalPort+1, address, callerPort, i.readyAddress, int(stopTimeout.Seconds()), i.storeProxy.address())
 	if err := os.WriteFile(i.settingsFile, []byte(text), 0o600); err != nil {
 		i.t.Fatal(err)
 	}
