goosequarantine: no report is prepared for records that are not relayed

Change: a report is requested only for a record that this instance reports.

Figures: TestPeersRecordsRequestNoReport, the case of a peer's lost response, fails without the change. Processor time was not measured again.

--- a/pkg/goosequarantine/table.go
+++ b/pkg/goosequarantine/table.go
@@ -293,7 +293,9 @@
 	t.entries[r.Fingerprint] = e
 	t.evictOverflow(now)
 	t.logChange(wasQuarantined, e, from, now)
-	t.requestReport()
+	if e.reportable(1) {
+		t.requestReport()
+	}
 }
 
 // logChange logs a changed record and whether its quarantine begins or ends with the change.
--- a/pkg/goosequarantine/table_test.go
+++ b/pkg/goosequarantine/table_test.go
@@ -321,3 +321,39 @@
 		t.Error("got no signal for a peer with a stale record")
 	}
 }
+
+// Guards against instances that prepare a report for each record that they receive, although
+// they relay none of them: responses that are lost at hundreds of instances.
+func TestPeersRecordsRequestNoReport(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		evidence goose.CrashEvidence
+		from     Source
+		want     bool
+	}{
+		"own, lost":          {evidence: goose.EvidenceLost, from: SourceOwn, want: true},
+		"of a peer, lost":    {evidence: goose.EvidenceLost, from: SourcePeer},
+		"of a peer, a crash": {evidence: goose.EvidenceCrash, from: SourcePeer, want: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ts := newTables(2)
+			ts.recordLoss(0, culprit, 1, tc.evidence)
+			table := ts.all[0]
+			if tc.from == SourcePeer {
+				table = ts.all[1]
+				table.Merge(ts.all[0].Report(1, 1, ts.now).All(), tc.from, ts.now)
+			}
+			got := false
+			select {
+			case <-table.ReportDue():
+				got = true
+			default:
+			}
+			if got != tc.want {
+				t.Errorf("got a report requested: %t, want %t", got, tc.want)
+			}
+		})
+	}
+}
