goosehost: the tests of crashing requests wait until instances hear each other

The case makes the store unavailable when all instances are registered, which can be before an instance has read who the others are. Such an instance hears of nothing.

Change: the fleet of these tests is ready when every instance has heard every other one. The checks are as before.

--- a/internal/goosehost/crash_test.go
+++ b/internal/goosehost/crash_test.go
@@ -54,7 +54,9 @@
 	return s
 }
 
-// waitReady waits until every instance is ready and registered.
+// waitReady waits until every instance is ready, registered and heard by all others. Without
+// the last, a test that makes the store unavailable may do so before an instance has read who
+// the others are; such an instance learns of nothing until the store is back.
 func (s *crashFleet) waitReady() {
 	s.t.Helper()
 	for n, e := range s.entries {
@@ -63,6 +65,14 @@
 	goosehosttest.Eventually(s.t, "all instances are registered", func() bool {
 		return len(s.Store.Keys("gooseberryhold/instances/")) == len(s.entries)
 	})
+	for n, l := range s.logs {
+		for peer := range s.entries {
+			if peer != n {
+				text := fmt.Sprintf(`"event":720,"peer":"edge-%d"`, peer)
+				goosehosttest.Eventually(s.t, fmt.Sprintf("instance %d hears instance %d", n, peer), func() bool { return l.Has(text) })
+			}
+		}
+	}
 }
 
 func (s *crashFleet) serveReplica(self *gooseplatformtest.Replica) http.Handler {
