gooserelay: a restarted watch asks the store, also while a relay is followed

Since every watch, and not only the first one of a process, began by following the relay. A watch that is restarted because peers know more than its relay went on with that relay.

Change: only the first watch waits for a relay.

--- a/pkg/gooserelay/relay_test.go
+++ b/pkg/gooserelay/relay_test.go
@@ -396,3 +396,28 @@
 		f.stop()
 	})
 }
+
+// Guards against a watch that goes on with the relay although it was restarted because peers
+// know more than the relay tells: it has to ask the store at once.
+func TestRestartedWatchPolls(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 20, nil)
+		time.Sleep(10 * time.Second)
+		follower := f.instances[0]
+		if follower.relay.Leading() {
+			follower = f.instances[1]
+		}
+		before := follower.store.polls.Load()
+		w, err := follower.relay.Watch(context.Background(), "", 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		if got := follower.store.polls.Load() - before; got != 1 {
+			t.Errorf("got %d polls after the watch was restarted, want one", got)
+		}
+		w.Close()
+		f.stop()
+	})
+}
--- a/pkg/gooserelay/watch.go
+++ b/pkg/gooserelay/watch.go
@@ -76,9 +76,9 @@
 func (w *watcher) run() {
 	defer close(w.events)
 	defer w.stop()
-	w.wait(w.relay.leadFrom.Sub(w.relay.o.Clock.Now()))
-	for w.follow() && w.ctx.Err() == nil {
-		w.backOff()
+	if d := w.relay.leadFrom.Sub(w.relay.o.Clock.Now()); d > 0 {
+		w.wait(d)
+		w.followRelays()
 	}
 	for w.ctx.Err() == nil {
 		if err := w.poll(); err != nil && !w.mayGoOn(err) {
@@ -88,9 +88,14 @@
 			return
 		}
 		w.wait(w.pollPause())
-		for w.follow() && w.ctx.Err() == nil {
-			w.backOff()
-		}
+		w.followRelays()
+	}
+}
+
+// followRelays follows one relay after the other until the store has to be polled.
+func (w *watcher) followRelays() {
+	for w.follow() && w.ctx.Err() == nil {
+		w.backOff()
 	}
 }
 
