--- a/scripts/hunt.sh
+++ b/scripts/hunt.sh
@@ -1,15 +1,15 @@
 #!/bin/sh
 # Simulates days with other seeds and mixed faults on a site of the users' platform, and
 # fails if a rule is violated. The complete output is kept in out/.
-# usage: KIT=<folder of the kit> JOBS=<cores> scripts/hunt.sh <site> <days> [variant]
-# With a variant (goosesite --help) it uses a site that is derived from the users' one.
+# usage: KIT=<folder of the kit> FLEETBENCH=<program> JOBS=<cores> scripts/hunt.sh <site> <days> [variant]
+# A site is the path of its file in the kit without the suffix. With a variant (goosesite --help) it uses a site that is derived from the users' one.
 set -eu
-site=$1
+file=$KIT/$1.toml
+site=$(basename "$1")
 days=$2
 variant=${3:-}
-test -x "$KIT/bin/fleetbench" || { echo "hunt: the users' kit is not in $KIT; nothing was run" >&2; exit 1; }
-file=$(find "$KIT" -name "$site.toml" | head -1)
-test -n "$file" || { echo "hunt: the kit has no site $site" >&2; exit 1; }
+test -x "$FLEETBENCH" || { echo "hunt: $FLEETBENCH is missing; nothing was run" >&2; exit 1; }
+test -f "$file" || { echo "hunt: the kit has no site $1" >&2; exit 1; }
 mkdir -p out
 if [ -n "$variant" ]; then
 	# The derived site is a temporary file, because the users' files do not belong to the
@@ -21,6 +21,6 @@
 	file=$derived/$site-$variant.toml
 	site=$site-$variant
 fi
-"$KIT/bin/fleetbench" hunt "$file" --days "$days" --jobs "$JOBS" --why "hunt" >"out/hunt-$site.txt" 2>&1 || true
+"$FLEETBENCH" hunt "$file" --days "$days" --jobs "$JOBS" --why "hunt" >"out/hunt-$site.txt" 2>&1 || true
 grep -vE 'is played, after' "out/hunt-$site.txt"
 grep -qE '^[0-9]+ days on .*, 0 with a rule broken' "out/hunt-$site.txt"
