--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -194,7 +194,7 @@
 	c.o.Metrics.countAttempt(c.service.Name, r.outcome)
 	if failed {
 		gooseevent.AttemptFailed.Log(c.o.Log, slog.String("request", string(c.header.Attempt)),
-			slog.String("fingerprint", c.fingerprintText()), slog.Any("attempt", a))
+			slog.String("fingerprint", c.fingerprintText()), slog.Any("parts", c.partTexts()), slog.Any("attempt", a))
 	}
 	if suspension > 0 {
 		gooseevent.ReplicaSuspended.Log(c.o.Log, slog.String("replica", string(choice.Replica.ID)), slog.Duration("pause", suspension))
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -97,6 +97,8 @@
 	// fingerprint is equal for equal requests, regardless of their ids. It is zero until
 	// the body was read.
 	fingerprint goose.Fingerprint
+	// parts are the fingerprints of the shared parts of the prompt.
+	parts []goose.Fingerprint
 	// crashRecord is the evidence against the request when the current attempt began.
 	crashRecord goose.CrashRecord
 	urgency     int
@@ -216,6 +218,9 @@
 	}
 	c.body = body
 	c.fingerprint = goose.NewFingerprint(c.workspace.Name, "", body).WithTarget(c.r.Method, c.r.RequestURI)
+	for _, part := range c.header.SharedParts {
+		c.parts = append(c.parts, goose.NewPartFingerprint(c.header.Model, part))
+	}
 	return goose.Refusal{}, true
 }
 
--- a/internal/gooseforward/refuse.go
+++ b/internal/gooseforward/refuse.go
@@ -47,7 +47,7 @@
 // logAttrs returns the attributes of the log line that ends a request.
 func (c *call) logAttrs() []any {
 	return []any{
-		slog.String("request", string(c.header.Attempt)), slog.String("fingerprint", c.fingerprintText()), slog.String("route", c.route.Name),
+		slog.String("request", string(c.header.Attempt)), slog.String("fingerprint", c.fingerprintText()), slog.Any("parts", c.partTexts()), slog.String("route", c.route.Name),
 		slog.String("service", string(c.service.Name)), slog.String("workspace", string(c.workspace.Name)),
 		slog.Int64("version", c.tableVersion()), slog.Int("prompt-tokens", c.header.PromptTokens),
 		slog.Duration("after", c.o.Clock.Now().Sub(c.arrived).Round(time.Microsecond)),
@@ -64,6 +64,15 @@
 	return c.fingerprint.String()
 }
 
+// partTexts returns the fingerprints of the shared parts for the log.
+func (c *call) partTexts() []string {
+	var texts []string
+	for _, part := range c.parts {
+		texts = append(texts, part.String())
+	}
+	return texts
+}
+
 func (c *call) tableVersion() int64 {
 	if c.snapshot.Table == nil {
 		return 0
--- a/pkg/goose/goose.go
+++ b/pkg/goose/goose.go
@@ -59,6 +59,11 @@
 	return Fingerprint(xxhash.Sum64String(f.String() + " " + method + " " + path))
 }
 
+// NewPartFingerprint identifies a part of the prompts for a model, whatever requests contain it.
+func NewPartFingerprint(model string, part PromptPartID) Fingerprint {
+	return Fingerprint(xxhash.Sum64String("part " + model + " " + string(part)))
+}
+
 // String returns the fingerprint as 16 hexadecimal digits.
 func (f Fingerprint) String() string {
 	var b [8]byte
--- a/pkg/goose/routing.go
+++ b/pkg/goose/routing.go
@@ -166,8 +166,19 @@
 	// LastEvent is the event after which a stream continues; empty for a stream from
 	// the start.
 	LastEvent string
+	// Model is empty if the caller does not state it.
+	Model string
+	// SharedParts are the parts of the prompt that other requests may contain, too: all
+	// but the last one, without duplicates. There are at most MaxSharedParts.
+	SharedParts []PromptPartID
 }
 
+// PromptPartID identifies a part of a prompt by its content.
+type PromptPartID string
+
+// MaxSharedParts bounds the parts of one prompt that are examined.
+const MaxSharedParts = 64
+
 // PrefillHelper is a replica that prefills a part of another replica's prompt.
 type PrefillHelper struct {
 	Address string
