goosequarantine: evidence against the parts of prompts, shared by all instances

Cause: evidence was kept for whole requests only. No two of these are equal, so each began without a record and cost up to two replicas. Change: the shared parts of a prompt are subjects of evidence like the request, in the same records, datagrams and store. Three crashes in sequence hold a part; a replica that has written a response for half a second clears it; what a request contains itself does not excuse it; a suspect part runs one at a time at an instance, and a held one on trial, one in the fleet, after 15 s and then twice as long each time. Evidence: TestPartThatCrashesReplicasIsQuarantined got 28 replicas crashed by 14 requests on the code before, TestSoundRequestsBesideDeadlyPart 8 requests after the crashes.

--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -76,7 +76,7 @@
 		}
 		choice, obstacle := c.chooseReplica()
 		if obstacle != gooseplacement.ObstacleNone {
-			c.o.Quarantine.EndAttempt(c.fingerprint)
+			c.o.Quarantine.EndAttempt(c.suspicion)
 			c.writeFailure(last, obstacle)
 			return
 		}
@@ -155,7 +155,7 @@
 		// The silence timer has already taken the retry from the budget.
 		return c.route.Retryable()
 	case outcomeFailed, outcomeLost:
-		_, quarantined := c.o.Quarantine.Quarantined(c.fingerprint, now)
+		_, quarantined := c.o.Quarantine.Quarantined(c.subjects, now)
 		return !quarantined && c.route.Retryable() && c.runs < c.route.MaxAttempts && c.o.Budget.TakeRetry(c.service.Name, now)
 	}
 	return false
@@ -170,7 +170,7 @@
 	r := c.runAttempt(choice)
 	r.timeToFirst = c.timeToFirst
 	weight := c.recordCrashEvidence(choice, &r)
-	c.o.Quarantine.EndAttempt(c.fingerprint)
+	c.o.Quarantine.EndAttempt(c.suspicion)
 	c.avoidFullHelpers(choice, r)
 	now := c.o.Clock.Now()
 	failed := r.outcome == outcomeNotSent || r.outcome == outcomeLost || r.outcome == outcomeSilent || r.outcome == outcomeFailed ||
--- a/internal/gooseforward/crash.go
+++ b/internal/gooseforward/crash.go
@@ -15,11 +15,14 @@
 	now := c.o.Clock.Now()
 	switch r.outcome {
 	case outcomeDone, outcomeFailed:
-		c.o.Quarantine.RecordSurvived(c.fingerprint, now)
+		c.o.Quarantine.RecordSurvived(c.subjects.Request, now)
+		if isSuccess(r.status) {
+			c.recordResponding(now)
+		}
 	case outcomeLost, outcomeSilent:
 		r.process = probe(c.ctx, choice.Replica.Address)
 		if e := r.evidence(); e != goose.EvidenceNone {
-			return c.o.Quarantine.RecordLost(c.crashRecord, choice.Replica, e, now).Weight
+			return c.o.Quarantine.RecordLost(c.suspicion, choice.Replica, e, now)
 		}
 	case outcomeDeadline:
 		if r.timeToFirst == 0 {
@@ -32,12 +35,12 @@
 // probeAfterDeadline probes the replica of a request whose deadline has passed without a
 // response, and records a crash.
 func (c *call) probeAfterDeadline(choice gooseplacement.Choice, r result) {
-	record := c.crashRecord
+	suspicion := c.suspicion
 	go func() {
 		// The caller has its response already, and the context of the request has ended.
 		r.process = probe(context.Background(), choice.Replica.Address)
 		if e := r.evidence(); e != goose.EvidenceNone {
-			c.o.Quarantine.RecordLost(record, choice.Replica, e, c.o.Clock.Now())
+			c.o.Quarantine.RecordLost(suspicion, choice.Replica, e, c.o.Clock.Now())
 		}
 	}()
 }
@@ -48,12 +51,31 @@
 	switch {
 	case r.process == processEnded && r.timeToFirst == 0:
 		return goose.EvidenceCrash
-	case r.outcome == outcomeLost || r.process == processEnded || r.process == processUnreachable:
+	case r.process == processEnded || r.process == processUnreachable:
 		return goose.EvidenceLost
+	case r.outcome == outcomeLost:
+		return goose.EvidenceInterrupted
 	}
 	return goose.EvidenceNone
 }
 
+// minResponding is how long after its first event a stream has to go on to show that no part
+// of its prompt crashes a replica when the replica begins to respond.
+const minResponding = 500 * time.Millisecond
+
+// recordResponding records that the replica of the current attempt has begun to respond and
+// did not crash.
+func (c *call) recordResponding(now time.Time) {
+	c.suspicion = c.o.Quarantine.RecordResponding(c.suspicion, now)
+}
+
+// recordStreamProgress calls recordResponding once the stream has gone on for long enough.
+func (c *call) recordStreamProgress(now time.Time) {
+	if !c.suspicion.Responding() && now.Sub(c.attemptStart)-c.timeToFirst >= minResponding {
+		c.recordResponding(now)
+	}
+}
+
 const (
 	// trialTimeout is how long a suspect request waits for an equal one that is running
 	// and shows whether such requests crash replicas. After that the caller may retry in
@@ -67,14 +89,14 @@
 func (c *call) beginAttempt(last result) bool {
 	for start := c.o.Clock.Now(); ; {
 		now := c.o.Clock.Now()
-		if remaining, quarantined := c.o.Quarantine.Quarantined(c.fingerprint, now); quarantined {
-			c.rejectAttempt(last, goose.NotRunRefusal(goose.CodeQuarantined, "replicas ended one after the other while they ran this request").
+		if remaining, quarantined := c.o.Quarantine.Quarantined(c.subjects, now); quarantined {
+			c.rejectAttempt(last, goose.NotRunRefusal(goose.CodeQuarantined, "replicas ended one after the other while they ran this request, or others with a part of its prompt").
 				WithReason("crashes-replicas").WithRetryAfter(remaining))
 			return false
 		}
-		record, ok := c.o.Quarantine.BeginAttempt(c.fingerprint, now)
+		suspicion, ok := c.o.Quarantine.BeginAttempt(c.subjects, now)
 		if ok {
-			c.crashRecord = record
+			c.suspicion = suspicion
 			return true
 		}
 		if now.Sub(start) >= trialTimeout || !goose.Sleep(c.ctx, placementRetryInterval) {
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -94,14 +94,14 @@
 	workspace goose.RoutedWorkspace
 	header    goose.RequestHeader
 	body      []byte
-	// fingerprint is equal for equal requests, regardless of their ids. It is zero until
-	// the body was read.
-	fingerprint goose.Fingerprint
-	// parts are the fingerprints of the shared parts of the prompt.
-	parts []goose.Fingerprint
-	// crashRecord is the evidence against the request when the current attempt began.
-	crashRecord goose.CrashRecord
-	urgency     int
+	// subjects are the fingerprints of the request, which is equal for equal requests
+	// regardless of their ids, and of the shared parts of its prompt. They are zero until the
+	// body was read.
+	subjects goose.CrashSubjects
+	// suspicion is the evidence against the request and the parts of its prompt when the
+	// current attempt began.
+	suspicion goosequarantine.Attempt
+	urgency   int
 
 	// tried are the replicas that were sent the request, or that could not be reached.
 	tried map[goose.ReplicaID]bool
@@ -217,9 +217,9 @@
 		return tooLarge(limit), false
 	}
 	c.body = body
-	c.fingerprint = goose.NewFingerprint(c.workspace.Name, "", body).WithTarget(c.r.Method, c.r.RequestURI)
+	c.subjects.Request = goose.NewFingerprint(c.workspace.Name, "", body).WithTarget(c.r.Method, c.r.RequestURI)
 	for _, part := range c.header.SharedParts {
-		c.parts = append(c.parts, goose.NewPartFingerprint(c.header.Model, part))
+		c.subjects.Parts = append(c.subjects.Parts, goose.NewPartFingerprint(c.header.Model, part))
 	}
 	return goose.Refusal{}, true
 }
--- a/internal/gooseforward/refuse.go
+++ b/internal/gooseforward/refuse.go
@@ -58,16 +58,16 @@
 // fingerprintText returns the fingerprint for the log, or an empty string if the body was
 // not read.
 func (c *call) fingerprintText() string {
-	if c.fingerprint == 0 {
+	if c.subjects.Request == 0 {
 		return ""
 	}
-	return c.fingerprint.String()
+	return c.subjects.Request.String()
 }
 
 // partTexts returns the fingerprints of the shared parts for the log.
 func (c *call) partTexts() []string {
 	var texts []string
-	for _, part := range c.parts {
+	for _, part := range c.subjects.Parts {
 		texts = append(texts, part.String())
 	}
 	return texts
--- a/internal/gooseforward/stream.go
+++ b/internal/gooseforward/stream.go
@@ -143,6 +143,7 @@
 		c.longestPause = max(c.longestPause, now.Sub(c.lastEventAt))
 	}
 	c.lastEventAt = now
+	c.recordStreamProgress(now)
 	c.sequence = c.sequence.withEvent(ev)
 }
 
--- a/internal/goosehost/crash_test.go
+++ b/internal/goosehost/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,6 +18,8 @@
 const (
 	// crashBody is the body of the request that crashes every replica that runs it.
 	crashBody = "crash"
+	// deadlyPart is the part that crashes every replica that runs a prompt with it.
+	deadlyPart = "dead"
 	// crashDowntime is how long a crashed replica is down.
 	crashDowntime = 300 * time.Millisecond
 	// crashPause is the pause between two crashing requests where the instances learn of
@@ -81,7 +84,7 @@
 		if err != nil {
 			return
 		}
-		if string(body) == crashBody {
+		if string(body) == crashBody || strings.Contains(r.Header.Get("X-Prompt-Prefix"), deadlyPart) {
 			s.arrivals.Add(1)
 			self.Crash(crashDowntime)
 			return
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -124,6 +124,7 @@
 		DataCentre: s.DataCentre, ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, Registered: h.registeredInstances,
 	})
 	h.quarantine.SetInstances(h.placer.Instances)
+	h.quarantine.SetTrialHolder(h.holdsTrial)
 	h.forwarder = gooseforward.New(gooseforward.Options{
 		Directory: h.directory, Placer: h.placer, Quarantine: h.quarantine, HeaderCodec: gooseplatform.HeaderCodec{},
 		Budget: gooseretry.New(gooseretry.Options{
@@ -174,6 +175,17 @@
 	return gooseplacement.Registered{Own: s.InstancesIn(h.settings.DataCentre), All: len(s.Instances())}
 }
 
+// holdsTrial reports whether this instance holds the trial of a part of prompts.
+func (h *host) holdsTrial(part goose.Fingerprint, slot int64) bool {
+	instances := []goose.InstanceID{h.settings.Instance}
+	for id := range h.directory.Current().Instances() {
+		if id != h.settings.Instance {
+			instances = append(instances, id)
+		}
+	}
+	return goosequarantine.TrialHolder(part, slot, instances) == h.settings.Instance
+}
+
 // followingRelay reports whether the changes of the store come from another instance.
 func (h *host) followingRelay() bool { return h.relay != nil && h.relay.Following(h.clock.Now()) }
 
@@ -306,7 +318,10 @@
 		return float64(h.placer.Instances(h.clock.Now()))
 	})
 	gauge("gooseberryhold_quarantined_requests", func(*goosedirectory.Snapshot) float64 {
-		return float64(h.quarantine.QuarantinedCount(h.clock.Now()))
+		return float64(h.quarantine.QuarantinedCount(goose.SubjectRequest, h.clock.Now()))
+	})
+	gauge("gooseberryhold_quarantined_parts", func(*goosedirectory.Snapshot) float64 {
+		return float64(h.quarantine.QuarantinedCount(goose.SubjectPart, h.clock.Now()))
 	})
 	gauge("gooseberryhold_store_reach_seconds", func(*goosedirectory.Snapshot) float64 {
 		return h.follower.ReachableFor(h.clock.Now()).Seconds()
--- a/internal/goosehosttest/fleet.go
+++ b/internal/goosehosttest/fleet.go
@@ -163,15 +163,20 @@
 
 // Send is like Get for any method, path and request id.
 func (i *Instance) Send(method, path, key, id string) (int, string) {
-	return i.send(method, path, key, id, "")
+	return i.send(method, path, key, id, "", "")
 }
 
 // Post sends a POST request with a body and the API key of the routing version.
 func (i *Instance) Post(path, id, body string) (int, string) {
-	return i.send(http.MethodPost, path, "k1", id, body)
+	return i.send(http.MethodPost, path, "k1", id, body, "")
 }
 
-func (i *Instance) send(method, path, key, id, body string) (int, string) {
+// PostPrompt is like Post for a request that lists the parts of its prompt.
+func (i *Instance) PostPrompt(path, id, body, parts string) (int, string) {
+	return i.send(http.MethodPost, path, "k1", id, body, parts)
+}
+
+func (i *Instance) send(method, path, key, id, body, parts string) (int, string) {
 	r, err := http.NewRequest(method, "http://"+i.settings.CallerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return 0, ""
@@ -181,6 +186,9 @@
 	r.Host = "desk.example"
 	r.Header.Set("Authorization", "Bearer "+key)
 	r.Header.Set("X-Attempt-Id", id)
+	if parts != "" {
+		r.Header.Set("X-Prompt-Prefix", parts)
+	}
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return 0, ""
--- a/pkg/goose/quarantine.go
+++ b/pkg/goose/quarantine.go
@@ -16,14 +16,41 @@
 // Kinds of evidence.
 const (
 	EvidenceNone CrashEvidence = ""
-	// EvidenceLost means that the response was interrupted. The cause may be the replica, the
-	// network, or a request that came later.
+	// EvidenceInterrupted means that the response was interrupted and the replica's process
+	// still accepts connections.
+	EvidenceInterrupted CrashEvidence = "interrupted"
+	// EvidenceLost means that the response was interrupted and the replica's process does not
+	// accept connections. The cause may be the replica, the network, or a request that came
+	// later.
 	EvidenceLost CrashEvidence = "lost"
 	// EvidenceCrash means that the replica's process ended before it had sent any part of the
 	// response.
 	EvidenceCrash CrashEvidence = "crash"
 )
 
+// SubjectKind is the kind of what crashes replicas.
+type SubjectKind string
+
+// Kinds of subjects.
+const (
+	// SubjectRequest is one request with all that it contains.
+	SubjectRequest SubjectKind = ""
+	// SubjectPart is a part of prompts, whatever else the requests contain.
+	SubjectPart SubjectKind = "part"
+)
+
+// CrashSubjects is what may make a request crash its replica: the request as a whole, or one of
+// the shared parts of its prompt. It is immutable.
+type CrashSubjects struct {
+	Request Fingerprint
+	Parts   []Fingerprint
+}
+
+// Contains reports whether the fingerprint is that of the request or of one of its parts.
+func (s CrashSubjects) Contains(f Fingerprint) bool {
+	return f == s.Request || slices.Contains(s.Parts, f)
+}
+
 // CrashID identifies one process of a replica. A process ends only once, so the ID also
 // identifies its crash.
 type CrashID uint32
@@ -39,8 +66,9 @@
 const MaxCrashes = 8
 
 // CrashRecord lists the replica processes that ended while they ran requests with the same
-// fingerprint. It is immutable.
+// subject. It is immutable.
 type CrashRecord struct {
+	Kind        SubjectKind `cbor:"6,keyasint,omitempty" json:"kind,omitempty"`
 	Fingerprint Fingerprint `cbor:"1,keyasint" json:"-"`
 	// Round increases when a replica survives the request. Evidence of earlier rounds no longer
 	// counts.
@@ -70,6 +98,13 @@
 // HasCrash reports whether the record contains the process.
 func (r CrashRecord) HasCrash(id CrashID) bool { return slices.Contains(r.Crashes[:], id) }
 
+// MayHaveCrash reports whether the process ended while it ran a request with the subject, as
+// far as the record shows: a full record has dropped smaller IDs.
+func (r CrashRecord) MayHaveCrash(id CrashID) bool {
+	smallest := r.Crashes[MaxCrashes-1]
+	return r.HasCrash(id) || smallest != 0 && id < smallest
+}
+
 // Equal reports whether two records are equal apart from their age.
 func (r CrashRecord) Equal(other CrashRecord) bool { return r.WithAge(0) == other.WithAge(0) }
 
--- a/pkg/goosegossip/crash_test.go
+++ b/pkg/goosegossip/crash_test.go
@@ -42,16 +42,16 @@
 				begin := time.Now()
 				// Many other requests failed once.
 				for f := range goose.Fingerprint(100) {
-					a.o.Quarantine.RecordLost(goose.CrashRecord{Fingerprint: 1000 + f}, goose.Replica{ID: "i-0", StartedUnixMS: 1}, goose.EvidenceLost, begin)
+					a.o.Quarantine.RecordLost(a.o.Quarantine.Observe(goose.CrashSubjects{Request: 1000 + f}, begin), goose.Replica{ID: "i-0", StartedUnixMS: 1}, goose.EvidenceLost, begin)
 				}
 				for born := range tc.crashes {
-					known := a.o.Quarantine.CrashRecord(7, begin)
+					known := a.o.Quarantine.Observe(goose.CrashSubjects{Request: 7}, begin)
 					a.o.Quarantine.RecordLost(known, goose.Replica{ID: "i-0", StartedUnixMS: int64(born + 1)}, goose.EvidenceCrash, begin)
 				}
 				time.Sleep(tc.away)
 				attach()
 				time.Sleep(tc.within - tc.away)
-				if _, got := b.o.Quarantine.Quarantined(7, time.Now()); got != tc.want {
+				if _, got := b.o.Quarantine.Quarantined(goose.CrashSubjects{Request: 7}, time.Now()); got != tc.want {
 					t.Errorf("got quarantined %t at the peer after %s, want %t", got, tc.within, tc.want)
 				}
 				stopA()
@@ -93,7 +93,7 @@
 		before := crashDatagrams.Load()
 		begin := time.Now()
 		for i, g := range fleet {
-			known := g.o.Quarantine.CrashRecord(goose.Fingerprint(1000+i), begin)
+			known := g.o.Quarantine.Observe(goose.CrashSubjects{Request: goose.Fingerprint(1000 + i)}, begin)
 			g.o.Quarantine.RecordLost(known, goose.Replica{ID: goose.ReplicaID(fmt.Sprint("i-", i))}, goose.EvidenceLost, begin)
 		}
 		time.Sleep(time.Second)
@@ -101,12 +101,12 @@
 			t.Errorf("got %d datagrams in a second, want at most %d", got, maxDatagrams)
 		}
 		for born := range 2 {
-			known := fleet[0].o.Quarantine.CrashRecord(7, time.Now())
+			known := fleet[0].o.Quarantine.Observe(goose.CrashSubjects{Request: 7}, time.Now())
 			fleet[0].o.Quarantine.RecordLost(known, goose.Replica{ID: "i-0", StartedUnixMS: int64(born + 1)}, goose.EvidenceCrash, time.Now())
 		}
 		time.Sleep(500 * time.Millisecond)
 		for _, g := range fleet {
-			if _, got := g.o.Quarantine.Quarantined(7, time.Now()); !got {
+			if _, got := g.o.Quarantine.Quarantined(goose.CrashSubjects{Request: 7}, time.Now()); !got {
 				t.Errorf("%s: got a request that may run half a second after its second crash", g.o.Instance)
 			}
 		}
--- a/pkg/goosequarantine/report.go
+++ b/pkg/goosequarantine/report.go
@@ -11,9 +11,9 @@
 
 const (
 	// crashSaveDelay is the delay before a record of one crash is saved, and lostSaveDelay
-	// the delay for a record of lost responses without proof of a crash. The delays save
-	// calls to the store because most of these records become void once another replica has
-	// served the request.
+	// the delay for a record of lost responses without proof of a crash, and for a part. The
+	// delays save calls to the store because most of these records become void once another
+	// replica has served the request, or another request with the part.
 	crashSaveDelay = 300 * time.Millisecond
 	lostSaveDelay  = 2 * time.Second
 	// peerSaveDelay is the lower bound of the random delay after which an instance saves the
@@ -66,7 +66,7 @@
 			all = append(all, e)
 		}
 	}
-	urgent := func(e *entry) bool { return e.reportCount < retell && e.record.Weight >= soleSuspectLimit }
+	urgent := func(e *entry) bool { return e.reportCount < retell && e.record.Weight >= e.limit() }
 	sort.Slice(all, func(i, j int) bool {
 		a, b := all[i], all[j]
 		switch {
@@ -74,6 +74,8 @@
 			return urgent(a)
 		case a.reportCount != b.reportCount:
 			return a.reportCount < b.reportCount
+		case a.record.Weight != b.record.Weight:
+			return a.record.Weight > b.record.Weight
 		}
 		return a.record.Fingerprint < b.record.Fingerprint
 	})
@@ -94,7 +96,7 @@
 // reportable reports whether the record is due to be reported to peers.
 func (e *entry) reportable(retell int) bool {
 	switch {
-	case e.record.Weight >= soleSuspectLimit:
+	case e.record.Weight >= e.limit():
 		return true
 	case e.reportCount >= retell:
 		return false
@@ -108,9 +110,9 @@
 	case from != SourceOwn:
 		spread := max(time.Duration(t.instances(now))/saversPerDelay, 1)
 		return peerSaveDelay + rand.N(spread*peerSaveDelay)
-	case r.Weight >= soleSuspectLimit:
+	case r.Weight >= entry{record: r}.limit():
 		return 0
-	case r.Weight >= weights[goose.EvidenceCrash]:
+	case r.Weight >= weights[goose.EvidenceCrash] && r.Kind == goose.SubjectRequest:
 		return crashSaveDelay
 	}
 	return lostSaveDelay
--- a/pkg/goosequarantine/store_test.go
+++ b/pkg/goosequarantine/store_test.go
@@ -65,7 +65,7 @@
 // crash records a crash by the culprit and advances the clock until the record may be
 // saved.
 func (i *instance) crash(on int) {
-	i.table.RecordLost(i.table.CrashRecord(culprit, i.clock.now), numberedReplica(on), goose.EvidenceCrash, i.clock.now)
+	i.table.RecordLost(i.table.Observe(only(culprit), i.clock.now), numberedReplica(on), goose.EvidenceCrash, i.clock.now)
 	i.clock.now = i.clock.now.Add(crashSaveDelay)
 }
 
@@ -78,7 +78,7 @@
 
 // quarantinesCulprit reports whether the instance has the culprit in quarantine.
 func (i *instance) quarantinesCulprit() bool {
-	_, held := i.table.Quarantined(culprit, i.clock.now)
+	_, held := i.table.Quarantined(only(culprit), i.clock.now)
 	return held
 }
 
--- a/pkg/goosequarantine/table.go
+++ b/pkg/goosequarantine/table.go
@@ -1,14 +1,19 @@
 // Package goosequarantine decides which requests must not run any more because they crash
-// the replicas that run them. The load pattern is one caller that sends such a request
-// repeatedly, to any instance, while innocent requests are lost with the crashed replicas.
+// the replicas that run them. The load patterns are one caller that sends such a request
+// repeatedly, to any instance, and many callers whose requests differ but have a part of
+// their prompts in common that crashes replicas, while innocent requests are lost with the
+// crashed replicas.
 //
-// Evidence accumulates sequentially: a lost attempt adds to the evidence that its instance
-// knew when the attempt began. Equal requests that many callers send at the same time and
-// that are lost together therefore count once. A run that does not crash its replica voids
-// all earlier evidence. Of several requests that were lost with the same replica, the one
-// with the most evidence is the suspect. If several have the same evidence, they may run
-// once more before they are quarantined. Merging records is commutative and idempotent,
-// and clocks of different instances are never compared.
+// The subject of a record is either one request or one shared part of prompts. Evidence
+// accumulates sequentially: a lost attempt adds to the evidence that its instance knew when
+// the attempt began. Requests that are sent at the same time and lost together therefore
+// count once. A run that does not crash its replica voids all earlier evidence against its
+// request, and a response that is being written voids that against the parts of its prompt.
+// Of several subjects that were lost with the same replica, the one with the most evidence
+// is the suspect; subjects that a request contains itself do not excuse it. If several have
+// the same evidence, requests may run once more before they are quarantined, and parts one
+// request at a time. Merging records is commutative and idempotent, and clocks of different
+// instances are never compared.
 package goosequarantine
 
 import (
@@ -37,13 +42,20 @@
 	// other suspects with the same weight: three crashes.
 	soleSuspectLimit   = 4
 	sharedSuspectLimit = 6
+	// partLimit is the weight at which a part of prompts is quarantined. It is higher than that
+	// of a request, since all requests with the part are refused.
+	partLimit = 6
 	// sharedSuspectQuarantine is how long a request with other suspects of the same weight is
 	// quarantined after a crash. It is short because the request may be innocent.
 	sharedSuspectQuarantine = 20 * time.Second
 )
 
-// weights is the weight that each kind of evidence adds to a record.
-var weights = map[goose.CrashEvidence]uint32{goose.EvidenceLost: 1, goose.EvidenceCrash: 2}
+// weights is the weight that each kind of evidence adds to the record of a request, and
+// partWeights that of a part: a replica that still accepts connections was not crashed by one.
+var (
+	weights     = map[goose.CrashEvidence]uint32{goose.EvidenceInterrupted: 1, goose.EvidenceLost: 1, goose.EvidenceCrash: 2}
+	partWeights = map[goose.CrashEvidence]uint32{goose.EvidenceLost: 1, goose.EvidenceCrash: 2}
+)
 
 // Source is the origin of a record.
 type Source string
@@ -70,6 +82,14 @@
 	reportCount int
 }
 
+// limit is the weight at which the sole suspect of a crash is quarantined.
+func (e entry) limit() uint32 {
+	if e.record.Kind == goose.SubjectPart {
+		return partLimit
+	}
+	return soleSuspectLimit
+}
+
 func (e entry) expired(now time.Time) bool { return now.Sub(e.changedAt) >= Lifetime }
 
 // recordAt returns the record with its age at the given time.
@@ -84,17 +104,23 @@
 	reportDue chan struct{}
 	// instances returns the number of instances that have the same records.
 	instances func(now time.Time) int
+	// holdsTrial reports whether this instance may run the trial of a part.
+	holdsTrial func(part goose.Fingerprint, slot int64) bool
 
 	mu      sync.Mutex
 	entries map[goose.Fingerprint]*entry
-	// running is the number of running attempts of this instance for each request.
+	// running is the number of running attempts of this instance for each subject. Attempts
+	// whose replica is writing its response no longer count for the parts of their prompts.
 	running map[goose.Fingerprint]int
+	// respondedAt is when a replica last responded to a request of this instance with a part.
+	respondedAt map[goose.Fingerprint]time.Time
 }
 
 // New returns an empty table.
 func New(log *slog.Logger) *Table {
 	return &Table{
-		log: log, instances: func(time.Time) int { return 1 }, reportDue: make(chan struct{}, 1), entries: map[goose.Fingerprint]*entry{}, running: map[goose.Fingerprint]int{},
+		log: log, instances: func(time.Time) int { return 1 }, holdsTrial: func(goose.Fingerprint, int64) bool { return true },
+		reportDue: make(chan struct{}, 1), entries: map[goose.Fingerprint]*entry{}, running: map[goose.Fingerprint]int{}, respondedAt: map[goose.Fingerprint]time.Time{},
 	}
 }
 
@@ -102,151 +128,16 @@
 // It must be called before the table is used.
 func (t *Table) SetInstances(f func(now time.Time) int) { t.instances = f }
 
-// BeginAttempt returns the record of a request when one of its attempts begins. It returns
-// false if the request has evidence of a crash and this instance already runs another attempt
-// of an equal request: that attempt will show whether the request caused the crash. If
-// BeginAttempt returns true, the caller must call EndAttempt.
-func (t *Table) BeginAttempt(f goose.Fingerprint, now time.Time) (goose.CrashRecord, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	known := t.crashRecordLocked(f, now)
-	if known.Weight >= weights[goose.EvidenceCrash] && t.running[f] > 0 {
-		return known, false
-	}
-	t.running[f]++
-	return known, true
-}
-
-// EndAttempt records the end of an attempt. It does not change the evidence: RecordLost and
-// RecordSurvived record the result of the attempt.
-func (t *Table) EndAttempt(f goose.Fingerprint) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.running[f]--; t.running[f] <= 0 {
-		delete(t.running, f)
-	}
-}
-
-// CrashRecord returns the record of a request. Its weight is zero if there is no
-// evidence against the request.
-func (t *Table) CrashRecord(f goose.Fingerprint, now time.Time) goose.CrashRecord {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.crashRecordLocked(f, now)
-}
-
-// crashRecordLocked is CrashRecord with the lock held. An expired record counts as
-// a new round without evidence.
-func (t *Table) crashRecordLocked(f goose.Fingerprint, now time.Time) goose.CrashRecord {
-	switch e := t.entries[f]; {
-	case e == nil:
-		return goose.CrashRecord{Fingerprint: f}
-	case e.expired(now):
-		return goose.CrashRecord{Fingerprint: f, Round: e.record.Round + 1}
-	default:
-		return e.recordAt(now)
-	}
-}
-
-// Quarantined reports whether a request is quarantined, and for how long it still is.
-func (t *Table) Quarantined(f goose.Fingerprint, now time.Time) (time.Duration, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	left := t.remainingQuarantine(t.liveEntry(f, now), now)
-	return left, left > 0
-}
-
-// remainingQuarantine returns how long a request must not run; zero if it may run.
-func (t *Table) remainingQuarantine(e *entry, now time.Time) time.Duration {
-	if e == nil || e.record.Weight < soleSuspectLimit {
-		return 0
-	}
-	switch others := t.otherSuspectsWeight(e, now); {
-	case others < e.record.Weight:
-		return Lifetime - now.Sub(e.changedAt)
-	case others == e.record.Weight && e.record.Weight >= sharedSuspectLimit:
-		return max(sharedSuspectQuarantine-now.Sub(e.changedAt), 0)
-	}
-	return 0
-}
-
-// otherSuspectsWeight returns the weight of the other suspects of a request's crashes: the
-// lowest, over all crashes, of the highest weight of another request that was lost in the
-// same crash. The lowest one counts because a single crash that no other request explains
-// was caused by this request.
-func (t *Table) otherSuspectsWeight(e *entry, now time.Time) uint32 {
-	lowest := e.record.Weight + 1
-	for _, id := range e.record.Crashes {
-		if id == 0 {
-			break
-		}
-		highest := uint32(0)
-		for _, other := range t.entries {
-			if other != e && !other.expired(now) && other.record.HasCrash(id) {
-				highest = max(highest, other.record.Weight)
-			}
-		}
-		lowest = min(lowest, highest)
-	}
-	return lowest
-}
-
-// QuarantinedCount returns the number of requests in quarantine.
-func (t *Table) QuarantinedCount(now time.Time) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for _, e := range t.entries {
-		if !e.expired(now) && t.remainingQuarantine(e, now) > 0 {
-			n++
-		}
-	}
-	return n
-}
-
-// RecordLost records an attempt that was lost at a replica. before is the record that
-// BeginAttempt returned for the attempt. RecordLost returns the present record.
-func (t *Table) RecordLost(before goose.CrashRecord, on goose.Replica, evidence goose.CrashEvidence, now time.Time) goose.CrashRecord {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	id := goose.NewCrashID(on)
-	// A process can crash only once. If the record already names this process, either the
-	// process is alive and only its responses break off, or the replica has restarted and the
-	// store has not delivered its new process yet.
-	named := before.HasCrash(id)
-	for evidence == goose.EvidenceCrash && before.HasCrash(id) {
-		id++
-	}
-	if !named || evidence == goose.EvidenceCrash {
-		t.mergeRecord(before.WithCrash(id, weights[evidence]).WithAge(0), SourceOwn, now)
-	}
-	if e := t.liveEntry(before.Fingerprint, now); e != nil {
-		return e.recordAt(now)
-	}
-	return goose.CrashRecord{Fingerprint: before.Fingerprint}
-}
-
-// RecordSurvived records that a replica has responded to the request and did not crash.
-func (t *Table) RecordSurvived(f goose.Fingerprint, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if e := t.liveEntry(f, now); e != nil && e.record.Weight > 0 {
-		t.voidEvidence(e, now, SourceOwn)
-	}
-}
-
-// Release lets a request run again after its record was deleted from the store.
+// Release lets requests run again after the record of their subject was deleted from the store.
 func (t *Table) Release(f goose.Fingerprint, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.liveEntry(f, now); e != nil && e.record.Weight > 0 {
-		t.voidEvidence(e, now, SourceStore)
-	}
+	t.clear(f, SourceStore, now)
 }
 
 // voidEvidence voids the evidence against a request: it begins the next round of its record.
 func (t *Table) voidEvidence(e *entry, now time.Time, from Source) {
-	t.mergeRecord(goose.CrashRecord{Fingerprint: e.record.Fingerprint, Round: e.record.Round + 1}, from, now)
+	t.mergeRecord(goose.CrashRecord{Kind: e.record.Kind, Fingerprint: e.record.Fingerprint, Round: e.record.Round + 1}, from, now)
 }
 
 // Merge adds records that were received from a peer or read from the store.
@@ -254,7 +145,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range records {
-		if r.Age < 0 || r.Age >= Lifetime || r.Weight > 0 && r.Crashes[0] == 0 {
+		known := r.Kind == goose.SubjectRequest || r.Kind == goose.SubjectPart
+		if !known || r.Age < 0 || r.Age >= Lifetime || r.Weight > 0 && r.Crashes[0] == 0 {
 			continue
 		}
 		t.mergeRecord(r, from, now)
@@ -275,7 +167,7 @@
 func (t *Table) mergeRecord(r goose.CrashRecord, from Source, now time.Time) {
 	old := t.entries[r.Fingerprint]
 	if old == nil {
-		old = &entry{record: goose.CrashRecord{Fingerprint: r.Fingerprint}}
+		old = &entry{record: goose.CrashRecord{Kind: r.Kind, Fingerprint: r.Fingerprint}}
 	}
 	merged := old.recordAt(now).Merge(r)
 	stale, changed := !merged.Equal(r), !merged.Equal(old.record)
@@ -288,7 +180,8 @@
 		old.changedAt = changedAt
 		return
 	}
-	wasQuarantined := t.remainingQuarantine(t.liveEntry(r.Fingerprint, now), now) > 0
+	alone := goose.CrashSubjects{Request: r.Fingerprint}
+	wasQuarantined := t.remainingQuarantine(t.liveEntry(r.Fingerprint, now), alone, now) > 0
 	e := &entry{record: merged, source: from, changedAt: changedAt, saveAt: now.Add(t.saveDelay(merged, from, now))}
 	t.entries[r.Fingerprint] = e
 	t.evictOverflow(now)
@@ -300,20 +193,24 @@
 
 // logChange logs a changed record and whether its quarantine begins or ends with the change.
 func (t *Table) logChange(wasQuarantined bool, e *entry, from Source, now time.Time) {
+	begun, ended := gooseevent.QuarantineBegun, gooseevent.QuarantineEnded
+	if e.record.Kind == goose.SubjectPart {
+		begun, ended = gooseevent.PartQuarantineBegun, gooseevent.PartQuarantineEnded
+	}
 	fields := []any{
-		slog.String("fingerprint", e.record.Fingerprint.String()), slog.String("source", string(from)),
+		slog.String("fingerprint", e.record.Fingerprint.String()), slog.String("kind", string(e.record.Kind)), slog.String("source", string(from)),
 		slog.Int64("round", int64(e.record.Round)), slog.Int64("weight", int64(e.record.Weight)),
 		slog.Duration("age", now.Sub(e.changedAt)),
 	}
 	if e.record.Weight > 0 {
 		gooseevent.CrashNoted.Log(t.log, fields...)
 	}
-	left := t.remainingQuarantine(e, now)
+	left := t.remainingQuarantine(e, goose.CrashSubjects{Request: e.record.Fingerprint}, now)
 	switch {
 	case !wasQuarantined && left > 0:
-		gooseevent.QuarantineBegun.Log(t.log, append(fields, slog.Duration("for", left))...)
+		begun.Log(t.log, append(fields, slog.Duration("for", left))...)
 	case wasQuarantined && left == 0:
-		gooseevent.QuarantineEnded.Log(t.log, fields...)
+		ended.Log(t.log, fields...)
 	}
 }
 
@@ -342,7 +239,8 @@
 	}
 }
 
-// RemoveExpired removes entries that expired at least expiredMargin ago.
+// RemoveExpired removes entries that expired at least expiredMargin ago, and responses that
+// no longer count.
 func (t *Table) RemoveExpired(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -351,4 +249,9 @@
 			delete(t.entries, f)
 		}
 	}
+	for part, at := range t.respondedAt {
+		if now.Sub(at) >= respondedMemory {
+			delete(t.respondedAt, part)
+		}
+	}
 }
--- a/pkg/goosequarantine/table_test.go
+++ b/pkg/goosequarantine/table_test.go
@@ -37,9 +37,14 @@
 	return goose.Replica{ID: goose.ReplicaID(fmt.Sprintf("i-%d", n)), StartedUnixMS: int64(n)}
 }
 
+// only returns the subjects of a request without a prompt.
+func only(request goose.Fingerprint) goose.CrashSubjects {
+	return goose.CrashSubjects{Request: request}
+}
+
 // recordLoss records at an instance the loss of an attempt that began with the present record.
 func (ts *tables) recordLoss(at int, request goose.Fingerprint, on int, e goose.CrashEvidence) {
-	ts.all[at].RecordLost(ts.all[at].CrashRecord(request, ts.now), numberedReplica(on), e, ts.now)
+	ts.all[at].RecordLost(ts.all[at].Observe(only(request), ts.now), numberedReplica(on), e, ts.now)
 }
 
 // exchange sends the reports of every instance to all others.
@@ -116,7 +121,7 @@
 		}},
 		"many callers send equal requests, and all replicas crash at once": {instances: 3, run: func(ts *tables) {
 			for n := range 3 {
-				known := ts.all[n].CrashRecord(culprit, ts.now)
+				known := ts.all[n].Observe(only(culprit), ts.now)
 				for m := range 4 {
 					ts.all[n].RecordLost(known, numberedReplica(m), goose.EvidenceCrash, ts.now)
 				}
@@ -140,7 +145,7 @@
 		}},
 		"an earlier attempt is lost after a replica has survived": {instances: 1, run: func(ts *tables) {
 			ts.recordLoss(0, culprit, 1, goose.EvidenceCrash)
-			known := ts.all[0].CrashRecord(culprit, ts.now)
+			known := ts.all[0].Observe(only(culprit), ts.now)
 			ts.all[0].RecordSurvived(culprit, ts.now)
 			ts.all[0].RecordLost(known, numberedReplica(2), goose.EvidenceCrash, ts.now)
 		}},
@@ -212,10 +217,10 @@
 			ts := newTables(tc.instances)
 			tc.run(ts)
 			for n, table := range ts.all {
-				if _, got := table.Quarantined(culprit, ts.now); got != tc.culprit {
+				if _, got := table.Quarantined(only(culprit), ts.now); got != tc.culprit {
 					t.Errorf("got culprit held %t at instance %d, want %t", got, n, tc.culprit)
 				}
-				if _, got := table.Quarantined(innocent, ts.now); got != tc.innocent {
+				if _, got := table.Quarantined(only(innocent), ts.now); got != tc.innocent {
 					t.Errorf("got innocent request held %t at instance %d, want %t", got, n, tc.innocent)
 				}
 			}
@@ -234,7 +239,7 @@
 		ts.exchange()
 		for n, table := range ts.all {
 			want := Lifetime - ts.now.Sub(begun)
-			if got, _ := table.Quarantined(culprit, ts.now); got != want {
+			if got, _ := table.Quarantined(only(culprit), ts.now); got != want {
 				t.Fatalf("got %s left at instance %d after %s, want %s", got, n, ts.now.Sub(begun), want)
 			}
 		}
@@ -245,7 +250,7 @@
 	}
 	ts.exchange()
 	for n, table := range ts.all {
-		if got, held := table.Quarantined(culprit, ts.now); held {
+		if got, held := table.Quarantined(only(culprit), ts.now); held {
 			t.Errorf("got %s left at instance %d after its lifetime", got, n)
 		}
 	}
@@ -293,7 +298,7 @@
 	if got := len(ts.all[0].entries); got > MaxRecords {
 		t.Errorf("got %d records, want at most %d", got, MaxRecords)
 	}
-	if _, held := ts.all[0].Quarantined(culprit, ts.now); !held {
+	if _, held := ts.all[0].Quarantined(only(culprit), ts.now); !held {
 		t.Error("got a request out of quarantine because many others were lost")
 	}
 }
