goosebroadcast: the exchange of items between instances, taken out of goosesuspect

Cause: serve has to share evidence against parts of prompts, which would repeat how marks of suspects are sent through relays and pulled. Change: the sending, forwarding and pulling of goosesuspect becomes a package of its own; kinds and encoding of the calls stay. Conclusion: one mechanism for both kinds of records.

--- a/pkg/goosesuspect/send.go
+++ b/pkg/goosebroadcast/send.go
@@ -1,4 +1,4 @@
-package goosesuspect
+package goosebroadcast
 
 import (
 	"context"
@@ -12,62 +12,62 @@
 )
 
 const (
-	// relayTimeout is the timeout of a call to a relay. It leaves the relay enough time to
+	// RelayTimeout is the timeout of a call to a relay. It leaves the relay enough time to
 	// wait for members of its data centre that do not reply.
-	relayTimeout = callTimeout + callTimeout/2
+	RelayTimeout = CallTimeout + CallTimeout/2
 	// maxRelays is the number of instances of a data centre that are tried one after the
 	// other as relays before the sender calls all members itself. If no relay replies, the
-	// marks arrive after 4 s.
+	// items arrive after 4 s.
 	maxRelays = 2
 )
 
-// MarksReply acknowledges marks.
-type MarksReply struct {
-	// Missed are the members that did not reply when the receiver forwarded the marks.
+// Reply acknowledges items.
+type Reply struct {
+	// Missed are the members that did not reply when the receiver forwarded the items.
 	Missed []goose.InstanceID `cbor:"1,keyasint,omitempty"`
 }
 
-// sendToAll sends marks to the members of its own data centre, and to one instance of every
+// sendToAll sends items to the members of its own data centre, and to one instance of every
 // other data centre, a relay that forwards them there. Calls to all of 330 members would
 // cost the sender a handshake with nearly every one. A member that does not reply pulls
-// the marks later.
-func (r *Replicator) sendToAll(ctx context.Context, marks []Mark) {
-	own := r.members.Self().DataCentre
+// the items later.
+func (b *Broadcaster[T]) sendToAll(ctx context.Context, items []T) {
+	own := b.o.Members.Self().DataCentre
 	remote := map[goose.DataCentre][]goose.Member{}
-	for _, m := range r.otherMembers() {
+	for _, m := range b.otherMembers() {
 		if m.DataCentre != own {
 			remote[m.DataCentre] = append(remote[m.DataCentre], m)
 		}
 	}
 	var calls conc.WaitGroup
-	calls.Go(func() { r.sendWithinDataCentre(ctx, marks, "") })
+	calls.Go(func() { b.sendWithinDataCentre(ctx, items, "") })
 	for _, members := range remote {
-		calls.Go(func() { r.sendThroughRelay(ctx, marks, members) })
+		calls.Go(func() { b.sendThroughRelay(ctx, items, members) })
 	}
 	calls.Wait()
 }
 
 // sendWithinDataCentre calls all other members of its own data centre except one and
 // returns those that did not reply.
-func (r *Replicator) sendWithinDataCentre(ctx context.Context, marks []Mark, except goose.InstanceID) []goose.InstanceID {
-	own := r.members.Self().DataCentre
+func (b *Broadcaster[T]) sendWithinDataCentre(ctx context.Context, items []T, except goose.InstanceID) []goose.InstanceID {
+	own := b.o.Members.Self().DataCentre
 	var members []goose.Member
-	for _, m := range r.otherMembers() {
+	for _, m := range b.otherMembers() {
 		if m.DataCentre == own && m.Instance != except {
 			members = append(members, m)
 		}
 	}
-	return r.sendAll(ctx, marks, members)
+	return b.sendAll(ctx, items, members)
 }
 
 // sendAll calls all given members in parallel and returns those that did not reply.
-func (r *Replicator) sendAll(ctx context.Context, marks []Mark, members []goose.Member) []goose.InstanceID {
+func (b *Broadcaster[T]) sendAll(ctx context.Context, items []T, members []goose.Member) []goose.InstanceID {
 	var mu sync.Mutex
 	var missed []goose.InstanceID
 	var calls conc.WaitGroup
 	for _, m := range members {
 		calls.Go(func() {
-			if _, err := r.sendOne(ctx, m, Message{Marks: marks}, callTimeout); err != nil {
+			if _, err := b.sendOne(ctx, m, Message[T]{Items: items}, CallTimeout); err != nil {
 				mu.Lock()
 				defer mu.Unlock()
 				missed = append(missed, m.Instance)
@@ -79,20 +79,20 @@
 }
 
 // sendOne calls one member and returns its reply.
-func (r *Replicator) sendOne(ctx context.Context, to goose.Member, m Message, timeout time.Duration) (MarksReply, error) {
+func (b *Broadcaster[T]) sendOne(ctx context.Context, to goose.Member, m Message[T], timeout time.Duration) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var reply MarksReply
-	err := r.client.Call(ctx, to.Address, KindMarks, m, &reply)
+	var reply Reply
+	err := b.o.Client.Call(ctx, to.Address, b.o.Kind, m, &reply)
 	return reply, err
 }
 
-// sendThroughRelay sends marks to another data centre through a relay. The sender itself
+// sendThroughRelay sends items to another data centre through a relay. The sender itself
 // calls the members that the relay did not reach, and all remaining members if no relay
 // replies, so that the delivery does not depend on a single instance.
-func (r *Replicator) sendThroughRelay(ctx context.Context, marks []Mark, members []goose.Member) {
+func (b *Broadcaster[T]) sendThroughRelay(ctx context.Context, items []T, members []goose.Member) {
 	// Leaving members are tried last, since they may stop before they have forwarded the
-	// marks.
+	// items.
 	slices.SortStableFunc(members, func(a, b goose.Member) int {
 		switch {
 		case a.Leaving == b.Leaving:
@@ -104,14 +104,14 @@
 	})
 	relays := min(maxRelays, len(members))
 	for _, m := range members[:relays] {
-		reply, err := r.sendOne(ctx, m, Message{Marks: marks, Forward: true}, relayTimeout)
+		reply, err := b.sendOne(ctx, m, Message[T]{Items: items, Forward: true}, RelayTimeout)
 		if err != nil {
 			continue
 		}
-		r.sendAll(ctx, marks, slices.DeleteFunc(members, func(m goose.Member) bool {
+		b.sendAll(ctx, items, slices.DeleteFunc(members, func(m goose.Member) bool {
 			return !slices.Contains(reply.Missed, m.Instance)
 		}))
 		return
 	}
-	r.sendAll(ctx, marks, members[relays:])
+	b.sendAll(ctx, items, members[relays:])
 }
--- a/pkg/goosesuspect/replicator_test.go
+++ b/pkg/goosesuspect/replicator_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/gooseberryhold/gooseberryhold/internal/goosepeertest"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosebroadcast"
 )
 
 // fleet simulates the network of a set of instances in one process.
@@ -123,7 +124,7 @@
 		f.mu.Lock()
 		f.unreachable = nil
 		f.mu.Unlock()
-		time.Sleep(PullInterval + callTimeout)
+		time.Sleep(goosebroadcast.PullInterval + goosebroadcast.CallTimeout)
 		check("after a pull", map[string]goose.Suspicion{"b": goose.SuspicionCondemned})
 		cancel()
 		wg.Wait()
@@ -145,8 +146,8 @@
 				if !a.Table().BeginTrial(t.Context(), 1) {
 					t.Fatal("got no trial of a suspect")
 				}
-				if got := time.Since(begin); got > callTimeout {
-					t.Errorf("wait of the request: got %s, want at most %s", got, callTimeout)
+				if got := time.Since(begin); got > goosebroadcast.CallTimeout {
+					t.Errorf("wait of the request: got %s, want at most %s", got, goosebroadcast.CallTimeout)
 				}
 				want := map[*Replicator]goose.Suspicion{a: goose.SuspicionOnTrial, b: goose.SuspicionOnTrial, c: goose.SuspicionOnTrial}
 				if silent {
--- a/pkg/goosesuspect/send_test.go
+++ b/pkg/goosesuspect/send_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosebroadcast"
 )
 
 // threeCentres returns the instances a-1 to a-4, b-1 to b-4 and c-1 to c-4 of the data
@@ -38,12 +39,12 @@
 		calls   int
 	}{
 		"all reply":            {func(*fleet) {}, nil, 0, 3 + 2},
-		"first relay dead":     {func(f *fleet) { f.unreachable["b-1"] = true }, []string{"b-1"}, relayTimeout, 3 + 2 + 1 + 1},
-		"first relay dies":     {func(f *fleet) { f.notReplying["b-1"] = true }, nil, 2 * relayTimeout, 3 + 2 + 1 + 1},
-		"both relays dead":     {func(f *fleet) { f.unreachable["b-1"], f.unreachable["b-2"] = true, true }, []string{"b-1", "b-2"}, 2 * relayTimeout, 3 + 2 + 1 + 2},
-		"relay partly cut off": {func(f *fleet) { f.cutPairs[[2]string{"b-1", "b-3"}] = true }, nil, callTimeout, 3 + 2 + 1},
-		"relay is leaving":     {func(f *fleet) { f.members[4].Leaving, f.notReplying["b-1"] = true, true }, nil, callTimeout, 3 + 2 + 1},
-		"data centre cut off":  {func(f *fleet) { cutDataCentre(f, "a-1", "b") }, []string{"b-1", "b-2", "b-3", "b-4"}, 2*relayTimeout + callTimeout, 3 + 2 + 1 + 2},
+		"first relay dead":     {func(f *fleet) { f.unreachable["b-1"] = true }, []string{"b-1"}, goosebroadcast.RelayTimeout, 3 + 2 + 1 + 1},
+		"first relay dies":     {func(f *fleet) { f.notReplying["b-1"] = true }, nil, 2 * goosebroadcast.RelayTimeout, 3 + 2 + 1 + 1},
+		"both relays dead":     {func(f *fleet) { f.unreachable["b-1"], f.unreachable["b-2"] = true, true }, []string{"b-1", "b-2"}, 2 * goosebroadcast.RelayTimeout, 3 + 2 + 1 + 2},
+		"relay partly cut off": {func(f *fleet) { f.cutPairs[[2]string{"b-1", "b-3"}] = true }, nil, goosebroadcast.CallTimeout, 3 + 2 + 1},
+		"relay is leaving":     {func(f *fleet) { f.members[4].Leaving, f.notReplying["b-1"] = true, true }, nil, goosebroadcast.CallTimeout, 3 + 2 + 1},
+		"data centre cut off":  {func(f *fleet) { cutDataCentre(f, "a-1", "b") }, []string{"b-1", "b-2", "b-3", "b-4"}, 2*goosebroadcast.RelayTimeout + goosebroadcast.CallTimeout, 3 + 2 + 1 + 2},
 		"local member is dead": {func(f *fleet) { f.unreachable["a-2"] = true }, []string{"a-2"}, 0, 3 + 2},
 	}
 	for name, tt := range tests {
@@ -57,7 +58,8 @@
 				tt.fault(f)
 				ctx, cancel := context.WithCancel(t.Context())
 				var wg sync.WaitGroup
-				wg.Go(func() { sendWithoutPulling(ctx, peers["a-1"]) })
+				// Without pulls, the calls can be counted.
+				wg.Go(func() { peers["a-1"].RunSends(ctx) })
 				peers["a-1"].Table().RecordCrash("r1", "p1", []goose.Fingerprint{1})
 				time.Sleep(tt.within)
 				synctest.Wait()
@@ -94,15 +96,3 @@
 		}
 	}
 }
-
-// sendWithoutPulling sends queued marks but does not pull, so that the calls can be counted.
-func sendWithoutPulling(ctx context.Context, r *Replicator) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case marks := <-r.queue:
-			r.sendToAll(ctx, marks)
-		}
-	}
-}
