gooseentry: messages that crash engines are held in serve, too

Cause: the same as in forward: suspicion was kept for whole requests, of which no two are equal, so each chat with the message crashed engines anew. Change: the contents of a chat's messages, or entries of a list, but the last are subjects of the table that forward uses; live members exchange the records, and one that starts pulls them. A permit that was granted meanwhile is given back unused. Conclusion: one decision for both data paths; a prompt of one text has no parts there.

--- a/internal/gooseentry/entry.go
+++ b/internal/gooseentry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosequarantine"
 )
 
 // Limits bound what an instance holds and how long it waits.
@@ -79,7 +80,9 @@
 	Permits       goose.PermitClient
 	Ledger        goose.Ledger
 	Suspects      goose.SuspectTracker
-	Membership    goose.Membership
+	// Quarantine holds the evidence against parts of prompts.
+	Quarantine *goosequarantine.Table
+	Membership goose.Membership
 	// Protocol returns the client of a backend protocol, as goose.NewProtocol does.
 	Protocol func(name string) (goose.Protocol, error)
 	Limits   Limits
@@ -95,6 +98,7 @@
 	permits     goose.PermitClient
 	ledger      goose.Ledger
 	suspects    goose.SuspectTracker
+	quarantine  *goosequarantine.Table
 	membership  goose.Membership
 	newProtocol func(string) (goose.Protocol, error)
 	protocols   sync.Map
@@ -114,7 +118,7 @@
 
 // New returns an Entry; it panics if a dependency is missing.
 func New(o Options) *Entry {
-	if o.Configuration == nil || o.Permits == nil || o.Ledger == nil || o.Suspects == nil ||
+	if o.Configuration == nil || o.Permits == nil || o.Ledger == nil || o.Suspects == nil || o.Quarantine == nil ||
 		o.Membership == nil || o.Protocol == nil {
 		panic("gooseentry: dependency missing in Options")
 	}
@@ -131,6 +135,7 @@
 		permits:     o.Permits,
 		ledger:      o.Ledger,
 		suspects:    o.Suspects,
+		quarantine:  o.Quarantine,
 		membership:  o.Membership,
 		newProtocol: o.Protocol,
 		limits:      o.Limits.withDefaults(),
--- a/internal/gooseentry/helpers_test.go
+++ b/internal/gooseentry/helpers_test.go
@@ -19,6 +19,7 @@
 	_ "github.com/gooseberryhold/gooseberryhold/internal/gooseengine"
 	"github.com/gooseberryhold/gooseberryhold/internal/goosetest"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosequarantine"
 )
 
 // testEntry is an Entry that serves on loopback, with fake dependencies.
@@ -55,7 +56,7 @@
 	}
 	o := Options{
 		Instance: "leith-1", DataCentre: "leith", Configuration: catalogue, Permits: e.permits, Ledger: e.ledger,
-		Suspects: e.suspects, Membership: goosetest.Membership{}, Protocol: goose.NewProtocol,
+		Suspects: e.suspects, Quarantine: goosequarantine.New(slog.New(slog.DiscardHandler)), Membership: goosetest.Membership{}, Protocol: goose.NewProtocol,
 		Limits: Limits{ProbeInterval: 20 * time.Millisecond, KeepAliveInterval: 40 * time.Millisecond, HeaderDelay: time.Minute, CancelTimeout: time.Second},
 		Logger: slog.New(slog.NewJSONHandler(e.logs, nil)),
 	}
--- a/internal/gooseentry/job.go
+++ b/internal/gooseentry/job.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosequarantine"
 )
 
 var (
@@ -61,6 +62,9 @@
 	// orderAnswer collects the answer of a streamed order for the order's
 	// record.
 	orderAnswer responseBuilder
+	// suspicion is what was known of the parts of the prompt when the current attempt began;
+	// nil between attempts.
+	suspicion *goosequarantine.Attempt
 }
 
 // result is the end of a job: a refusal, a complete response, or neither after
@@ -102,12 +106,22 @@
 	if err != nil {
 		return j.refusalResult(newRefusal(goose.CodeNotReady, "protocol", err.Error(), time.Second))
 	}
+	defer j.endAttempt()
 	for {
+		if r := j.beginAttempt(); r != nil {
+			j.unclaimOrder()
+			return j.refusalResult(r)
+		}
 		p, r := j.acquirePermit()
 		if r != nil {
 			j.unclaimOrder()
 			return j.refusalResult(r)
 		}
+		if r := j.partRefusal(); r != nil {
+			j.releasePermit(p, goose.PermitReport{Outcome: goose.OutcomeNotSent})
+			j.unclaimOrder()
+			return j.refusalResult(r)
+		}
 		ok, res, again := j.claimOrder(p)
 		if again {
 			continue
@@ -115,7 +129,9 @@
 		if !ok {
 			return res
 		}
-		if res, again := j.runAttempt(proto, p, attempt); !again {
+		res, again = j.runAttempt(proto, p, attempt)
+		j.endAttempt()
+		if !again {
 			return res
 		}
 	}
--- a/internal/gooseentry/request.go
+++ b/internal/gooseentry/request.go
@@ -38,7 +38,10 @@
 	class        goose.LengthClass
 	prefixHashes []uint64
 	fingerprint  goose.Fingerprint
-	fields       modelFields
+	// subjects are the shared parts of the prompt. Crashes by the request as a whole are
+	// recorded by the goose.SuspectTracker.
+	subjects goose.CrashSubjects
+	fields   modelFields
 	// permitRequests counts the permit requests. Each has an ID of its own, so
 	// that a dispatcher does not take a retry for a repeated poll.
 	permitRequests int
--- a/internal/gooseentry/response.go
+++ b/internal/gooseentry/response.go
@@ -65,6 +65,7 @@
 	}
 	req.promptTokens, req.outputTokens = f.prompt.tokenCount(), f.maxTokens
 	req.prefixHashes = f.prompt.blockHashes(req.body.bytes())
+	req.subjects.Parts = sharedParts(f.model, req.body.bytes(), f.prompt)
 	if r := e.admit(req, goose.KindModel, goose.ServiceName(f.model), c.Get(headerOrderKey)); r != nil {
 		return req, r
 	}
--- a/internal/gooseentry/stream.go
+++ b/internal/gooseentry/stream.go
@@ -177,6 +177,7 @@
 			err = a.passFrames(st)
 			_ = st.Close()
 			if err == nil {
+				a.recordResponding(a.job.entry.clock.Now())
 				a.finish(goose.OutcomeFinished)
 				return attemptDone
 			}
@@ -290,6 +291,7 @@
 				n.ReportPrefilled(*a.permit)
 			}
 		}
+		a.recordProgress()
 		if err := a.passFrame(f); err != nil {
 			return err
 		}
@@ -358,6 +360,7 @@
 	}
 	if a.job.entry.processCrashed(a.ctx, a.proto, a.grant, a.process) {
 		a.job.entry.recordCrash(a.grant.Replica, a.process)
+		a.recordPartCrash()
 		a.finish(goose.OutcomeCrashed)
 		return attemptFailed
 	}
--- a/internal/gooseforward/crash.go
+++ b/internal/gooseforward/crash.go
@@ -22,7 +22,7 @@
 	case outcomeLost, outcomeSilent:
 		r.process = probe(c.ctx, choice.Replica.Address)
 		if e := r.evidence(); e != goose.EvidenceNone {
-			return c.o.Quarantine.RecordLost(c.suspicion, choice.Replica, e, now)
+			return c.o.Quarantine.RecordLost(c.suspicion, goose.NewCrashID(choice.Replica), e, now)
 		}
 	case outcomeDeadline:
 		if r.timeToFirst == 0 {
@@ -40,7 +40,7 @@
 		// The caller has its response already, and the context of the request has ended.
 		r.process = probe(context.Background(), choice.Replica.Address)
 		if e := r.evidence(); e != goose.EvidenceNone {
-			c.o.Quarantine.RecordLost(suspicion, choice.Replica, e, c.o.Clock.Now())
+			c.o.Quarantine.RecordLost(suspicion, goose.NewCrashID(choice.Replica), e, c.o.Clock.Now())
 		}
 	}()
 }
--- a/internal/gooseforward/part_test.go
+++ b/internal/gooseforward/part_test.go
@@ -115,7 +115,7 @@
 			part := goose.NewPartFingerprint("", deadlyPart)
 			for n := range tc.before {
 				s := goose.CrashSubjects{Request: goose.Fingerprint(n + 1), Parts: []goose.Fingerprint{part}}
-				h.quarantine.RecordLost(h.quarantine.Observe(s, time.Now()), goose.Replica{ID: "gone", StartedUnixMS: int64(n)}, goose.EvidenceCrash, time.Now())
+				h.quarantine.RecordLost(h.quarantine.Observe(s, time.Now()), goose.NewCrashID(goose.Replica{ID: "gone", StartedUnixMS: int64(n)}), goose.EvidenceCrash, time.Now())
 			}
 			h.postPrompt(tc.path, "body", deadlyPart)
 			if got := h.quarantine.CrashRecord(part, time.Now()).Weight; got != tc.want {
--- a/internal/gooseserve/serve.go
+++ b/internal/gooseserve/serve.go
@@ -24,6 +24,7 @@
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosemember"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosepeer"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosepermit"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosequarantine"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosesettings"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosesuspect"
 )
@@ -46,6 +47,7 @@
 	distributor    *gooseconfig.Distributor
 	cluster        *goosemember.Cluster
 	suspects       *goosesuspect.Replicator
+	crashRecords   *goosequarantine.Replicator
 	manager        *goosedispatch.Manager
 	permits        *goosepermit.Holder
 	ledger         *gooseledger.Ledger
@@ -123,6 +125,9 @@
 	i.distributor.Register(i.link)
 	i.suspects = goosesuspect.NewReplicator(goose.SystemClock{}, i.cluster, i.link)
 	i.suspects.Register(i.link)
+	quarantine := goosequarantine.New(i.log)
+	i.crashRecords = goosequarantine.NewReplicator(quarantine, goose.SystemClock{}, i.cluster, i.link)
+	i.crashRecords.Register(i.link)
 	i.commandLog = gooseload.New(gooseload.Options{
 		Store: i.store, Fleet: s.Fleet, LoadRate: func() *goose.WeightStore { return i.source.Current().Configuration().WeightStore },
 	})
@@ -154,7 +159,7 @@
 	i.ledger.Register(i.link)
 	i.entry = gooseentry.New(gooseentry.Options{
 		Instance: s.Instance, DataCentre: s.DataCentre, Configuration: i.source,
-		Permits: i.permits, Ledger: i.ledger, Suspects: i.suspects.Table(), Membership: i.cluster,
+		Permits: i.permits, Ledger: i.ledger, Suspects: i.suspects.Table(), Quarantine: quarantine, Membership: i.cluster,
 		Protocol: protocols.get,
 		Limits:   gooseentry.Limits{MaxBodyBytes: s.MaxBodyBytes, MaxBodyBytesInFlight: s.MaxBodyBytesInFlight},
 		Logger:   i.log,
@@ -242,6 +247,7 @@
 	tasks.Go(func() { i.cluster.Run(controlCtx) })
 	tasks.Go(func() { i.distributor.Run(controlCtx) })
 	tasks.Go(func() { i.suspects.Run(controlCtx) })
+	tasks.Go(func() { i.crashRecords.Run(controlCtx) })
 	tasks.Go(func() { i.manager.Run(controlCtx, i.permits) })
 	tasks.Go(func() { i.ledger.Run(controlCtx) })
 	tasks.Go(func() { i.logWhenReady(controlCtx) })
--- a/internal/goosetest/backend.go
+++ b/internal/goosetest/backend.go
@@ -1,6 +1,7 @@
 package goosetest
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -73,6 +74,7 @@
 		b.Bodies = append(b.Bodies, body)
 		b.Headers = append(b.Headers, r.Header.Clone())
 		b.mu.Unlock()
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		handle(b, w, r)
 	}))
 	t.Cleanup(b.Close)
--- a/pkg/goose/quarantine.go
+++ b/pkg/goose/quarantine.go
@@ -42,6 +42,7 @@
 // CrashSubjects is what may make a request crash its replica: the request as a whole, or one of
 // the shared parts of its prompt. It is immutable.
 type CrashSubjects struct {
+	// Request is zero if no evidence against the request as a whole is kept here.
 	Request Fingerprint
 	Parts   []Fingerprint
 }
@@ -55,11 +56,14 @@
 // identifies its crash.
 type CrashID uint32
 
-// NewCrashID hashes a replica's ID and the start time of its process. The result is never
-// zero.
+// NewCrashID identifies the process of a replica by its start time.
 func NewCrashID(r Replica) CrashID {
-	sum := xxhash.Sum64String(string(r.ID) + " " + strconv.FormatInt(r.StartedUnixMS, 10))
-	return max(CrashID(sum), 1)
+	return NewProcessCrashID(r.ID, strconv.FormatInt(r.StartedUnixMS, 10))
+}
+
+// NewProcessCrashID hashes a replica's ID and the ID of its process. The result is never zero.
+func NewProcessCrashID(id ReplicaID, process string) CrashID {
+	return max(CrashID(xxhash.Sum64String(string(id)+" "+process)), 1)
 }
 
 // MaxCrashes is the largest number of processes in a CrashRecord.
--- a/pkg/goosegossip/crash_test.go
+++ b/pkg/goosegossip/crash_test.go
@@ -42,11 +42,11 @@
 				begin := time.Now()
 				// Many other requests failed once.
 				for f := range goose.Fingerprint(100) {
-					a.o.Quarantine.RecordLost(a.o.Quarantine.Observe(goose.CrashSubjects{Request: 1000 + f}, begin), goose.Replica{ID: "i-0", StartedUnixMS: 1}, goose.EvidenceLost, begin)
+					a.o.Quarantine.RecordLost(a.o.Quarantine.Observe(goose.CrashSubjects{Request: 1000 + f}, begin), goose.NewCrashID(goose.Replica{ID: "i-0", StartedUnixMS: 1}), goose.EvidenceLost, begin)
 				}
 				for born := range tc.crashes {
 					known := a.o.Quarantine.Observe(goose.CrashSubjects{Request: 7}, begin)
-					a.o.Quarantine.RecordLost(known, goose.Replica{ID: "i-0", StartedUnixMS: int64(born + 1)}, goose.EvidenceCrash, begin)
+					a.o.Quarantine.RecordLost(known, goose.NewCrashID(goose.Replica{ID: "i-0", StartedUnixMS: int64(born + 1)}), goose.EvidenceCrash, begin)
 				}
 				time.Sleep(tc.away)
 				attach()
@@ -94,7 +94,7 @@
 		begin := time.Now()
 		for i, g := range fleet {
 			known := g.o.Quarantine.Observe(goose.CrashSubjects{Request: goose.Fingerprint(1000 + i)}, begin)
-			g.o.Quarantine.RecordLost(known, goose.Replica{ID: goose.ReplicaID(fmt.Sprint("i-", i))}, goose.EvidenceLost, begin)
+			g.o.Quarantine.RecordLost(known, goose.NewCrashID(goose.Replica{ID: goose.ReplicaID(fmt.Sprint("i-", i))}), goose.EvidenceLost, begin)
 		}
 		time.Sleep(time.Second)
 		if got := crashDatagrams.Load() - before; got > maxDatagrams {
@@ -102,7 +102,7 @@
 		}
 		for born := range 2 {
 			known := fleet[0].o.Quarantine.Observe(goose.CrashSubjects{Request: 7}, time.Now())
-			fleet[0].o.Quarantine.RecordLost(known, goose.Replica{ID: "i-0", StartedUnixMS: int64(born + 1)}, goose.EvidenceCrash, time.Now())
+			fleet[0].o.Quarantine.RecordLost(known, goose.NewCrashID(goose.Replica{ID: "i-0", StartedUnixMS: int64(born + 1)}), goose.EvidenceCrash, time.Now())
 		}
 		time.Sleep(500 * time.Millisecond)
 		for _, g := range fleet {
--- a/pkg/goosequarantine/attempt.go
+++ b/pkg/goosequarantine/attempt.go
@@ -110,10 +110,9 @@
 
 // RecordLost records an attempt that was lost at a replica. It returns the greatest weight of
 // the present evidence against the request and its parts.
-func (t *Table) RecordLost(a Attempt, on goose.Replica, evidence goose.CrashEvidence, now time.Time) uint32 {
+func (t *Table) RecordLost(a Attempt, id goose.CrashID, evidence goose.CrashEvidence, now time.Time) uint32 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	id := goose.NewCrashID(on)
 	t.recordLost(a.request, id, evidence, weights[evidence], now)
 	weight := t.weight(a.subjects.Request, now)
 	if a.responding {
@@ -128,6 +127,9 @@
 
 // recordLost adds evidence to the record of one subject.
 func (t *Table) recordLost(before goose.CrashRecord, id goose.CrashID, evidence goose.CrashEvidence, weight uint32, now time.Time) {
+	if before.Fingerprint == 0 {
+		return
+	}
 	// A process can crash only once. If the record already names this process, either the
 	// process is alive and only its responses break off, or the replica has restarted and the
 	// store has not delivered its new process yet.
--- a/pkg/goosequarantine/part_test.go
+++ b/pkg/goosequarantine/part_test.go
@@ -48,7 +48,7 @@
 		}
 	}
 	for _, a := range attempts {
-		p.all[at].RecordLost(a, numberedReplica(p.replicas), goose.EvidenceCrash, p.now)
+		p.all[at].RecordLost(a, numberedCrash(p.replicas), goose.EvidenceCrash, p.now)
 	}
 	p.exchange()
 }
@@ -121,7 +121,7 @@
 				attempts = append(attempts, p.all[n%3].Observe(p.next(shared, deadly), p.now))
 			}
 			for n, a := range attempts {
-				p.all[n%3].RecordLost(a, numberedReplica(n), goose.EvidenceCrash, p.now)
+				p.all[n%3].RecordLost(a, numberedCrash(n), goose.EvidenceCrash, p.now)
 			}
 			p.exchange()
 		}},
@@ -133,19 +133,19 @@
 		}},
 		"responses that break off at live replicas": {instances: 1, run: func(p *prompts) {
 			for n := range 12 {
-				p.all[0].RecordLost(p.all[0].Observe(p.next(deadly), p.now), numberedReplica(n), goose.EvidenceInterrupted, p.now)
+				p.all[0].RecordLost(p.all[0].Observe(p.next(deadly), p.now), numberedCrash(n), goose.EvidenceInterrupted, p.now)
 			}
 		}},
 		"lost long after the response began": {instances: 1, run: func(p *prompts) {
 			for n := range 12 {
 				a := p.all[0].RecordResponding(p.all[0].Observe(p.next(deadly), p.now), p.now)
-				p.all[0].RecordLost(a, numberedReplica(n), goose.EvidenceLost, p.now)
+				p.all[0].RecordLost(a, numberedCrash(n), goose.EvidenceLost, p.now)
 			}
 		}},
 		"a second part after more crashes than a record keeps": {instances: 2, deadly: true, both: true, run: func(p *prompts) {
 			for n := range 3 * goose.MaxCrashes {
 				a := p.all[n%2]
-				a.RecordLost(a.Observe(p.next(other), p.now), numberedReplica(100+n), goose.EvidenceCrash, p.now)
+				a.RecordLost(a.Observe(p.next(other), p.now), numberedCrash(100+n), goose.EvidenceCrash, p.now)
 			}
 			p.exchange()
 			for n := range 8 {
@@ -260,7 +260,7 @@
 	a := newInstance(t, store, begun)
 	for n := range 3 {
 		s := goose.CrashSubjects{Request: firstRequest + goose.Fingerprint(n), Parts: []goose.Fingerprint{deadly}}
-		a.table.RecordLost(a.table.Observe(s, a.clock.now), numberedReplica(n), goose.EvidenceCrash, a.clock.now)
+		a.table.RecordLost(a.table.Observe(s, a.clock.now), numberedCrash(n), goose.EvidenceCrash, a.clock.now)
 	}
 	a.mustSave()
 	request := goose.CrashSubjects{Request: 1, Parts: []goose.Fingerprint{shared, deadly}}
@@ -289,7 +289,7 @@
 	// Every instance loses a request with its own sound part and a common one at once.
 	for n := range instances {
 		a := p.all[n]
-		a.RecordLost(a.Observe(p.next(shared, 100+goose.Fingerprint(n%40)), p.now), numberedReplica(n%replicas), goose.EvidenceCrash, p.now)
+		a.RecordLost(a.Observe(p.next(shared, 100+goose.Fingerprint(n%40)), p.now), numberedCrash(n%replicas), goose.EvidenceCrash, p.now)
 	}
 	spread := func(from int) {
 		records := p.all[from].Report(MaxRecords, 1<<30, p.now).All()
@@ -303,7 +303,7 @@
 	for n := range 3 {
 		s := p.next(shared, deadly)
 		p.replicas++
-		p.all[7*n].RecordLost(p.all[7*n].Observe(s, p.now), numberedReplica(p.replicas), goose.EvidenceCrash, p.now)
+		p.all[7*n].RecordLost(p.all[7*n].Observe(s, p.now), numberedCrash(p.replicas), goose.EvidenceCrash, p.now)
 		spread(7 * n)
 	}
 	p.all[50].RecordResponding(p.all[50].Observe(p.next(shared), p.now), p.now)
--- a/pkg/goosequarantine/report.go
+++ b/pkg/goosequarantine/report.go
@@ -93,6 +93,19 @@
 	return r
 }
 
+// Records returns all records that have not expired, for an instance that has none.
+func (t *Table) Records(now time.Time) []goose.CrashRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []goose.CrashRecord
+	for _, e := range t.entries {
+		if !e.expired(now) {
+			all = append(all, e.recordAt(now))
+		}
+	}
+	return all
+}
+
 // reportable reports whether the record is due to be reported to peers.
 func (e *entry) reportable(retell int) bool {
 	switch {
--- a/pkg/goosequarantine/store_test.go
+++ b/pkg/goosequarantine/store_test.go
@@ -65,7 +65,7 @@
 // crash records a crash by the culprit and advances the clock until the record may be
 // saved.
 func (i *instance) crash(on int) {
-	i.table.RecordLost(i.table.Observe(only(culprit), i.clock.now), numberedReplica(on), goose.EvidenceCrash, i.clock.now)
+	i.table.RecordLost(i.table.Observe(only(culprit), i.clock.now), numberedCrash(on), goose.EvidenceCrash, i.clock.now)
 	i.clock.now = i.clock.now.Add(crashSaveDelay)
 }
 
@@ -289,7 +289,7 @@
 		i.table.SetInstances(func(time.Time) int { return instances })
 		fleet = append(fleet, i)
 	}
-	lost := goose.CrashRecord{Fingerprint: culprit}.WithCrash(goose.NewCrashID(numberedReplica(1)), weights[goose.EvidenceCrash])
+	lost := goose.CrashRecord{Fingerprint: culprit}.WithCrash(numberedCrash(1), weights[goose.EvidenceCrash])
 	for _, i := range fleet {
 		i.table.Merge([]goose.CrashRecord{lost}, SourcePeer, begun)
 	}
--- a/pkg/goosequarantine/table_test.go
+++ b/pkg/goosequarantine/table_test.go
@@ -32,9 +32,9 @@
 	return ts
 }
 
-// numberedReplica returns the n-th replica; its process has the start time n.
-func numberedReplica(n int) goose.Replica {
-	return goose.Replica{ID: goose.ReplicaID(fmt.Sprintf("i-%d", n)), StartedUnixMS: int64(n)}
+// numberedCrash returns the crash of the n-th replica; its process has the start time n.
+func numberedCrash(n int) goose.CrashID {
+	return goose.NewCrashID(goose.Replica{ID: goose.ReplicaID(fmt.Sprintf("i-%d", n)), StartedUnixMS: int64(n)})
 }
 
 // only returns the subjects of a request without a prompt.
@@ -44,7 +44,7 @@
 
 // recordLoss records at an instance the loss of an attempt that began with the present record.
 func (ts *tables) recordLoss(at int, request goose.Fingerprint, on int, e goose.CrashEvidence) {
-	ts.all[at].RecordLost(ts.all[at].Observe(only(request), ts.now), numberedReplica(on), e, ts.now)
+	ts.all[at].RecordLost(ts.all[at].Observe(only(request), ts.now), numberedCrash(on), e, ts.now)
 }
 
 // exchange sends the reports of every instance to all others.
@@ -123,7 +123,7 @@
 			for n := range 3 {
 				known := ts.all[n].Observe(only(culprit), ts.now)
 				for m := range 4 {
-					ts.all[n].RecordLost(known, numberedReplica(m), goose.EvidenceCrash, ts.now)
+					ts.all[n].RecordLost(known, numberedCrash(m), goose.EvidenceCrash, ts.now)
 				}
 			}
 			ts.exchange()
@@ -147,7 +147,7 @@
 			ts.recordLoss(0, culprit, 1, goose.EvidenceCrash)
 			known := ts.all[0].Observe(only(culprit), ts.now)
 			ts.all[0].RecordSurvived(culprit, ts.now)
-			ts.all[0].RecordLost(known, numberedReplica(2), goose.EvidenceCrash, ts.now)
+			ts.all[0].RecordLost(known, numberedCrash(2), goose.EvidenceCrash, ts.now)
 		}},
 		"lost with the culprit once": {instances: 2, culprit: true, run: func(ts *tables) {
 			ts.recordLoss(0, culprit, 1, goose.EvidenceCrash)
