gooseforward, goosehost: a planned stop ends each request with a response

Cause (report of another operator): requests that came during the grace were taken however long they would run, and at its end the server closed their connections. Found here by TestGracefulShutdownAnswersLateRequests: all four requests got an unexpected EOF. Change: while it drains, an instance refuses a request as not run if requests of its route and length usually take longer than what is left; 0.2 s before the connections close, what still runs gets its final response (504, or 503 as not run if nothing was sent). Conclusion: fixed in forward; streams that have begun can still only be cut.

--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -28,9 +28,11 @@
 	Budget      *gooseretry.Budget
 	Quarantine  *goosequarantine.Table
 	HeaderCodec goose.HeaderCodec
-	// Draining reports whether the instance drains, so that callers should send no further
-	// requests on their connections.
-	Draining func() bool
+	// StopAt returns when the instance ends the requests that still run; zero unless it
+	// drains. While it drains, callers should send no further requests on their connections.
+	StopAt func() time.Time
+	// Stopping ends when the instance ends the requests that still run.
+	Stopping context.Context
 	// MaxReservationTTL bounds how long the memory of a replica stays reserved without a renewal.
 	MaxReservationTTL time.Duration
 	Metrics           *Metrics
@@ -42,10 +44,13 @@
 type Forwarder struct {
 	o              Options
 	responseMemory *responseMemory
+	durations      *durations
 }
 
 // New returns a forwarder.
-func New(o Options) *Forwarder { return &Forwarder{o: o, responseMemory: newResponseMemory()} }
+func New(o Options) *Forwarder {
+	return &Forwarder{o: o, responseMemory: newResponseMemory(), durations: newDurations()}
+}
 
 // notReadyRetryAfter is the Retry-After while the instance has no routing or the route
 // leads to no service.
@@ -57,7 +62,7 @@
 		Forwarder: f, w: w, r: r, arrived: f.o.Clock.Now(),
 		tried: map[goose.ReplicaID]bool{}, snapshot: f.o.Directory.Current(),
 	}
-	if f.o.Draining() {
+	if !f.o.StopAt().IsZero() {
 		w.Header().Set("Connection", "close")
 	}
 	f.o.Metrics.inFlight.Inc()
@@ -69,11 +74,16 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(f.o.Stopping, cancel)()
 	c.ctx = ctx
 	if refusal, ok := c.readBody(); !ok {
 		c.refuse(refusal)
 		return
 	}
+	if refusal, ok := c.fitsBeforeStop(); !ok {
+		c.refuse(refusal)
+		return
+	}
 	f.o.Budget.CountRequest(c.service.Name, c.arrived)
 	c.run()
 }
@@ -83,7 +93,7 @@
 	*Forwarder
 	w http.ResponseWriter
 	r *http.Request
-	// ctx ends when the caller disconnects or the deadline passes.
+	// ctx ends when the caller disconnects, the deadline passes or the instance stops.
 	ctx      context.Context
 	arrived  time.Time
 	deadline time.Time
--- a/internal/gooseforward/forward_test.go
+++ b/internal/gooseforward/forward_test.go
@@ -36,8 +36,11 @@
 	quarantine *goosequarantine.Table
 	// directory lists the replicas.
 	directory *goosedirectory.Directory
-	draining  atomic.Bool
-	log       goosetest.Lines
+	// stopAt is when the instance stops; nil unless it drains. endWork ends the requests that
+	// still run.
+	stopAt  atomic.Pointer[time.Time]
+	endWork context.CancelFunc
+	log     goosetest.Lines
 
 	mu sync.Mutex
 	// seen are the requests that reached each replica.
@@ -88,12 +91,15 @@
 	for i, handler := range replicas {
 		h.addReplica(d, i, handler)
 	}
+	stopping, endWork := context.WithCancel(context.Background())
+	h.endWork = endWork
+	t.Cleanup(endWork)
 	f := New(Options{
 		Directory: d, Quarantine: h.quarantine, Placer: h.placer, HeaderCodec: gooseplatform.HeaderCodec{},
 		Budget: gooseretry.New(gooseretry.Options{
 			Window: time.Minute, Burst: 10, UsableShare: 1, Instances: func(time.Time) int { return 1 },
 		}),
-		Draining: h.draining.Load, MaxReservationTTL: time.Minute, Metrics: NewMetrics(metrics.NewSet()),
+		StopAt: h.stopTime, Stopping: stopping, MaxReservationTTL: time.Minute, Metrics: NewMetrics(metrics.NewSet()),
 		Log: slog.New(slog.NewJSONHandler(&h.log, nil)), Clock: goose.SystemClock{},
 	})
 	server := httptest.NewServer(f)
@@ -102,6 +108,19 @@
 	return h
 }
 
+// drain begins a graceful shutdown that ends after the given time.
+func (h *harness) drain(after time.Duration) {
+	at := time.Now().Add(after)
+	h.stopAt.Store(&at)
+}
+
+func (h *harness) stopTime() time.Time {
+	if at := h.stopAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 func (h *harness) addReplica(d *goosedirectory.Directory, i int, handler http.HandlerFunc) {
 	id := fmt.Sprintf("i-%d", i)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -447,7 +466,7 @@
 func TestDrainingClosesConnections(t *testing.T) {
 	t.Parallel()
 	h := newHarness(t, succeed)
-	h.draining.Store(true)
+	h.drain(time.Hour)
 	r := h.request(context.Background(), "/look/x", "")
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -37,8 +37,10 @@
 	// balancer probes the readiness each second and removes an instance after two probes
 	// without a 200.
 	deregisterDelay = 3 * time.Second
-	// stopMargin is the time between aborting the running requests and SIGKILL.
-	stopMargin = 300 * time.Millisecond
+	// stopMargin is the time between closing the connections of callers and SIGKILL, and
+	// answerMargin the time before that in which requests that still run get a final response.
+	stopMargin   = 300 * time.Millisecond
+	answerMargin = 200 * time.Millisecond
 	// defaultStopTimeout is used if the settings contain no stop timeout.
 	defaultStopTimeout = 8 * time.Second
 	// headerTimeout and idleTimeout are above the timeouts that callers have to observe, so
@@ -76,7 +78,11 @@
 	metrics      *metrics.Set
 	// droppedLines counts the log lines that were not written.
 	droppedLines *metrics.Counter
-	draining     atomic.Bool
+	// stopAt is when requests that still run get their final response; nil unless the
+	// instance drains. stopping ends then.
+	stopAt   atomic.Pointer[time.Time]
+	stopping context.Context
+	endWork  context.CancelFunc
 }
 
 // Run serves until ctx ends, and then drains: the load balancer removes the instance, and
@@ -98,6 +104,7 @@
 // newHost builds the components in the order of their dependencies.
 func newHost(s gooseplatform.Settings, logWriter *gooselog.Writer, logHandler *gooselog.Handler, log *slog.Logger) (*host, error) {
 	h := &host{settings: s, log: log, logWriter: logWriter, logHandler: logHandler, clock: goose.SystemClock{}, metrics: metrics.NewSet()}
+	h.stopping, h.endWork = context.WithCancel(context.Background())
 	store, err := gooseplatform.NewStore(s.StoreAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "setting platform.addr")
@@ -130,7 +137,7 @@
 		Budget: gooseretry.New(gooseretry.Options{
 			Window: s.Retry.Window, Ratio: s.Retry.Ratio, Burst: s.Retry.Burst, Instances: h.placer.Instances, UsableShare: retryBudgetShare,
 		}),
-		Draining: h.draining.Load, MaxReservationTTL: s.MaxReservationTTL,
+		StopAt: h.stopTime, Stopping: h.stopping, MaxReservationTTL: s.MaxReservationTTL,
 		Metrics: gooseforward.NewMetrics(h.metrics), Log: log, Clock: h.clock,
 	})
 	return h, h.buildGossip()
@@ -273,7 +280,9 @@
 	if total <= 0 {
 		total = defaultStopTimeout
 	}
-	h.draining.Store(true)
+	stopAt := start.Add(total - stopMargin - answerMargin)
+	h.stopAt.Store(&stopAt)
+	defer time.AfterFunc(time.Until(stopAt), h.endWork).Stop()
 	gooseevent.InstanceDraining.Log(h.log, slog.Duration("limit", total))
 	time.Sleep(min(deregisterDelay, total/2))
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(total-stopMargin))
@@ -281,10 +290,19 @@
 	drainServer(ctx, server, callers, conns)
 }
 
+// stopTime returns when requests that still run get their final response; zero unless the
+// instance drains.
+func (h *host) stopTime() time.Time {
+	if at := h.stopAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // ready reports whether the instance should receive new callers.
 func (h *host) ready() bool {
 	s := h.directory.Current()
-	return !h.draining.Load() && s.Table != nil && h.follower.Synced()
+	return h.stopAt.Load() == nil && s.Table != nil && h.follower.Synced()
 }
 
 func (h *host) readinessHandler() http.Handler {
--- a/internal/goosehost/stop_test.go
+++ b/internal/goosehost/stop_test.go
@@ -81,3 +81,32 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return err
 }
+
+// Guards against a graceful shutdown that takes requests it cannot finish and closes their
+// connections without a response at its end, among them some that must not be repeated.
+func TestGracefulShutdownAnswersLateRequests(t *testing.T) {
+	t.Parallel()
+	f := goosehosttest.New(t)
+	f.WriteRouting(1, "a")
+	f.AddReplicaFunc("i-a", "a", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	e := f.StartInstance("edge-1", io.Discard)
+	goosehosttest.Eventually(t, "the instance is ready", e.IsReady)
+	e.BeginShutdown()
+	var wg sync.WaitGroup
+	for n := range 4 {
+		wg.Go(func() {
+			time.Sleep(time.Duration(n) * 700 * time.Millisecond)
+			conn, err := net.DialTimeout("tcp4", e.CallerAddress(), time.Second)
+			if err != nil {
+				t.Errorf("got error %v while the instance drains", err)
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			if err := sendAndRead(conn); err != nil {
+				t.Errorf("got error %v for request %d, want a complete response", err, n)
+			}
+		})
+	}
+	wg.Wait()
+	e.Shutdown()
+}
