gooseentry: a stopping instance refuses what its drain timeout would cut

Responses without a length: the tests passed over streams that end one byte before the end of an event. Change: while it drains, serve refuses a request as not run if its deadline lies behind the end of the drain timeout. TestResponsesCutAtEveryByte checks every byte but the ends of events, and a plain response that ends with its connection. Conclusion: streams that end inside an event were already broken off; shown now.

--- a/internal/gooseentry/entry.go
+++ b/internal/gooseentry/entry.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// Options are the dependencies of an Entry. All but Limits, Logger and Clock
+// Options are the dependencies of an Entry. All but StopAt, Limits, Logger and Clock
 // are required.
 type Options struct {
 	Instance      goose.InstanceID
@@ -85,9 +85,11 @@
 	Membership goose.Membership
 	// Protocol returns the client of a backend protocol, as goose.NewProtocol does.
 	Protocol func(name string) (goose.Protocol, error)
-	Limits   Limits
-	Logger   *slog.Logger
-	Clock    goose.Clock
+	// StopAt returns when the instance ends the requests that still run; zero unless it drains.
+	StopAt func() time.Time
+	Limits Limits
+	Logger *slog.Logger
+	Clock  goose.Clock
 }
 
 // Entry serves callers. It is safe for concurrent use.
@@ -102,6 +104,7 @@
 	membership  goose.Membership
 	newProtocol func(string) (goose.Protocol, error)
 	protocols   sync.Map
+	stopAt      func() time.Time
 	limits      Limits
 	log         *slog.Logger
 	clock       goose.Clock
@@ -128,6 +131,9 @@
 	if o.Clock == nil {
 		o.Clock = goose.SystemClock{}
 	}
+	if o.StopAt == nil {
+		o.StopAt = func() time.Time { return time.Time{} }
+	}
 	e := &Entry{
 		instance:    o.Instance,
 		dataCentre:  o.DataCentre,
@@ -138,6 +144,7 @@
 		quarantine:  o.Quarantine,
 		membership:  o.Membership,
 		newProtocol: o.Protocol,
+		stopAt:      o.StopAt,
 		limits:      o.Limits.withDefaults(),
 		log:         o.Logger,
 		clock:       o.Clock,
--- a/internal/gooseentry/request.go
+++ b/internal/gooseentry/request.go
@@ -149,6 +149,9 @@
 	}
 	req.service = s
 	req.setDeadline(e)
+	if stopAt := e.stopAt(); !stopAt.IsZero() && req.deadline.After(stopAt) {
+		return newRefusal(goose.CodeLeaving, "instance-stopping", "this instance stops before the request's deadline", stoppingRetryAfter)
+	}
 	if r := req.setOrder(key); r != nil {
 		return r
 	}
@@ -169,6 +172,10 @@
 	return &r
 }
 
+// stoppingRetryAfter is the Retry-After of an instance that stops: others can take the request at
+// once.
+const stoppingRetryAfter = 100 * time.Millisecond
+
 func (req *request) setDeadline(e *Entry) {
 	d := req.service.Deadline
 	if d <= 0 {
--- a/internal/gooseforward/broken_test.go
+++ b/internal/gooseforward/broken_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -85,6 +86,7 @@
 		mayEnd []string
 	}{
 		"length":          {path: "/order/x", response: stamp + "Content-Length: 4\r\n\r\ndone", body: "done"},
+		"neither":         {path: "/order/x", response: stamp + "\r\ndone", body: "done", mayEnd: []string{stamp + "\r\nd", stamp + "\r\ndo", stamp + "\r\ndon", stamp + "\r\n"}},
 		"chunks":          {path: "/order/x", response: stamp + "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", body: "done"},
 		"stream, length":  {path: "/whole/x", response: fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", stamp, len(events), events), body: events},
 		"stream, chunks":  {path: "/whole/x", response: stamp + "Transfer-Encoding: chunked\r\n\r\n" + chunked, body: events},
@@ -95,8 +97,7 @@
 			t.Parallel()
 			for n := range len(tc.response) {
 				prefix := tc.response[:n]
-				if len(tc.mayEnd) > 0 && strings.HasPrefix(tc.mayEnd[0], prefix) && len(prefix) >= len(tc.mayEnd[0])-1 {
-					// The last newline of an event may be missing at the end of the connection.
+				if slices.Contains(tc.mayEnd, prefix) {
 					continue
 				}
 				h := newHarness(t, raw(prefix))
--- a/internal/gooseserve/serve.go
+++ b/internal/gooseserve/serve.go
@@ -38,6 +38,8 @@
 	settings goosesettings.Settings
 	log      *slog.Logger
 	leaving  atomic.Bool
+	// stopAt is nil unless the instance drains.
+	stopAt atomic.Pointer[time.Time]
 
 	store *monitoredStore
 	link  *goosepeer.Link
@@ -161,6 +163,7 @@
 		Instance: s.Instance, DataCentre: s.DataCentre, Configuration: i.source,
 		Permits: i.permits, Ledger: i.ledger, Suspects: i.suspects.Table(), Quarantine: quarantine, Membership: i.cluster,
 		Protocol: protocols.get,
+		StopAt:   i.stopTime,
 		Limits:   gooseentry.Limits{MaxBodyBytes: s.MaxBodyBytes, MaxBodyBytesInFlight: s.MaxBodyBytesInFlight},
 		Logger:   i.log,
 	})
@@ -283,11 +286,21 @@
 	gooseevent.InstanceReady.Log(i.log, "version", i.source.Current().Version())
 }
 
+// stopTime returns when requests that still run are ended; zero unless the instance drains.
+func (i *instance) stopTime() time.Time {
+	if at := i.stopAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // stop drains the instance. Peers learn by heartbeat that it is leaving, and
 // callers are directed away by the load balancer's readiness check. Pools are
 // handed over before the running requests have ended, so that other instances
 // need not wait for a lease to expire.
 func (i *instance) stop() {
+	stopAt := time.Now().Add(i.settings.DrainTimeout)
+	i.stopAt.Store(&stopAt)
 	i.leaving.Store(true)
 	gooseevent.InstanceDraining.Log(i.log)
 	ctx, cancel := context.WithTimeout(context.Background(), i.settings.DrainTimeout)
