gooseengine: a plain response may end with its connection

Cause: the users state that a response may have neither a length nor chunks and end with its connection; serve took each such response for a lost one, so that an order whose response came this way had an unknown outcome.

--- a/internal/gooseengine/exchange.go
+++ b/internal/gooseengine/exchange.go
@@ -214,7 +214,9 @@
 	return err
 }
 
-// body reads the complete body of the response, which may have at most limit bytes.
+// body reads the complete body of the response, which may have at most limit bytes. A body
+// without a length or chunks is complete when the connection is closed, but not when it is
+// reset.
 func (x *exchange) body(limit int) ([]byte, error) {
 	if x.resp.SkipBody || x.resp.BodyStream() == nil {
 		return nil, nil
@@ -223,9 +225,6 @@
 	if length > limit {
 		return nil, disconnected(errors.Errorf("response of %d bytes exceeds the limit of %d", length, limit))
 	}
-	if length < -1 {
-		return nil, disconnected(errors.New("response has neither a length nor chunks, so truncation could not be detected"))
-	}
 	b, err := io.ReadAll(io.LimitReader(x.resp.BodyStream(), int64(limit)+1))
 	switch {
 	case err != nil:
