gooseplacement: replicas that leave or want a pause, by their own responses

Cause: Server-Leaving and a replica's Retry-After were read nowhere, so requests went on to replicas that leave while the store is silent, and to those that asked for a pause. Change: every response counts, those of reservations too. A process that leaves gets nothing more, whatever the registry lists; a later process does. If all leave or pause, callers are refused at once, with the earliest end. Conclusion: other instances learn of a leaving replica from its own responses or the store.

--- a/internal/gooseevent/events_forward.go
+++ b/internal/gooseevent/events_forward.go
@@ -23,6 +23,8 @@
 	QuarantineEnded      = define(715, slog.LevelInfo, "request out of quarantine", "A replica has run the request without a crash, or the record of the request was deleted from the store.")
 	PartQuarantineBegun  = define(724, slog.LevelError, "part of prompts in quarantine", "Replicas crashed one after the other while they ran requests with this part in their prompts; all instances refuse such requests. The lines 710 to 712 with the fingerprint in the field parts show who sends them and which replicas crashed.")
 	PartQuarantineEnded  = define(725, slog.LevelInfo, "part of prompts out of quarantine", "A replica has written a response to a request with this part, or the record of the part was deleted from the store.")
+	ReplicaLeaving       = define(726, slog.LevelInfo, "replica leaves", "A response of the replica says that its process leaves; it gets no new requests from this instance, whatever the store lists.")
+	ReplicaPaused        = define(727, slog.LevelInfo, "replica wants a pause", "A replica answered 503 with Retry-After; it gets no requests from this instance for the time in the field pause.")
 	CrashRecordNotSaved  = define(716, slog.LevelWarn, "crash record not saved", "The record of a request that crashes replicas could not be written to the platform's store; the write is retried.")
 	CrashNoted           = define(717, slog.LevelInfo, "crash noted", "A replica was lost while it ran this request, on this instance or on the instance that reported it; the field weight is the current weight of the evidence against the request.")
 	PeerSeen             = define(720, slog.LevelInfo, "peer seen", "Another instance reports its load from now on.")
--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -241,6 +241,7 @@
 	}
 	defer u.close()
 	header := c.o.HeaderCodec.ParseResponse(u.resp.StatusCode, u.resp.Header)
+	c.recordWishes(choice.Replica, header)
 	if header.Attempt != "" && c.header.Attempt != "" && header.Attempt != c.header.Attempt {
 		return result{outcome: outcomeLost, err: errors.Errorf("response belongs to attempt %q", header.Attempt)}
 	}
--- a/internal/gooseforward/refuse.go
+++ b/internal/gooseforward/refuse.go
@@ -125,6 +125,12 @@
 	case ran:
 		r := goose.NotRunRefusal(goose.CodeBackendFailed, "the backend server gave no whole answer").WithRun(goose.RunStateUnknown)
 		return r.WithReason(string(last.outcome))
+	case obstacle == gooseplacement.ObstacleLeaving:
+		return goose.NotRunRefusal(goose.CodeLeaving, "all backend servers of the service are leaving").WithRetryAfter(otherRetryAfter)
+	case obstacle == gooseplacement.ObstaclePaused:
+		wait := c.o.Placer.ResumeAfter(c.o.Directory.Current().Replicas(c.service.Name), c.o.Clock.Now())
+		return goose.NotRunRefusal(goose.CodeOverloaded, "the backend servers want no requests for a while").
+			WithReason(string(obstacle)).WithRetryAfter(wait + rand.N(max(wait/2, otherRetryAfter)))
 	case obstacle == gooseplacement.ObstacleHuge:
 		return goose.NotRunRefusal(goose.CodeOverloaded, "too few backend servers are idle for a prompt of this length").
 			WithReason(string(obstacle)).WithRetryAfter(hugeRetryAfter + rand.N(hugeRetryAfter))
--- a/internal/gooseforward/reserve.go
+++ b/internal/gooseforward/reserve.go
@@ -125,6 +125,7 @@
 		return errors.Wrapf(err, "reservation at %s", h.Replica.ID)
 	}
 	defer u.close()
+	c.recordWishes(h.Replica, c.o.HeaderCodec.ParseResponse(u.resp.StatusCode, u.resp.Header))
 	if u.resp.StatusCode != http.StatusOK {
 		return errors.Errorf("reservation at %s: status %d", h.Replica.ID, u.resp.StatusCode)
 	}
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -341,6 +341,8 @@
 	gauge("gooseberryhold_quarantined_parts", func(*goosedirectory.Snapshot) float64 {
 		return float64(h.quarantine.QuarantinedCount(goose.SubjectPart, h.clock.Now()))
 	})
+	gauge("gooseberryhold_replicas_leaving", func(*goosedirectory.Snapshot) float64 { return float64(h.placer.LeavingCount()) })
+	gauge("gooseberryhold_replicas_paused", func(*goosedirectory.Snapshot) float64 { return float64(h.placer.PausedCount(h.clock.Now())) })
 	gauge("gooseberryhold_store_reach_seconds", func(*goosedirectory.Snapshot) float64 {
 		return h.follower.ReachableFor(h.clock.Now()).Seconds()
 	})
@@ -371,7 +373,7 @@
 		h.placer.RemoveUnlisted(func(id goose.ReplicaID) bool {
 			_, ok := s.Lookup(id)
 			return ok
-		})
+		}, h.clock.Now())
 		h.quarantine.RemoveExpired(h.clock.Now())
 		h.logWriter.Refill(maintenanceInterval)
 		h.logHandler.Refill(maintenanceInterval)
--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -57,6 +57,10 @@
 	// ObstacleNoReplica means that the service has no known replica that was not already
 	// tried.
 	ObstacleNoReplica Obstacle = "no-replica"
+	// ObstacleLeaving means that all replicas of the service leave.
+	ObstacleLeaving Obstacle = "leaving"
+	// ObstaclePaused means that the replicas want no requests from this instance for a while.
+	ObstaclePaused Obstacle = "paused"
 	// ObstacleCold means that all replicas have reached the request rate bound for cold
 	// replicas.
 	ObstacleCold Obstacle = "cold"
@@ -136,12 +140,13 @@
 // are used only if none of its own can serve the request in good time.
 func (pl *Placer) place(d Demand, replicas []goosedirectory.Replica, now time.Time) (placement, Obstacle) {
 	pl.table.removeStale(now)
-	all, atBound := pl.candidates(d, replicas, now)
-	if len(all) == 0 {
-		if atBound {
-			return placement{}, ObstacleCold
-		}
-		return placement{}, ObstacleNoReplica
+	staying := pl.withoutLeaving(replicas)
+	if len(staying) == 0 && len(replicas) > 0 {
+		return placement{}, ObstacleLeaving
+	}
+	all, obstacle := pl.candidates(d, staying, now)
+	if obstacle != ObstacleNone {
+		return placement{}, obstacle
 	}
 	own := all
 	if pl.table.split() {
@@ -206,20 +211,26 @@
 }
 
 // candidates returns the replicas that were not already tried and are not suspended. If all
-// of them are suspended, it returns the suspended ones. The second result is true if some
-// replicas were left out because they have reached the cold bound.
-func (pl *Placer) candidates(d Demand, replicas []goosedirectory.Replica, now time.Time) ([]candidate, bool) {
+// of them are suspended, it returns the suspended ones. It returns an obstacle if there are
+// none.
+func (pl *Placer) candidates(d Demand, replicas []goosedirectory.Replica, now time.Time) ([]candidate, Obstacle) {
 	long := pl.longPool(d.Service, replicas, now)
 	bound := pl.coldBound(d.Service, now)
 	var healthy, suspended []candidate
-	atBound := false
+	none := ObstacleNoReplica
 	for _, r := range replicas {
 		if d.Avoid[r.ID] {
 			continue
 		}
 		s := pl.stateOf(r.Replica)
 		if bound.reached(s, r.DataCentre == pl.opts.DataCentre, now.Before(r.ColdUntil.Add(coldMargin)), now) {
-			atBound = true
+			none = ObstacleCold
+			continue
+		}
+		if now.Before(s.pausedUntil) {
+			if none == ObstacleNoReplica {
+				none = ObstaclePaused
+			}
 			continue
 		}
 		c := candidate{Replica: r, load: pl.load(r.ID, now), state: s, inLongPool: long[r.ID]}
@@ -229,10 +240,13 @@
 		}
 		healthy = append(healthy, c)
 	}
-	if len(healthy) == 0 {
-		return suspended, atBound
+	switch {
+	case len(healthy) > 0:
+		return healthy, ObstacleNone
+	case len(suspended) > 0:
+		return suspended, ObstacleNone
 	}
-	return healthy, atBound
+	return nil, none
 }
 
 const (
--- a/pkg/gooseplacement/placer.go
+++ b/pkg/gooseplacement/placer.go
@@ -33,7 +33,10 @@
 	lastID   uint64
 	attempts map[uint64]*attempt
 	replicas map[goose.ReplicaID]*replicaState
-	table    peerTable
+	// leaving are the processes that have said that they leave, with the time of the last
+	// response that said so.
+	leaving map[process]time.Time
+	table   peerTable
 	// offered measures the offered load of each service at this instance.
 	offered map[goose.ServiceName]*loadMeter
 	// reportDue holds a value while a report to the peers is due at once because of a new
@@ -51,6 +54,9 @@
 	attemptTimes []time.Time
 	// startedUnixMS identifies the replica's process to which the health applies.
 	startedUnixMS int64
+	// pausedUntil is until when the replica wants no requests from this instance. It holds for
+	// a later process of the replica, too.
+	pausedUntil time.Time
 }
 
 // attemptTimesKept is how long the times of attempts are kept: longer than the window of the
@@ -71,7 +77,7 @@
 		o.Rand = rand.IntN
 	}
 	return &Placer{
-		opts: o, attempts: map[uint64]*attempt{}, replicas: map[goose.ReplicaID]*replicaState{},
+		opts: o, attempts: map[uint64]*attempt{}, replicas: map[goose.ReplicaID]*replicaState{}, leaving: map[process]time.Time{},
 		table: newPeerTable(), offered: map[goose.ServiceName]*loadMeter{},
 		reportDue: make(chan struct{}, 1),
 	}
@@ -130,13 +136,14 @@
 	return s
 }
 
-// RemoveUnlisted removes the state of replicas that are no longer listed and have nothing in
-// flight.
-func (pl *Placer) RemoveUnlisted(known func(goose.ReplicaID) bool) {
+// RemoveUnlisted removes the state of replicas that are no longer listed, have nothing in
+// flight and have not asked for a pause.
+func (pl *Placer) RemoveUnlisted(known func(goose.ReplicaID) bool, now time.Time) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
+	pl.forgetLeaving(now)
 	for id, s := range pl.replicas {
-		if len(s.parts) == 0 && !known(id) {
+		if len(s.parts) == 0 && !now.Before(s.pausedUntil) && !known(id) {
 			delete(pl.replicas, id)
 		}
 	}
