goosequarantine: sound parts beside many crashes are not held, or not for long

Change: a response protects its parts for 5 s at every instance that hears of it; a request in quarantine explains the crashes that it shares with parts that it does not contain; the first request after the delay is the trial and all instances are told. The list of instances is no longer needed. The soak sends such parts, leaving replicas and pauses, and waits for each sound part after its faults. Conclusion: a wrong accusation ends by itself; one of a part without any response yet lasts until its first trial.

--- a/internal/gooseentry/part.go
+++ b/internal/gooseentry/part.go
@@ -62,8 +62,12 @@
 	}
 }
 
-// partRefusal refuses a request whose prompt has a part that crashes engines.
+// partRefusal refuses a request whose prompt has a part that crashes engines, unless it is on
+// trial.
 func (j *job) partRefusal() *goose.Refusal {
+	if j.suspicion != nil && j.suspicion.OnTrial() {
+		return nil
+	}
 	left, quarantined := j.entry.quarantine.Quarantined(j.req.subjects, j.entry.clock.Now())
 	if !quarantined {
 		return nil
--- a/internal/gooseentry/part_test.go
+++ b/internal/gooseentry/part_test.go
@@ -9,9 +9,11 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/goosetest"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosequarantine"
 )
 
 // deadlyText is the content of a message that crashes every engine that runs a chat with it.
@@ -107,3 +109,34 @@
 		})
 	}
 }
+
+// Guards against a chat that is held for ever although its engines are sound again: one is
+// tried after a while, and the permit that it waits for does not end the trial.
+func TestMessageOnTrial(t *testing.T) {
+	clock := &goosetest.Clock{}
+	engine := goosetest.NewBackend(t, goosetest.Answering(2))
+	var quarantine *goosequarantine.Table
+	e := newTestEntry(t, func(o *Options, _ *testEntry) {
+		o.Clock, quarantine = clock, o.Quarantine
+	}, engine)
+	// The permits outlast the jump of the clock.
+	e.permits.Lifetime = map[int]time.Duration{1: time.Hour, 2: time.Hour, 3: time.Hour}
+	body := chat(deadlyText, "own")
+	f, err := readModelFields([]byte(body), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range 3 {
+		a := quarantine.Observe(goose.CrashSubjects{Parts: sharedParts(f.model, []byte(body), f.prompt)[1:]}, clock.Now())
+		quarantine.RecordLost(a, goose.CrashID(n+1), goose.EvidenceCrash, clock.Now())
+	}
+	if got := e.post(t, "/v1/chat/completions", body); got.status != http.StatusServiceUnavailable {
+		t.Errorf("status right after the crashes: got %d, want 503", got.status)
+	}
+	clock.Advance(time.Minute)
+	for _, when := range []string{"on trial", "after the trial"} {
+		if got, want := e.chatText(t, body), "t0 t1 "; got != want {
+			t.Errorf("text %s: got %q, want %q", when, got, want)
+		}
+	}
+}
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -131,7 +131,6 @@
 		DataCentre: s.DataCentre, ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, Registered: h.registeredInstances,
 	})
 	h.quarantine.SetInstances(h.placer.Instances)
-	h.quarantine.SetTrialHolder(h.holdsTrial)
 	h.forwarder = gooseforward.New(gooseforward.Options{
 		Directory: h.directory, Placer: h.placer, Quarantine: h.quarantine, HeaderCodec: gooseplatform.HeaderCodec{},
 		Budget: gooseretry.New(gooseretry.Options{
@@ -182,17 +181,6 @@
 	return gooseplacement.Registered{Own: s.InstancesIn(h.settings.DataCentre), All: len(s.Instances())}
 }
 
-// holdsTrial reports whether this instance holds the trial of a part of prompts.
-func (h *host) holdsTrial(part goose.Fingerprint, slot int64) bool {
-	instances := []goose.InstanceID{h.settings.Instance}
-	for id := range h.directory.Current().Instances() {
-		if id != h.settings.Instance {
-			instances = append(instances, id)
-		}
-	}
-	return goosequarantine.TrialHolder(part, slot, instances) == h.settings.Instance
-}
-
 // followingRelay reports whether the changes of the store come from another instance.
 func (h *host) followingRelay() bool { return h.relay != nil && h.relay.Following(h.clock.Now()) }
 
--- a/internal/goosesoak/caller_test.go
+++ b/internal/goosesoak/caller_test.go
@@ -45,6 +45,8 @@
 	sent    int
 	// body is sent with every request; if it is empty, each request gets a random body.
 	body string
+	// part is the middle part of the caller's prompts.
+	part string
 	// transport keeps idle connections open until the instance closes them.
 	transport *http.Transport
 }
@@ -84,6 +86,9 @@
 	if cancelAfter > 0 {
 		timeout = cancelAfter
 	}
+	if promptTokens[k] > 0 || c.part != "" {
+		r.parts = c.promptParts()
+	}
 	c.journal.add(r)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -101,6 +106,22 @@
 	return r
 }
 
+// soundParts is the number of middle parts that sound prompts have.
+const soundParts = 12
+
+// soundPart returns the n-th middle part of sound prompts.
+func soundPart(n int) string { return fmt.Sprintf("50fd%d", n) }
+
+// promptParts returns the parts of a prompt: one that all prompts have, a middle one that some
+// others have, and one of its own.
+func (c *caller) promptParts() string {
+	middle := c.part
+	if middle == "" {
+		middle = soundPart(c.random.IntN(soundParts))
+	}
+	return fmt.Sprintf("5c1e:40,%s:160,%s:200", middle, fmt.Sprintf("%x%s", c.sent, c.name))
+}
+
 func (c *caller) exchange(ctx context.Context, address string, r *request, key string) (int, http.Header, string, error) {
 	q, err := http.NewRequestWithContext(ctx, r.method, "http://"+address+r.path, bytes.NewReader([]byte(r.body)))
 	if err != nil {
@@ -112,6 +133,9 @@
 	q.Header.Set("Authorization", "Bearer "+key)
 	q.Header.Set("X-Attempt-Id", r.id)
 	q.Header.Set("X-Deadline-Ms", strconv.FormatInt(r.timeout.Milliseconds(), 10))
+	if r.parts != "" {
+		q.Header.Set("X-Prompt-Prefix", r.parts)
+	}
 	if tokens := promptTokens[r.kind]; tokens > 0 {
 		q.Header.Set("X-Tokens", fmt.Sprintf("%d,%d", tokens, 100))
 	}
--- a/internal/goosesoak/inject_test.go
+++ b/internal/goosesoak/inject_test.go
@@ -118,6 +118,7 @@
 	r := e.current()
 	switch ft.kind {
 	case faultReplicaDrain:
+		r.leave()
 		f.store.Put("servers/"+r.id, r.storeEntry(e.proxy.address(), "draining"))
 		time.Sleep(ft.duration)
 	case faultAddressReused:
--- a/internal/goosesoak/journal_test.go
+++ b/internal/goosesoak/journal_test.go
@@ -34,14 +34,18 @@
 	ended                   bool
 	// complete is true once the replica has written its whole response.
 	complete bool
+	// leaving is true if the response says that the replica leaves.
+	leaving bool
 }
 
 // request is one request of a caller with its runs and its response.
 type request struct {
 	id, method, path, body string
-	kind                   kind
-	workspace              string
-	timeout                time.Duration
+	// parts is the header that lists the parts of the prompt.
+	parts     string
+	kind      kind
+	workspace string
+	timeout   time.Duration
 	// process is the instance's process when the request was sent.
 	process *process
 	sentAt  time.Time
@@ -81,6 +85,7 @@
 //   - asked: a replica gets only requests that a caller has sent, unchanged.
 //   - deadline: the deadline sent to a replica is at most deadlineSlack after the caller's.
 //   - ended: a process does not exit by itself, nor with an error after SIGTERM.
+//   - leave: a process sends a replica nothing more after it has passed on that it leaves.
 //   - line: each refused or failed request has a log line.
 //   - once: an order runs at most once.
 //   - order: a stream has every event once and in order.
@@ -157,6 +162,36 @@
 		}
 		j.checkResponse(r)
 	}
+	j.checkLeaving()
+}
+
+// leaveSlack is the time after a response that says that its replica leaves in which a request
+// may still be sent to the replica.
+const leaveSlack = time.Second
+
+// checkLeaving checks that no process has sent a request to a replica that a caller sent after
+// the process had passed on a response which says that the replica leaves.
+func (j *journal) checkLeaving() {
+	type link struct {
+		process *process
+		replica string
+	}
+	told := map[link]time.Time{}
+	for _, r := range j.requests {
+		for _, n := range r.runs {
+			l := link{r.process, n.replica}
+			if at, known := told[l]; n.leaving && r.complete && r.stamp == n.stamp && (!known || r.respondedAt.Before(at)) {
+				told[l] = r.respondedAt
+			}
+		}
+	}
+	for _, r := range j.requests {
+		for _, n := range r.runs {
+			if at, known := told[link{r.process, n.replica}]; known && r.sentAt.After(at.Add(leaveSlack)) {
+				j.violateLocked("leave", "%s %s ran at replica %s, which had said %s before that it leaves", r.kind, r.id, n.replica, r.sentAt.Sub(at))
+			}
+		}
+	}
 }
 
 func (j *journal) checkResponse(r *request) {
--- a/internal/goosesoak/poison_test.go
+++ b/internal/goosesoak/poison_test.go
@@ -8,8 +8,13 @@
 	"time"
 )
 
-// poisonBody is the request body that crashes every replica that runs it.
-const poisonBody = "poison"
+const (
+	// poisonBody is the request body that crashes every replica that runs it.
+	poisonBody = "poison"
+	// poisonPart is the part of prompts that crashes every replica that runs one with it,
+	// whatever its body.
+	poisonPart = "dead"
+)
 
 const (
 	// maxResendPause bounds the pause before the caller sends the poison request again.
@@ -21,7 +26,8 @@
 	refusedRounds         = 3
 )
 
-// poisonCaller is a caller whose request crashes every replica that runs it.
+// poisonCaller is a caller whose requests crash every replica that runs them: one request that
+// it sends again, or different ones with one part of their prompts in common.
 type poisonCaller struct {
 	*caller
 	kind kind
@@ -37,6 +43,11 @@
 		c.body = poisonBody
 		all = append(all, &poisonCaller{caller: c, kind: k})
 	}
+	for _, k := range []kind{kindOrder, kindResumableStream} {
+		c := newCaller("poison-part-"+string(k), seed, j)
+		c.part = poisonPart + string(k)
+		all = append(all, &poisonCaller{caller: c, kind: k})
+	}
 	return all
 }
 
--- a/internal/goosesoak/replica_test.go
+++ b/internal/goosesoak/replica_test.go
@@ -58,6 +58,7 @@
 
 	mu           sync.Mutex
 	fault        replicaFault
+	leaving      bool
 	runs         int
 	reservations map[string]time.Time
 }
@@ -88,6 +89,13 @@
 	r.fault = f
 }
 
+// leave makes the replica say in its responses that it leaves.
+func (r *replica) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
 // storeEntry returns the replica's entry in the store; address is the address of its proxy.
 func (r *replica) storeEntry(address, state string) string {
 	return fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"slots":16,"state":%q,"version":"1","seq":1,"born":%d}`,
@@ -125,11 +133,15 @@
 	}
 	r.mu.Lock()
 	fault := r.fault
+	if r.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	r.runs++
-	thisRun := &run{replica: r.id, service: r.service, stamp: fmt.Sprintf("%s.%d", r.id, r.runs), status: http.StatusOK}
+	thisRun := &run{replica: r.id, service: r.service, stamp: fmt.Sprintf("%s.%d", r.id, r.runs), status: http.StatusOK, leaving: r.leaving}
 	r.mu.Unlock()
 	if fault == replicaFull {
 		w.Header().Set("X-Not-Executed", "full")
+		w.Header().Set("Retry-After", "0.3")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -144,7 +156,7 @@
 	defer func() {
 		r.journal.withLock(func() { thisRun.ended = true; r.journal.running-- })
 	}()
-	if string(body) == poisonBody {
+	if string(body) == poisonBody || strings.Contains(sent.parts, ","+poisonPart) {
 		r.crash()
 		r.onCrash()
 		return
@@ -171,6 +183,9 @@
 	if q.Method != sent.method || q.URL.Path != sent.path || body != sent.body {
 		j.violateLocked("asked", "request %s was received as %s %s with %d bytes", id, q.Method, q.URL.Path, len(body))
 	}
+	if got := q.Header.Get("X-Prompt-Prefix"); got != sent.parts {
+		j.violateLocked("asked", "request %s with the parts %q was received with %q", id, sent.parts, got)
+	}
 	if got := q.Header.Get("X-Tenant"); got != sent.workspace || q.Header.Get("Authorization") != "" {
 		j.violateLocked("asked", "request %s of workspace %s was received with workspace %q, API key forwarded %t", id, sent.workspace, got, q.Header.Get("Authorization") != "")
 	}
--- a/internal/goosesoak/soak_test.go
+++ b/internal/goosesoak/soak_test.go
@@ -101,6 +101,7 @@
 	for _, p := range poisons {
 		p.checkRefused(t, f.instances)
 	}
+	f.waitForSoundParts()
 	f.stopUnderLoad()
 	eventually(t, "no replica has a request in flight", f.journal.idle)
 	eventually(t, "no memory stays reserved", func() bool { return f.reserved() == 0 })
@@ -146,6 +147,20 @@
 	}
 }
 
+// waitForSoundParts waits until requests with each part that sound prompts have are served. A
+// part that was suspected during the faults is served again after a trial.
+func (f *fleet) waitForSoundParts() {
+	f.t.Helper()
+	c := newCaller("sound", 1, f.journal)
+	for part := range soundParts {
+		c.part = soundPart(part)
+		eventually(f.t, "prompts with the part "+c.part+" are served again", func() bool {
+			r := c.send(context.Background(), f.instances[c.random.IntN(len(f.instances))], kindStream, "/stream/sound", "k1", 0)
+			return r.status == 200 && r.complete
+		})
+	}
+}
+
 // stopUnderLoad shuts down all instances while each has a stream in flight, and checks
 // that no stream is cut.
 func (f *fleet) stopUnderLoad() {
--- a/pkg/goose/quarantine.go
+++ b/pkg/goose/quarantine.go
@@ -52,6 +52,17 @@
 	return f == s.Request || slices.Contains(s.Parts, f)
 }
 
+// PartBits returns a small set of the parts of the request: a bit for each of them.
+func (s CrashSubjects) PartBits() uint64 {
+	bits := uint64(0)
+	for _, part := range s.Parts {
+		bits |= partBit(part)
+	}
+	return bits
+}
+
+func partBit(part Fingerprint) uint64 { return 1 << (part % 64) }
+
 // CrashID identifies one process of a replica. A process ends only once, so the ID also
 // identifies its crash.
 type CrashID uint32
@@ -82,7 +93,11 @@
 	// Crashes holds the processes that ended in the round: the MaxCrashes largest IDs in
 	// descending order, padded with zeros.
 	Crashes [MaxCrashes]CrashID `cbor:"4,keyasint" json:"crashes"`
-	// Age is the time since the last change of Weight; it is never negative.
+	// PartBits is the set of the parts of a request; zero for a part.
+	PartBits uint64 `cbor:"7,keyasint,omitempty" json:"part-bits,omitempty"`
+	// Trials is the number of trials of a quarantined part in the round.
+	Trials uint32 `cbor:"8,keyasint,omitempty" json:"trials,omitempty"`
+	// Age is the time since the last change of Weight or Trials; it is never negative.
 	Age time.Duration `cbor:"5,keyasint,omitempty" json:"-"`
 }
 
@@ -93,6 +108,15 @@
 	return r
 }
 
+// MayContain reports whether the record is that of a request that may contain the part.
+func (r CrashRecord) MayContain(part Fingerprint) bool { return r.PartBits&partBit(part) != 0 }
+
+// WithTrial returns the record after the begin of a further trial.
+func (r CrashRecord) WithTrial() CrashRecord {
+	r.Trials++
+	return r.WithAge(0)
+}
+
 // WithAge returns the record with another age, at least zero.
 func (r CrashRecord) WithAge(age time.Duration) CrashRecord {
 	r.Age = max(age, 0)
@@ -115,17 +139,25 @@
 // Merge combines two records of the same request. The result does not depend on the order
 // of merges or on how often a record is merged.
 func (r CrashRecord) Merge(other CrashRecord) CrashRecord {
+	r.PartBits |= other.PartBits
+	other.PartBits = r.PartBits
 	if r.Round < other.Round || r.Round == other.Round && r.Weight < other.Weight {
 		r, other = other, r
 	}
 	if r.Round > other.Round {
 		return r
 	}
-	if r.Weight == other.Weight {
+	switch {
+	case r.Weight == other.Weight && r.Trials == other.Trials:
 		// A copy does not age while it is sent between instances, so the largest age is the
 		// right one.
 		r.Age = max(r.Age, other.Age)
+	case r.Trials < other.Trials && r.Weight == other.Weight:
+		r.Age = other.Age
+	case r.Trials < other.Trials:
+		r.Age = min(r.Age, other.Age)
 	}
+	r.Trials = max(r.Trials, other.Trials)
 	r.Crashes = union(r.Crashes, other.Crashes)
 	return r
 }
--- a/pkg/goosequarantine/attempt.go
+++ b/pkg/goosequarantine/attempt.go
@@ -6,9 +6,13 @@
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
-// respondedMemory is how long a response makes other parts of a lost prompt the suspects. It
-// is short, since a part may begin to crash replicas at any time.
-const respondedMemory = 5 * time.Second
+const (
+	// respondedMemory is how long a part is not suspected after a replica has responded to a
+	// request with it. It is short, since a part may begin to crash replicas at any time.
+	respondedMemory = 5 * time.Second
+	// provenMemory is how long a response makes a later accusation of the part unlikely.
+	provenMemory = time.Minute
+)
 
 // Attempt is what an instance knew about a request when it sent the request to a replica. It is
 // immutable.
@@ -21,8 +25,14 @@
 	// responding is set once the replica has written its response for so long that no part of
 	// the prompt crashes it.
 	responding bool
+	// onTrial is set if a part is quarantined and this attempt shows whether it still crashes
+	// replicas.
+	onTrial bool
 }
 
+// OnTrial reports whether the attempt may run although a part of its prompt is quarantined.
+func (a Attempt) OnTrial() bool { return a.onTrial }
+
 // Responding reports whether the replica has begun to write its response and survived it.
 func (a Attempt) Responding() bool { return a.responding }
 
@@ -35,6 +45,7 @@
 
 func (t *Table) observe(s goose.CrashSubjects, now time.Time) Attempt {
 	a := Attempt{subjects: s, request: t.crashRecordLocked(s.Request, goose.SubjectRequest, now)}
+	a.request.PartBits = s.PartBits()
 	for _, part := range s.Parts {
 		a.parts = append(a.parts, t.crashRecordLocked(part, goose.SubjectPart, now))
 	}
@@ -48,6 +59,9 @@
 func (t *Table) BeginAttempt(s goose.CrashSubjects, now time.Time) (Attempt, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if _, quarantined := t.quarantined(s, now); quarantined {
+		return Attempt{}, false
+	}
 	a := t.observe(s, now)
 	if a.request.Weight >= weights[goose.EvidenceCrash] && t.running[s.Request] > 0 {
 		return a, false
@@ -57,6 +71,9 @@
 			return a, false
 		}
 	}
+	onTrial := t.beginTrials(s, now)
+	a = t.observe(s, now)
+	a.onTrial = onTrial
 	t.running[s.Request]++
 	for _, part := range s.Parts {
 		t.running[part]++
@@ -147,7 +164,7 @@
 func (t *Table) suspectParts(a Attempt, now time.Time) []goose.CrashRecord {
 	var unproven []goose.CrashRecord
 	for _, before := range a.parts {
-		if at, ok := t.respondedAt[before.Fingerprint]; !ok || now.Sub(at) >= respondedMemory {
+		if !t.respondedWithin(before.Fingerprint, respondedMemory, now) {
 			unproven = append(unproven, before)
 		}
 	}
@@ -157,6 +174,13 @@
 	return unproven
 }
 
+// respondedWithin reports whether a replica has responded to a request with the part within
+// the last d, at this instance or at one that has told of it.
+func (t *Table) respondedWithin(part goose.Fingerprint, d time.Duration, now time.Time) bool {
+	at, ok := t.respondedAt[part]
+	return ok && now.Sub(at) < d
+}
+
 // weight returns the weight of the present evidence against a subject.
 func (t *Table) weight(f goose.Fingerprint, now time.Time) uint32 {
 	if e := t.liveEntry(f, now); e != nil {
--- a/pkg/goosequarantine/part_test.go
+++ b/pkg/goosequarantine/part_test.go
@@ -103,6 +103,36 @@
 			p.serve(1, p.next(shared))
 			p.crash(0, p.next(shared, deadly))
 		}},
+		"lost again and again right after a response": {instances: 2, run: func(p *prompts) {
+			p.crash(0, p.next(deadly))
+			p.serve(1, p.next(deadly))
+			for n := range 6 {
+				p.crash(n%2, p.next(deadly))
+			}
+		}},
+		"begins to crash replicas after a response": {instances: 2, deadly: true, both: true, run: func(p *prompts) {
+			p.crash(0, p.next(deadly))
+			p.serve(1, p.next(deadly))
+			p.now = p.now.Add(respondedMemory)
+			for n := range 3 {
+				p.crash(n%2, p.next(deadly))
+			}
+		}},
+		"lost with requests that crash replicas themselves": {instances: 2, run: func(p *prompts) {
+			for range 3 {
+				culprit := p.next(other)
+				p.crash(0, culprit, p.next(shared, deadly))
+				p.crash(1, culprit, p.next(shared, deadly))
+			}
+		}},
+		"each request lost at two replicas": {instances: 2, deadly: true, both: true, run: func(p *prompts) {
+			for range 3 {
+				culprit := p.next(shared, deadly)
+				p.crash(0, culprit)
+				p.crash(1, culprit)
+			}
+			p.serve(0, p.next(shared))
+		}},
 		"sound requests lost while others are served": {instances: 1, deadly: true, both: true, run: func(p *prompts) {
 			p.serve(0, p.next(shared))
 			for range 4 {
@@ -212,20 +242,16 @@
 // against trials that all instances run at once.
 func TestTrialOfPart(t *testing.T) {
 	t.Parallel()
-	instances := []goose.InstanceID{"edge-0", "edge-1", "edge-2"}
-	p := newPrompts(len(instances))
-	for n, table := range p.all {
-		table.SetTrialHolder(func(part goose.Fingerprint, slot int64) bool {
-			return TrialHolder(part, slot, instances) == instances[n]
-		})
-	}
-	allowed := func() (holders []int) {
+	p := newPrompts(3)
+	// begin tries to begin an attempt at each instance in turn, and returns the first that may.
+	begin := func() (at int, a Attempt, ok bool) {
 		for n, table := range p.all {
-			if _, held := table.Quarantined(p.next(shared, deadly), p.now); !held {
-				holders = append(holders, n)
+			if a, ok := table.BeginAttempt(p.next(shared, deadly), p.now); ok {
+				p.exchange()
+				return n, a, true
 			}
 		}
-		return holders
+		return 0, Attempt{}, false
 	}
 	for n := range 3 {
 		p.crash(n%2, p.next(deadly))
@@ -233,21 +259,53 @@
 	delay := partTrialDelay
 	for range 3 {
 		p.now = p.now.Add(delay - time.Millisecond)
-		if got := allowed(); len(got) != 0 {
-			t.Fatalf("got trials at instances %v before %s, want none", got, delay)
+		if at, _, ok := begin(); ok {
+			t.Fatalf("got a trial at instance %d before %s", at, delay)
 		}
 		p.now = p.now.Add(time.Millisecond)
-		got := allowed()
-		if len(got) != 1 {
-			t.Fatalf("got trials at instances %v after %s, want one", got, delay)
+		at, a, ok := begin()
+		if !ok {
+			t.Fatalf("got no trial after %s", delay)
 		}
-		p.crash(got[0], p.next(deadly))
-		delay *= 2
+		if other, _, ok := begin(); ok {
+			t.Fatalf("got a second trial at instance %d beside one", other)
+		}
+		p.replicas++
+		p.all[at].RecordLost(a, numberedCrash(p.replicas), goose.EvidenceCrash, p.now)
+		p.all[at].EndAttempt(a)
+		p.exchange()
+		delay *= trialBackoff
 	}
 	p.now = p.now.Add(delay)
-	p.serve(allowed()[0], p.next(shared, deadly))
-	if got := allowed(); len(got) != len(instances) {
-		t.Errorf("got the part allowed at instances %v after a served trial, want all", got)
+	at, a, ok := begin()
+	if !ok {
+		t.Fatalf("got no trial after %s", delay)
+	}
+	p.all[at].EndAttempt(p.all[at].RecordResponding(a, p.now))
+	p.exchange()
+	for n, table := range p.all {
+		if _, held := table.Quarantined(p.next(shared, deadly), p.now); held {
+			t.Errorf("got the part quarantined at instance %d after a served trial", n)
+		}
+	}
+}
+
+// Guards against a common part that stays quarantined for long although replicas have always
+// responded to it: for a while all replicas crash for other reasons.
+func TestProvenPartIsTriedSoon(t *testing.T) {
+	t.Parallel()
+	p := newPrompts(1)
+	p.serve(0, p.next(shared))
+	p.now = p.now.Add(respondedMemory)
+	for range 3 {
+		p.crash(0, p.next(shared))
+	}
+	if _, held := p.all[0].Quarantined(p.next(shared), p.now); !held {
+		t.Fatal("got a part allowed that was lost three times since its last response")
+	}
+	p.now = p.now.Add(provenTrialDelay)
+	if _, held := p.all[0].Quarantined(p.next(shared), p.now); held {
+		t.Errorf("got no trial %s after the last crash", provenTrialDelay)
 	}
 }
 
--- a/pkg/goosequarantine/replicator.go
+++ b/pkg/goosequarantine/replicator.go
@@ -27,8 +27,7 @@
 	clock       goose.Clock
 }
 
-// NewReplicator returns a Replicator of the table, which then runs the trials of parts that the
-// live members agree on.
+// NewReplicator returns a Replicator of the table.
 func NewReplicator(table *Table, clock goose.Clock, members goose.Membership, client goose.PeerClient) *Replicator {
 	r := &Replicator{table: table, clock: clock}
 	r.broadcaster = goosebroadcast.New(goosebroadcast.Options[goose.CrashRecord]{
@@ -36,15 +35,6 @@
 		Merge: func(records []goose.CrashRecord) { table.Merge(records, SourcePeer, clock.Now()) },
 		All:   func() []goose.CrashRecord { return table.Records(clock.Now()) },
 	})
-	table.SetTrialHolder(func(part goose.Fingerprint, slot int64) bool {
-		var live []goose.InstanceID
-		for _, m := range members.Members() {
-			if m.Live {
-				live = append(live, m.Instance)
-			}
-		}
-		return TrialHolder(part, slot, live) == members.Self().Instance
-	})
 	return r
 }
 
--- a/pkg/goosequarantine/table.go
+++ b/pkg/goosequarantine/table.go
@@ -10,7 +10,8 @@
 // count once. A run that does not crash its replica voids all earlier evidence against its
 // request, and a response that is being written voids that against the parts of its prompt.
 // Of several subjects that were lost with the same replica, the one with the most evidence
-// is the suspect; subjects that a request contains itself do not excuse it. If several have
+// is the suspect; subjects that a request contains itself do not excuse it, and a part is
+// excused by any other culprit that does not contain it. If several have
 // the same evidence, requests may run once more before they are quarantined, and parts one
 // request at a time. Merging records is commutative and idempotent, and clocks of different
 // instances are never compared.
@@ -104,22 +105,21 @@
 	reportDue chan struct{}
 	// instances returns the number of instances that have the same records.
 	instances func(now time.Time) int
-	// holdsTrial reports whether this instance may run the trial of a part.
-	holdsTrial func(part goose.Fingerprint, slot int64) bool
 
 	mu      sync.Mutex
 	entries map[goose.Fingerprint]*entry
 	// running is the number of running attempts of this instance for each subject. Attempts
 	// whose replica is writing its response no longer count for the parts of their prompts.
 	running map[goose.Fingerprint]int
-	// respondedAt is when a replica last responded to a request of this instance with a part.
+	// respondedAt is when a replica last responded to a request with a part, as far as this
+	// instance knows: a new round of a record shows a response at another instance.
 	respondedAt map[goose.Fingerprint]time.Time
 }
 
 // New returns an empty table.
 func New(log *slog.Logger) *Table {
 	return &Table{
-		log: log, instances: func(time.Time) int { return 1 }, holdsTrial: func(goose.Fingerprint, int64) bool { return true },
+		log: log, instances: func(time.Time) int { return 1 },
 		reportDue: make(chan struct{}, 1), entries: map[goose.Fingerprint]*entry{}, running: map[goose.Fingerprint]int{}, respondedAt: map[goose.Fingerprint]time.Time{},
 	}
 }
@@ -137,7 +137,8 @@
 
 // voidEvidence voids the evidence against a request: it begins the next round of its record.
 func (t *Table) voidEvidence(e *entry, now time.Time, from Source) {
-	t.mergeRecord(goose.CrashRecord{Kind: e.record.Kind, Fingerprint: e.record.Fingerprint, Round: e.record.Round + 1}, from, now)
+	next := goose.CrashRecord{Kind: e.record.Kind, Fingerprint: e.record.Fingerprint, Round: e.record.Round + 1, PartBits: e.record.PartBits}
+	t.mergeRecord(next, from, now)
 }
 
 // Merge adds records that were received from a peer or read from the store.
@@ -169,6 +170,9 @@
 	if old == nil {
 		old = &entry{record: goose.CrashRecord{Kind: r.Kind, Fingerprint: r.Fingerprint}}
 	}
+	if r.Kind == goose.SubjectPart && r.Round > old.record.Round {
+		t.respondedAt[r.Fingerprint] = now
+	}
 	merged := old.recordAt(now).Merge(r)
 	stale, changed := !merged.Equal(r), !merged.Equal(old.record)
 	if stale && from == SourcePeer && !old.expired(now) {
@@ -250,7 +254,7 @@
 		}
 	}
 	for part, at := range t.respondedAt {
-		if now.Sub(at) >= respondedMemory {
+		if now.Sub(at) >= provenMemory {
 			delete(t.respondedAt, part)
 		}
 	}
--- a/pkg/goosequarantine/table_test.go
+++ b/pkg/goosequarantine/table_test.go
@@ -269,6 +269,9 @@
 			for range rapid.IntRange(0, 3).Draw(t, "crashes") {
 				r = r.WithCrash(goose.CrashID(rapid.IntRange(1, 4).Draw(t, "process")), uint32(rapid.IntRange(1, 2).Draw(t, "weight")))
 			}
+			for range rapid.IntRange(0, 2).Draw(t, "trials") {
+				r = r.WithTrial()
+			}
 			return r
 		})
 		records := rapid.SliceOf(record).Draw(t, "records")
--- a/pkg/goosequarantine/verdict.go
+++ b/pkg/goosequarantine/verdict.go
@@ -3,41 +3,29 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
 const (
 	// partTrialDelay is how long after the last crash one request with a quarantined part may
-	// run, to show whether the part still crashes replicas. Each further crash doubles it.
-	partTrialDelay = 15 * time.Second
-	// trialSlot is how long one instance of the fleet holds the trial of a part.
-	trialSlot = 5 * time.Second
+	// run, to show whether the part still crashes replicas. provenTrialDelay takes its place
+	// for a part to which a replica has responded within provenMemory: it is more likely to
+	// be sound. Each trial multiplies the delay by trialBackoff, up to maxTrialDelay.
+	partTrialDelay   = 8 * time.Second
+	provenTrialDelay = 3 * time.Second
+	trialBackoff     = 3
+	maxTrialDelay    = 5 * time.Minute
 )
 
-// SetTrialHolder sets the function that reports whether this instance holds the trial of a
-// part in a time slot. It must be called before the table is used.
-func (t *Table) SetTrialHolder(f func(part goose.Fingerprint, slot int64) bool) { t.holdsTrial = f }
-
-// TrialHolder returns the instance that holds the trial of a part in a time slot: the one of
-// the highest rendezvous hash, so that instances with the same list agree on it.
-func TrialHolder(part goose.Fingerprint, slot int64, instances []goose.InstanceID) goose.InstanceID {
-	var holder goose.InstanceID
-	var highest uint64
-	for _, id := range instances {
-		key := part.String() + time.Duration(slot).String() + string(id)
-		if h := xxhash.Sum64String(key); holder == "" || h > highest {
-			holder, highest = id, h
-		}
-	}
-	return holder
-}
-
 // Quarantined reports whether a request is quarantined, and for how long it still is.
 func (t *Table) Quarantined(s goose.CrashSubjects, now time.Time) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.quarantined(s, now)
+}
+
+// quarantined is Quarantined with the lock held.
+func (t *Table) quarantined(s goose.CrashSubjects, now time.Time) (time.Duration, bool) {
 	longest := t.remainingQuarantine(t.liveEntry(s.Request, now), s, now)
 	for _, part := range s.Parts {
 		e := t.liveEntry(part, now)
@@ -51,7 +39,7 @@
 // remainingQuarantine returns how long a request with the given subjects must not run because
 // of one of them; zero if it may run.
 func (t *Table) remainingQuarantine(e *entry, s goose.CrashSubjects, now time.Time) time.Duration {
-	if e == nil || e.record.Weight < e.limit() {
+	if e == nil || e.record.Weight < e.limit() || t.respondedWithin(e.record.Fingerprint, respondedMemory, now) {
 		return 0
 	}
 	switch others := t.otherSuspectsWeight(e, s, now); {
@@ -75,8 +63,12 @@
 		}
 		highest := uint32(0)
 		for f, other := range t.entries {
-			if other != e && !s.Contains(f) && !other.expired(now) && other.record.MayHaveCrash(id) {
-				highest = max(highest, other.record.Weight)
+			if other == e || s.Contains(f) || other.expired(now) || !other.record.MayHaveCrash(id) {
+				continue
+			}
+			highest = max(highest, other.record.Weight)
+			if other.excuses(e) {
+				highest = max(highest, e.record.Weight+1)
 			}
 		}
 		lowest = min(lowest, highest)
@@ -84,20 +76,42 @@
 	return lowest
 }
 
-// trialDue reports whether this instance may run a request with a quarantined part on trial.
+// excuses reports whether the entry is a culprit that explains the crashes that it shares with
+// a part, whatever the part's weight: a culprit that is quarantined gains none.
+func (e *entry) excuses(part *entry) bool {
+	return part.record.Kind == goose.SubjectPart && e.record.Weight >= e.limit() && !e.record.MayContain(part.record.Fingerprint)
+}
+
+// trialDue reports whether a request with a quarantined part may run on trial.
 func (t *Table) trialDue(e *entry, now time.Time) bool {
-	age := now.Sub(e.changedAt)
 	delay := partTrialDelay
-	for weight := uint32(partLimit); weight < e.record.Weight && delay < Lifetime; weight += partWeights[goose.EvidenceCrash] {
-		delay *= 2
+	if t.respondedWithin(e.record.Fingerprint, provenMemory, now) {
+		delay = provenTrialDelay
+	}
+	for n := uint32(0); n < e.record.Trials && delay < maxTrialDelay; n++ {
+		delay *= trialBackoff
+	}
+	return now.Sub(e.changedAt) >= min(delay, maxTrialDelay)
+}
+
+// beginTrials records that a request begins on trial for those of its parts that are
+// quarantined, and returns whether there are any. All instances learn of it at once and run no
+// trial before the next one is due.
+func (t *Table) beginTrials(s goose.CrashSubjects, now time.Time) bool {
+	onTrial := false
+	for _, part := range s.Parts {
+		if e := t.liveEntry(part, now); t.remainingQuarantine(e, s, now) > 0 {
+			t.mergeRecord(e.recordAt(now).WithTrial(), SourceOwn, now)
+			onTrial = true
+		}
 	}
-	return age >= delay && t.holdsTrial(e.record.Fingerprint, int64(age/trialSlot))
+	return onTrial
 }
 
 // suspect reports whether there is so much evidence against a part that only one request of
 // this instance may run with it until its replica writes a response.
 func (t *Table) suspect(e *entry, s goose.CrashSubjects, now time.Time) bool {
-	return e != nil && e.record.Weight >= soleSuspectLimit && t.otherSuspectsWeight(e, s, now) <= e.record.Weight
+	return e != nil && e.record.Weight >= soleSuspectLimit && !t.respondedWithin(e.record.Fingerprint, respondedMemory, now) && t.otherSuspectsWeight(e, s, now) <= e.record.Weight
 }
 
 // QuarantinedCount returns the number of subjects of a kind in quarantine.
