goosequarantine: innocent requests that were lost twice do not excuse a part for long

Cause: found by reading: in a small fleet nearly every crash has some request that was lost twice, and each of them excused the part, so that it was never held. Change: requests excuse a part up to four crashes, and only by crashes that their records name; more crashes under different requests have the part as their simplest explanation. Evidence: TestPartIsQuarantined, 'each crash beside a request lost twice', fails without it. Conclusion: a part is held after its fifth crash at the latest, as far as weight allows.

--- a/pkg/goose/quarantine.go
+++ b/pkg/goose/quarantine.go
@@ -108,6 +108,17 @@
 	return r
 }
 
+// CrashCount returns the number of processes in the record, at most MaxCrashes.
+func (r CrashRecord) CrashCount() int {
+	n := 0
+	for _, id := range r.Crashes {
+		if id != 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // MayContain reports whether the record is that of a request that may contain the part.
 func (r CrashRecord) MayContain(part Fingerprint) bool { return r.PartBits&partBit(part) != 0 }
 
--- a/pkg/goosequarantine/part_test.go
+++ b/pkg/goosequarantine/part_test.go
@@ -119,12 +119,20 @@
 			}
 		}},
 		"lost with requests that crash replicas themselves": {instances: 2, run: func(p *prompts) {
-			for range 3 {
-				culprit := p.next(other)
+			for range 2 {
+				culprit := p.next()
 				p.crash(0, culprit, p.next(shared, deadly))
 				p.crash(1, culprit, p.next(shared, deadly))
 			}
 		}},
+		"each crash beside a request lost twice": {instances: 2, deadly: true, both: true, run: func(p *prompts) {
+			for range 4 {
+				unlucky := p.next()
+				p.crash(0, unlucky, p.next(shared, deadly))
+				p.crash(1, unlucky, p.next(shared, deadly))
+			}
+			p.serve(0, p.next(shared))
+		}},
 		"each request lost at two replicas": {instances: 2, deadly: true, both: true, run: func(p *prompts) {
 			for range 3 {
 				culprit := p.next(shared, deadly)
--- a/pkg/goosequarantine/verdict.go
+++ b/pkg/goosequarantine/verdict.go
@@ -67,7 +67,7 @@
 				continue
 			}
 			highest = max(highest, other.record.Weight)
-			if other.excuses(e) {
+			if other.excuses(e, id) {
 				highest = max(highest, e.record.Weight+1)
 			}
 		}
@@ -76,10 +76,16 @@
 	return lowest
 }
 
-// excuses reports whether the entry is a culprit that explains the crashes that it shares with
-// a part, whatever the part's weight: a culprit that is quarantined gains none.
-func (e *entry) excuses(part *entry) bool {
-	return part.record.Kind == goose.SubjectPart && e.record.Weight >= e.limit() && !e.record.MayContain(part.record.Fingerprint)
+// maxExcusedCrashes is the number of crashes of a part up to which requests excuse it. More
+// crashes under different requests have the part as their simplest explanation.
+const maxExcusedCrashes = 4
+
+// excuses reports whether the entry is that of a request that explains a crash which it shares
+// with a part, whatever the part's weight: a request in quarantine gains no more weight.
+func (e *entry) excuses(part *entry, id goose.CrashID) bool {
+	r, p := e.record, part.record
+	return r.Kind == goose.SubjectRequest && p.Kind == goose.SubjectPart && p.CrashCount() <= maxExcusedCrashes &&
+		r.Weight >= e.limit() && r.HasCrash(id) && !r.MayContain(p.Fingerprint)
 }
 
 // trialDue reports whether a request with a quarantined part may run on trial.
