goosequarantine: one place for the times of trials on both data paths

Cause: the same three times stood in gooseforward and gooseentry. Change: they are constants of goosequarantine; nothing else changes. Conclusion: one mechanism, one set of times.

--- a/internal/gooseentry/part.go
+++ b/internal/gooseentry/part.go
@@ -8,20 +8,11 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosequarantine"
 )
 
-const (
-	// minResponding is how long after its first token a stream has to go on to show that no
-	// part of its prompt crashes an engine when the engine begins to respond.
-	minResponding = 500 * time.Millisecond
-	// partTrialTimeout is how long a request with a suspect part waits for another one that
-	// runs and shows whether such requests crash engines. After that the caller may retry in
-	// partTrialRetryAfter.
-	partTrialTimeout    = time.Second
-	partTrialRetryAfter = 2 * time.Second
-	// partTrialPoll is the interval at which such a request checks whether it may run.
-	partTrialPoll = 40 * time.Millisecond
-)
+// partTrialPoll is the interval at which a request with a suspect part checks whether it may run.
+const partTrialPoll = 40 * time.Millisecond
 
 // sharedParts returns the fingerprints of the parts of a prompt that other requests may have,
 // too: the contents of all messages, or entries of a list, but the last one.
@@ -55,9 +46,9 @@
 			j.suspicion = &a
 			return nil
 		}
-		if now.Sub(start) >= partTrialTimeout || !goose.Sleep(j.ctx, partTrialPoll) {
+		if now.Sub(start) >= goosequarantine.TrialTimeout || !goose.Sleep(j.ctx, partTrialPoll) {
 			return newRefusal(goose.CodeQuarantined, "suspect-on-trial",
-				"an engine ended while it ran a request with a part of this prompt, and another such request still runs", partTrialRetryAfter)
+				"an engine ended while it ran a request with a part of this prompt, and another such request still runs", goosequarantine.TrialRetryAfter)
 		}
 	}
 }
@@ -87,7 +78,7 @@
 // part of the prompt crashes it.
 func (a *attempt) recordProgress() {
 	now := a.job.entry.clock.Now()
-	if a.timeToFirstToken > 0 && now.Sub(a.sentAt)-a.timeToFirstToken >= minResponding {
+	if a.timeToFirstToken > 0 && now.Sub(a.sentAt)-a.timeToFirstToken >= goosequarantine.MinResponding {
 		a.recordResponding(now)
 	}
 }
--- a/internal/gooseforward/crash.go
+++ b/internal/gooseforward/crash.go
@@ -6,6 +6,7 @@
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooseplacement"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosequarantine"
 )
 
 // recordCrashEvidence records whether an attempt indicates that its request crashes
@@ -59,10 +60,6 @@
 	return goose.EvidenceNone
 }
 
-// minResponding is how long after its first event a stream has to go on to show that no part
-// of its prompt crashes a replica when the replica begins to respond.
-const minResponding = 500 * time.Millisecond
-
 // recordResponding records that the replica of the current attempt has begun to respond and
 // did not crash.
 func (c *call) recordResponding(now time.Time) {
@@ -71,19 +68,11 @@
 
 // recordStreamProgress calls recordResponding once the stream has gone on for long enough.
 func (c *call) recordStreamProgress(now time.Time) {
-	if !c.suspicion.Responding() && now.Sub(c.attemptStart)-c.timeToFirst >= minResponding {
+	if !c.suspicion.Responding() && now.Sub(c.attemptStart)-c.timeToFirst >= goosequarantine.MinResponding {
 		c.recordResponding(now)
 	}
 }
 
-const (
-	// trialTimeout is how long a suspect request waits for an equal one that is running
-	// and shows whether such requests crash replicas. After that the caller may retry in
-	// trialRetryAfter.
-	trialTimeout    = time.Second
-	trialRetryAfter = 2 * time.Second
-)
-
 // beginAttempt begins an attempt and returns true, unless the request is quarantined or an
 // equal suspect request runs for too long; then it sends the caller the final response.
 func (c *call) beginAttempt(last result) bool {
@@ -99,9 +88,9 @@
 			c.suspicion = suspicion
 			return true
 		}
-		if now.Sub(start) >= trialTimeout || !goose.Sleep(c.ctx, placementRetryInterval) {
+		if now.Sub(start) >= goosequarantine.TrialTimeout || !goose.Sleep(c.ctx, placementRetryInterval) {
 			c.rejectAttempt(last, goose.NotRunRefusal(goose.CodeQuarantined, "a replica ended while it ran this request, and an equal one still runs").
-				WithReason("suspect-on-trial").WithRetryAfter(trialRetryAfter))
+				WithReason("suspect-on-trial").WithRetryAfter(goosequarantine.TrialRetryAfter))
 			return false
 		}
 	}
--- a/internal/gooseforward/part_test.go
+++ b/internal/gooseforward/part_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosequarantine"
 )
 
 // Parts of prompts in these tests.
@@ -104,7 +105,7 @@
 		"answered":                          {path: "/look/x", replicas: []http.HandlerFunc{succeed}, before: 2, want: 0},
 		"streamed for a while, then broken off": {path: "/whole/x", before: 2, want: 0, replicas: []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
 			events(1, 2, false)(w, r)
-			time.Sleep(2 * minResponding)
+			time.Sleep(2 * goosequarantine.MinResponding)
 			events(3, 3, true)(w, r)
 		}}},
 	}
--- a/pkg/goosequarantine/attempt.go
+++ b/pkg/goosequarantine/attempt.go
@@ -6,6 +6,18 @@
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
+// Times for those who run attempts.
+const (
+	// MinResponding is how long after its first event a stream has to go on to show that no
+	// part of its prompt crashes a replica when the replica begins to respond.
+	MinResponding = 500 * time.Millisecond
+	// TrialTimeout is how long a suspect request waits for another one that is running and
+	// shows whether such requests crash replicas. After that the caller may retry in
+	// TrialRetryAfter.
+	TrialTimeout    = time.Second
+	TrialRetryAfter = 2 * time.Second
+)
+
 const (
 	// respondedMemory is how long a part is not suspected after a replica has responded to a
 	// request with it. It is short, since a part may begin to crash replicas at any time.
