--- a/pkg/goosegossip/crash_test.go
+++ b/pkg/goosegossip/crash_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
@@ -112,3 +114,26 @@
 		}
 	})
 }
+
+// Guards against datagrams of crash records that are too long for a link because every record
+// has all its fields.
+func TestFullCrashRecordsFitIntoDatagram(t *testing.T) {
+	t.Parallel()
+	r := goose.CrashRecord{
+		Fingerprint: 1<<64 - 1, Round: 1 << 20, Weight: 1 << 10, PartBits: 1<<64 - 1, Trials: 9, Age: 10 * time.Minute,
+	}
+	for n := range goose.CrashID(goose.MaxCrashes) {
+		r = r.WithCrash(1<<31+n, 0)
+	}
+	m := message{From: "edge-musselburgh-999", DataCentre: "musselburgh", Incarnation: 1 << 62}
+	for range crashesPerDatagram {
+		m.Crashes = append(m.Crashes, r)
+	}
+	datagram, err := cbor.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(datagram) > maxDatagramBytes {
+		t.Errorf("got a datagram of %d bytes, limit %d", len(datagram), maxDatagramBytes)
+	}
+}
