goosequarantine: the test of records that reach members registers before it runs

It is a fault of the test; real links lock their handlers. Change: all handlers are registered before the first instance runs; same checks.

--- a/pkg/goosequarantine/replicator_test.go
+++ b/pkg/goosequarantine/replicator_test.go
@@ -58,17 +58,24 @@
 				})
 				ctx, cancel := context.WithCancel(t.Context())
 				var running sync.WaitGroup
-				start := func(name string) *Table {
+				// join adds an instance and returns its table and what runs it. All handlers have to
+				// be registered before the first instance runs.
+				join := func(name string) (*Table, func()) {
 					table := New(slog.New(slog.DiscardHandler))
 					link := network.Join(name)
 					r := NewReplicator(table, goose.SystemClock{}, members{self: goose.InstanceID(name)}, link)
 					r.Register(link)
-					running.Go(func() { r.Run(ctx) })
-					return table
+					return table, func() { running.Go(func() { r.Run(ctx) }) }
 				}
 				all := map[string]*Table{}
+				var starts []func()
 				for _, m := range (members{}).Members() {
-					all[m.Address] = start(m.Address)
+					table, start := join(m.Address)
+					all[m.Address] = table
+					starts = append(starts, start)
+				}
+				for _, start := range starts {
+					start()
 				}
 				time.Sleep(5 * time.Second)
 				for n, at := range []string{"a", "b", "a"} {
@@ -77,7 +84,10 @@
 					synctest.Wait()
 				}
 				if tc.restarted != "" {
-					all[tc.restarted] = start(tc.restarted)
+					synctest.Wait()
+					table, start := join(tc.restarted)
+					all[tc.restarted] = table
+					start()
 				}
 				mu.Lock()
 				silent = nil
