goosedial, gooseengine: bound the receive buffer of connections to backend servers

The response itself is bounded at 32 MiB. The rest was in the kernel: it raises the receive buffer of a connection that is read quickly, up to a limit of the machine, 32 MiB here. So a faulty server could hold that much for each connection, on both data paths. Change: connections to backend servers and to the store ask for a receive buffer of 1 MiB, which the kernel does not raise.

--- a/internal/goosedial/dial.go
+++ b/internal/goosedial/dial.go
@@ -15,18 +15,32 @@
 // unreachable.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
+// receiveBufferBytes bounds what the kernel holds of a peer that sends faster than it is
+// read. Without a bound the kernel raises it to a limit of the machine, which can be tens of
+// megabytes for each connection.
+const receiveBufferBytes = 1 << 20
+
 // New returns a dialer with the given timeout for connecting. A connection counts as lost
 // when sent data stays unacknowledged for ackTimeout.
 func New(connectTimeout, ackTimeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive, Control: func(_, _ string, raw syscall.RawConn) error {
-		return setUserTimeout(raw, ackTimeout)
+	return &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive, Control: func(network, address string, raw syscall.RawConn) error {
+		if err := BoundReceiveBuffer(network, address, raw); err != nil {
+			return err
+		}
+		return setOption(raw, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout/time.Millisecond))
 	}}
 }
 
-func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+// BoundReceiveBuffer bounds the receive buffer of a connection that is not open yet. It is
+// a control function of net.Dialer.
+func BoundReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	return setOption(raw, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+}
+
+func setOption(raw syscall.RawConn, level, option, value int) error {
 	var sockoptErr error
 	err := raw.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout/time.Millisecond))
+		sockoptErr = unix.SetsockoptInt(int(fd), level, option, value)
 	})
 	if err != nil {
 		return errors.WithStack(err)
--- a/internal/goosedial/dial_test.go
+++ b/internal/goosedial/dial_test.go
@@ -1,7 +1,9 @@
 package goosedial
 
 import (
+	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -40,3 +42,53 @@
 		t.Errorf("got %d bytes, error %v, want the pending one", n, err)
 	}
 }
+
+// Guards against a kernel that holds tens of megabytes for each connection to a faulty
+// server that sends bytes without end: it raises the buffer of a connection that is read
+// quickly, up to a limit of the machine.
+func TestReceivedBytesThatAreNotRead(t *testing.T) {
+	t.Parallel()
+	const (
+		readBytes = 256 << 20
+		// maxUnreadBytes is far above receiveBufferBytes and the buffer of the sender.
+		maxUnreadBytes = 8 << 20
+	)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	conn, err := New(time.Second, time.Minute).Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	peer, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = peer.Close() })
+	var sent atomic.Int64
+	go func() {
+		piece := make([]byte, 64<<10)
+		for {
+			n, err := peer.Write(piece)
+			sent.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}()
+	// The kernel raises the buffer of a reader that takes much at a time, as ReadAll does.
+	if _, err := io.ReadAll(io.LimitReader(conn, readBytes)); err != nil {
+		t.Fatal(err)
+	}
+	last := int64(-1)
+	for now := sent.Load(); now != last; now = sent.Load() {
+		last = now
+		time.Sleep(200 * time.Millisecond)
+	}
+	if unread := last - readBytes; unread > maxUnreadBytes {
+		t.Errorf("got %d bytes held for the connection, want at most %d", unread, maxUnreadBytes)
+	}
+}
--- a/internal/gooseengine/exchange.go
+++ b/internal/gooseengine/exchange.go
@@ -106,7 +106,7 @@
 }
 
 func connect(ctx context.Context, address string) (*exchange, error) {
-	dialer := net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive}
+	dialer := net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive, Control: goosedial.BoundReceiveBuffer}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, notSent(err)
