goosegossip, gooseplacement: instances tell each other of replicas that leave

Cause: only the instance that a replica answered knew that it leaves. Each other one sent it at least one request after that, while the store still listed it. Change: load reports name the processes that have said so to the sender, at most 24 and the newest first, and a new one makes a report due at once. The sums that data centres exchange name also those of the sender's peers, but not those of other sums, so that no mark goes in circles. A mark names the process by its start; values that no instance can send drop the datagram. Marks count without the other datagrams of their report.

--- a/pkg/goosegossip/gossip.go
+++ b/pkg/goosegossip/gossip.go
@@ -36,11 +36,11 @@
 	minReportPause = 20 * time.Millisecond
 	// unchangedInterval is the time between reports of an unchanged load.
 	unchangedInterval = 600 * time.Millisecond
-	// maxDatagramBytes bounds a datagram; larger reports are split by replicas.
+	// maxDatagramBytes bounds a datagram; larger reports are split.
 	maxDatagramBytes = 1200
-	// replicasPerDatagram limits the replicas in one datagram, so that it stays below
-	// maxDatagramBytes.
-	replicasPerDatagram = 28
+	// entriesPerDatagram limits the loads of replicas and the processes that leave in one
+	// datagram, so that it stays below maxDatagramBytes.
+	entriesPerDatagram = 28
 	// unregisteredTTL is how long reports are sent to an instance that is no longer
 	// registered, counted from the last report that it sent.
 	unregisteredTTL = 5 * time.Second
@@ -121,7 +121,7 @@
 		now := g.o.Clock.Now()
 		g.markSilentPeers(now)
 		report := g.o.Placer.Report(now)
-		summary, err := cbor.Marshal(report.Replicas)
+		summary, err := cbor.Marshal([]any{report.Replicas, report.Leaving})
 		if err != nil {
 			panic(err)
 		}
@@ -187,19 +187,12 @@
 
 // encodeReport splits a report, or the sum of a data centre, into datagrams.
 func (g *Gossip) encodeReport(r gooseplacement.Report, sum bool, sequence uint64, now time.Time) [][]byte {
-	parts := []map[goose.ReplicaID]wireLoad{{}}
-	for id, load := range r.Replicas {
-		if len(parts[len(parts)-1]) == replicasPerDatagram {
-			parts = append(parts, map[goose.ReplicaID]wireLoad{})
-		}
-		parts[len(parts)-1][id] = encodeLoad(load)
-	}
+	parts := splitReport(r)
 	datagrams := make([][]byte, 0, len(parts))
-	for i, replicas := range parts {
+	for i, part := range parts {
 		m := message{
 			From: g.o.Instance, DataCentre: g.o.DataCentre, Incarnation: g.o.Incarnation, Sequence: sequence, Part: i, Parts: len(parts),
-			Report: wireReport{Replicas: replicas, OfferedLoad: r.OfferedLoad, Instances: r.Instances},
-			Store:  g.o.StoreView(now), Sum: sum,
+			Report: part, Store: g.o.StoreView(now), Sum: sum,
 		}
 		b, err := cbor.Marshal(m)
 		if err != nil {
@@ -210,6 +203,32 @@
 	return datagrams
 }
 
+// splitReport splits a report into parts that fit into a datagram.
+func splitReport(r gooseplacement.Report) []wireReport {
+	var parts []wireReport
+	size := 0
+	// next returns the part for the next entry.
+	next := func() *wireReport {
+		if len(parts) == 0 || size == entriesPerDatagram {
+			parts = append(parts, wireReport{Replicas: map[goose.ReplicaID]wireLoad{}, OfferedLoad: r.OfferedLoad, Instances: r.Instances})
+			size = 0
+		}
+		size++
+		return &parts[len(parts)-1]
+	}
+	for id, load := range r.Replicas {
+		next().Replicas[id] = encodeLoad(load)
+	}
+	for _, p := range r.Leaving {
+		part := next()
+		part.Leaving = append(part.Leaving, wireProcess{Replica: p.Replica, StartedUnixMS: p.StartedUnixMS})
+	}
+	if len(parts) == 0 {
+		next()
+	}
+	return parts
+}
+
 func (g *Gossip) receive(ctx context.Context) {
 	buffer := make([]byte, 2*maxDatagramBytes)
 	for ctx.Err() == nil {
@@ -245,6 +264,7 @@
 		return
 	}
 	now := g.o.Clock.Now()
+	g.recordLeaving(m, received.Leaving, now)
 	report, complete := g.collect(m, received, from, now)
 	if !complete {
 		return
@@ -258,6 +278,19 @@
 	}
 }
 
+// recordLeaving records the processes that leave according to a datagram. They count also if
+// other datagrams of the report are missing or a newer report has been received, since a
+// process that leaves does not come back.
+func (g *Gossip) recordLeaving(m message, reported []gooseplacement.Process, now time.Time) {
+	source := gooseplacement.LeavingFromPeer
+	if m.Sum {
+		source = gooseplacement.LeavingFromDataCentre
+	}
+	for _, p := range g.o.Placer.RecordReportedLeaving(reported, source, now) {
+		gooseevent.ReplicaLeaving.Log(g.o.Log, slog.String("replica", string(p.Replica)), slog.Int64("started", p.StartedUnixMS), slog.String("peer", string(m.From)))
+	}
+}
+
 // collect adds a datagram to the report that it is a part of. It returns the report once
 // that is complete.
 func (g *Gossip) collect(m message, received gooseplacement.Report, from net.Addr, now time.Time) (gooseplacement.Report, bool) {
--- a/pkg/goosegossip/gossip_test.go
+++ b/pkg/goosegossip/gossip_test.go
@@ -190,38 +190,12 @@
 			reports.Add(1)
 			return false
 		}}
-		all := map[goose.InstanceID]goose.RegisteredInstance{}
-		for i := range dataCentres * instances {
-			all[goose.InstanceID(fmt.Sprint("edge-", i))] = goose.RegisteredInstance{
-				Address: fmt.Sprintf("10.0.%d.1:7", i), DataCentre: goose.DataCentre(fmt.Sprint("dc-", i%dataCentres)),
-			}
-		}
-		var registered atomic.Pointer[map[goose.InstanceID]goose.RegisteredInstance]
-		registered.Store(&all)
+		all, stop := startFleet(n, dataCentres, instances)
+		defer stop()
 		placers := map[goose.DataCentre][]*gooseplacement.Placer{}
-		for i := range dataCentres * instances {
-			name := goose.InstanceID(fmt.Sprint("edge-", i))
-			at := all[name]
-			pl := gooseplacement.New(gooseplacement.Options{DataCentre: at.DataCentre, Rand: func(int) int { return 0 }})
-			placers[at.DataCentre] = append(placers[at.DataCentre], pl)
-			g := New(Options{
-				Quarantine: goosequarantine.New(slog.New(slog.DiscardHandler)), Instance: name, DataCentre: at.DataCentre,
-				Incarnation: time.Now().UnixNano(), Conn: n.Listen(at.Address),
-				Instances: func() map[goose.InstanceID]goose.RegisteredInstance { return *registered.Load() }, Placer: pl,
-				StoreView:  func(time.Time) goosedirectory.StoreView { return goosedirectory.StoreView{} },
-				OnPeerView: func(goosedirectory.StoreView) {},
-				Log:        slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
-			})
-			ctx, stop := context.WithCancel(context.Background())
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				g.Run(ctx)
-			}()
-			defer func() {
-				stop()
-				<-done
-			}()
+		for i, pl := range all {
+			dc := goose.DataCentre(fmt.Sprint("dc-", i%dataCentres))
+			placers[dc] = append(placers[dc], pl)
 		}
 		time.Sleep(2 * time.Second)
 		before := reports.Load()
@@ -269,6 +243,10 @@
 		id := goose.ReplicaID("i-" + strings.Repeat("f", 8) + string(rune('0'+i/10)) + string(rune('0'+i%10)))
 		r.Replicas[id] = gooseplacement.Load{Requests: 16, Waiting: 16, Tokens: 315_000, Prefill: 9_999_999_999, ShortPauseStreams: 16}
 	}
+	for i := range gooseplacement.MaxReportedLeaving {
+		id := goose.ReplicaID(fmt.Sprintf("i-%s%02d", strings.Repeat("f", 8), i))
+		r.Leaving = append(r.Leaving, gooseplacement.Process{Replica: id, StartedUnixMS: leavingAt})
+	}
 	g := New(Options{Instance: "edge-musselburgh-1", StoreView: func(time.Time) goosedirectory.StoreView { return goosedirectory.StoreView{ReachableFor: time.Hour} }})
 	datagrams := g.encodeReport(r, false, 1, time.Now())
 	if len(datagrams) < 2 {
--- a/pkg/goosegossip/message.go
+++ b/pkg/goosegossip/message.go
@@ -37,6 +37,14 @@
 	Replicas    map[goose.ReplicaID]wireLoad                     `cbor:"1,keyasint,omitempty"`
 	OfferedLoad map[goose.ServiceName]gooseplacement.OfferedLoad `cbor:"2,keyasint,omitempty"`
 	Instances   int                                              `cbor:"3,keyasint,omitempty"`
+	Leaving     []wireProcess                                    `cbor:"4,keyasint,omitempty"`
+}
+
+// wireProcess is the encoding of a process that leaves.
+type wireProcess struct {
+	_             struct{} `cbor:",toarray"`
+	Replica       goose.ReplicaID
+	StartedUnixMS int64
 }
 
 // wireLoad is the encoding of a load.
@@ -71,6 +79,9 @@
 			ShortPauseStreams: l.ShortPauseStreams, MediumPauseStreams: l.MediumPauseStreams,
 		}
 	}
+	for _, p := range r.Leaving {
+		report.Leaving = append(report.Leaving, gooseplacement.Process{Replica: p.Replica, StartedUnixMS: p.StartedUnixMS})
+	}
 	return report, report.Validate()
 }
 
--- a/pkg/gooseplacement/leave.go
+++ b/pkg/gooseplacement/leave.go
@@ -1,18 +1,28 @@
 package gooseplacement
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosedirectory"
 )
 
 const (
 	// leavingMemory is how long a process that leaves is remembered after the last response
-	// that said so. A registry may list it again for a while after it has ended.
+	// or report that said so. A registry may list it again for a while after it has ended.
 	leavingMemory = 10 * time.Minute
 	// maxPause bounds the pause that a replica may ask for.
 	maxPause = 10 * time.Minute
+	// maxLeaving bounds the remembered processes of which peers have told.
+	maxLeaving = 1 << 12
+	// MaxReportedLeaving bounds the processes in one report; the newest are reported.
+	MaxReportedLeaving = 24
+	// maxReplicaIDBytes is far above the length of any replica's name.
+	maxReplicaIDBytes = 128
 	// resumeSpread is the longest random time that is added to the end of a pause, so that
 	// instances do not return to the replica together.
 	resumeSpread = time.Second
@@ -20,13 +30,43 @@
 	resumeShare = 4
 )
 
-// process identifies one process of a replica.
-type process struct {
-	id            goose.ReplicaID
-	startedUnixMS int64
+// Process identifies one process of a replica.
+type Process struct {
+	Replica       goose.ReplicaID
+	StartedUnixMS int64
 }
 
-func processOf(r goose.Replica) process { return process{id: r.ID, startedUnixMS: r.StartedUnixMS} }
+func processOf(r goose.Replica) Process {
+	return Process{Replica: r.ID, StartedUnixMS: r.StartedUnixMS}
+}
+
+// validate returns an error if no instance can have reported the process.
+func (p Process) validate() error {
+	if p.Replica == "" || len(p.Replica) > maxReplicaIDBytes || p.StartedUnixMS <= 0 {
+		return errors.Errorf("process of replica %.60q, started at %d", string(p.Replica), p.StartedUnixMS)
+	}
+	return nil
+}
+
+// LeavingSource is from whom this instance knows that a process leaves. Lower values are
+// closer to the replica.
+type LeavingSource int
+
+const (
+	// LeavingFromReplica means that the replica has said so to this instance.
+	LeavingFromReplica LeavingSource = iota
+	// LeavingFromPeer means that a peer has reported it.
+	LeavingFromPeer
+	// LeavingFromDataCentre means that the sum of another data centre contains it.
+	LeavingFromDataCentre
+)
+
+// leavingMark is what is known of a process that leaves.
+type leavingMark struct {
+	// since is when this instance learned it, and confirmedAt when it last heard it.
+	since, confirmedAt time.Time
+	source             LeavingSource
+}
 
 // RecordLeaving records that the process of a replica has said that it leaves. It gets no new
 // work from then on, whatever the registry lists; a later process of the same replica does.
@@ -34,11 +74,57 @@
 func (pl *Placer) RecordLeaving(r goose.Replica, now time.Time) bool {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	_, known := pl.leaving[processOf(r)]
-	pl.leaving[processOf(r)] = now
+	return pl.markLeaving(processOf(r), LeavingFromReplica, now)
+}
+
+// RecordReportedLeaving records the processes that leave according to a report, and returns
+// those that were not known.
+func (pl *Placer) RecordReportedLeaving(reported []Process, source LeavingSource, now time.Time) []Process {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	var added []Process
+	for _, p := range reported {
+		if _, known := pl.leaving[p]; !known && len(pl.leaving) >= maxLeaving {
+			continue
+		}
+		if pl.markLeaving(p, source, now) {
+			added = append(added, p)
+		}
+	}
+	return added
+}
+
+// markLeaving marks a process and returns false if it was marked before. A mark that peers do
+// not have yet is due to be reported. The lock must be held.
+func (pl *Placer) markLeaving(p Process, source LeavingSource, now time.Time) bool {
+	m, known := pl.leaving[p]
+	if !known {
+		m = leavingMark{since: now, source: source}
+	}
+	if source == LeavingFromReplica && (!known || m.source != source) {
+		pl.requestReport()
+	}
+	m.confirmedAt, m.source = now, min(m.source, source)
+	pl.leaving[p] = m
 	return !known
 }
 
+// reportedLeaving returns the processes that leave according to the given source or a closer
+// one, newest first and at most MaxReportedLeaving. Only what was heard is told on, so that
+// data centres do not keep each other's marks alive. The lock must be held.
+func (pl *Placer) reportedLeaving(farthest LeavingSource) []Process {
+	var reported []Process
+	for p, m := range pl.leaving {
+		if m.source <= farthest && p.validate() == nil {
+			reported = append(reported, p)
+		}
+	}
+	slices.SortFunc(reported, func(a, b Process) int {
+		return cmp.Or(pl.leaving[b].since.Compare(pl.leaving[a].since), cmp.Compare(a.Replica, b.Replica), cmp.Compare(a.StartedUnixMS, b.StartedUnixMS))
+	})
+	return reported[:min(len(reported), MaxReportedLeaving)]
+}
+
 // RecordPause records that a replica wants no requests from this instance for the given time.
 // The longest time counts if several responses ask for one.
 func (pl *Placer) RecordPause(r goose.Replica, pause time.Duration, now time.Time) {
@@ -103,8 +189,8 @@
 
 // forgetLeaving removes processes that have not said for long that they leave.
 func (pl *Placer) forgetLeaving(now time.Time) {
-	for p, at := range pl.leaving {
-		if now.Sub(at) >= leavingMemory {
+	for p, m := range pl.leaving {
+		if now.Sub(m.confirmedAt) >= leavingMemory {
 			delete(pl.leaving, p)
 		}
 	}
--- a/pkg/gooseplacement/leave_test.go
+++ b/pkg/gooseplacement/leave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -155,3 +156,35 @@
 		t.Errorf("got %d different ends of a pause at 20 instances, want them spread", len(ends))
 	}
 }
+
+// Guards against reports that grow with the number of replicas that ever left, that name no
+// process, or that carry the marks of data centres in a circle.
+func TestReportedLeaving(t *testing.T) {
+	t.Parallel()
+	pl := newPlacer()
+	at := func(i int) Process { return Process{Replica: "i-x", StartedUnixMS: int64(i)} }
+	for i := range 2 * MaxReportedLeaving {
+		pl.RecordLeaving(goose.Replica{ID: "i-x", StartedUnixMS: int64(i)}, start.Add(time.Duration(i)*time.Second))
+	}
+	now := start.Add(time.Minute)
+	pl.RecordReportedLeaving([]Process{at(1000)}, LeavingFromPeer, now)
+	pl.RecordReportedLeaving([]Process{at(2000)}, LeavingFromDataCentre, now)
+	own, sum := pl.Report(now), pl.DataCentreReport(now)
+	for name, r := range map[string]Report{"report": own, "sum": sum} {
+		if err := r.Validate(); err != nil || len(r.Leaving) != MaxReportedLeaving {
+			t.Errorf("got %d processes in a %s, error %v, want %d", len(r.Leaving), name, err, MaxReportedLeaving)
+		}
+	}
+	if own.Leaving[0] != at(2*MaxReportedLeaving-1) {
+		t.Errorf("got %v first in a report, want the newest of its own", own.Leaving[0])
+	}
+	if sum.Leaving[0] != at(1000) || slices.Contains(sum.Leaving, at(2000)) {
+		t.Errorf("got %v in a sum, want the one of the peer first and none of another sum", sum.Leaving)
+	}
+	for i := range 2 * maxLeaving {
+		pl.RecordReportedLeaving([]Process{at(10_000 + i)}, LeavingFromPeer, now)
+	}
+	if got := pl.LeavingCount(); got > maxLeaving {
+		t.Errorf("got %d processes remembered, want at most %d", got, maxLeaving)
+	}
+}
--- a/pkg/gooseplacement/load.go
+++ b/pkg/gooseplacement/load.go
@@ -62,6 +62,8 @@
 	OfferedLoad map[goose.ServiceName]OfferedLoad `cbor:"2,keyasint,omitempty"`
 	// Instances is the number of instances whose reports are summed; zero stands for one.
 	Instances int `cbor:"3,keyasint,omitempty"`
+	// Leaving are processes that have said that they leave.
+	Leaving []Process `cbor:"4,keyasint,omitempty"`
 }
 
 // Bounds on what one report may contain. They are far above any real load, so a report that
@@ -81,6 +83,14 @@
 	if r.Instances < 0 || r.Instances > maxReportedInstances {
 		return errors.Errorf("%d instances", r.Instances)
 	}
+	if len(r.Leaving) > MaxReportedLeaving {
+		return errors.Errorf("%d processes that leave", len(r.Leaving))
+	}
+	for _, p := range r.Leaving {
+		if err := p.validate(); err != nil {
+			return err
+		}
+	}
 	for id, l := range r.Replicas {
 		for _, n := range []int{l.Requests, l.Waiting, l.ShortPauseStreams, l.MediumPauseStreams} {
 			if n < 0 || n > maxReportedRequests {
--- a/pkg/gooseplacement/placer.go
+++ b/pkg/gooseplacement/placer.go
@@ -33,14 +33,13 @@
 	lastID   uint64
 	attempts map[uint64]*attempt
 	replicas map[goose.ReplicaID]*replicaState
-	// leaving are the processes that have said that they leave, with the time of the last
-	// response that said so.
-	leaving map[process]time.Time
+	// leaving are the processes that have said that they leave.
+	leaving map[Process]leavingMark
 	table   peerTable
 	// offered measures the offered load of each service at this instance.
 	offered map[goose.ServiceName]*loadMeter
 	// reportDue holds a value while a report to the peers is due at once because of a new
-	// attempt.
+	// attempt or a replica that leaves.
 	reportDue chan struct{}
 }
 
@@ -77,17 +76,24 @@
 		o.Rand = rand.IntN
 	}
 	return &Placer{
-		opts: o, attempts: map[uint64]*attempt{}, replicas: map[goose.ReplicaID]*replicaState{}, leaving: map[process]time.Time{},
+		opts: o, attempts: map[uint64]*attempt{}, replicas: map[goose.ReplicaID]*replicaState{}, leaving: map[Process]leavingMark{},
 		table: newPeerTable(), offered: map[goose.ServiceName]*loadMeter{},
 		reportDue: make(chan struct{}, 1),
 	}
 }
 
 // ReportDue delivers a value when a report should be sent to the peers at once because a long
-// prompt was placed, or any request in a large fleet, whose other reports are rare. Until
-// they know of it, peers may place their requests on the same replicas.
+// prompt was placed, or any request in a large fleet, whose other reports are rare, or a
+// replica leaves. Until they know of it, peers may place their requests on the same replicas.
 func (pl *Placer) ReportDue() <-chan struct{} { return pl.reportDue }
 
+func (pl *Placer) requestReport() {
+	select {
+	case pl.reportDue <- struct{}{}:
+	default:
+	}
+}
+
 // Report returns the load that this instance reports to its peers.
 func (pl *Placer) Report(now time.Time) Report {
 	pl.mu.Lock()
@@ -101,6 +107,7 @@
 	for name, m := range pl.offered {
 		r.OfferedLoad[name] = m.rate(now)
 	}
+	r.Leaving = pl.reportedLeaving(LeavingFromReplica)
 	return r
 }
 
@@ -166,10 +173,7 @@
 	}
 	m.add(now, prefill, short)
 	if !short || pl.table.split() {
-		select {
-		case pl.reportDue <- struct{}{}:
-		default:
-		}
+		pl.requestReport()
 	}
 	return pl.lastID
 }
