gooseplacement: requests return to a replica a little at a time after its pause

Cause: at the end of a pause an instance sent a replica everything that waited for it, up to its slots: only the end itself was spread over a second. A replica that had asked for a pause because of its load got the burst again. Change: after the end, a replica may have got one request, and twice as many after each quarter of a second, from each instance; without a limit after two seconds. Until then it counts as paused when it has got as many, so that others are used, and callers are refused at once as not run if there are none. Conclusion: part of the state of the pause, no second mechanism.

--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -227,7 +227,7 @@
 			none = ObstacleCold
 			continue
 		}
-		if now.Before(s.pausedUntil) {
+		if s.isPaused(now) {
 			if none == ObstacleNoReplica {
 				none = ObstaclePaused
 			}
--- a/pkg/gooseplacement/leave.go
+++ b/pkg/gooseplacement/leave.go
@@ -28,6 +28,11 @@
 	resumeSpread = time.Second
 	// resumeShare bounds that time by the pause.
 	resumeShare = 4
+	// resumeStep is the time after the end of a pause after which the number of requests that
+	// the replica may have got since then doubles. resumeSteps is the number of steps after
+	// which there is no limit.
+	resumeStep  = 250 * time.Millisecond
+	resumeSteps = 8
 )
 
 // Process identifies one process of a replica.
@@ -138,6 +143,29 @@
 	}
 }
 
+// isPaused reports whether the replica gets no request because of a pause: until its end, and
+// then while the replica has got as many as it may, so that the requests return a little at a
+// time.
+func (s *replicaState) isPaused(now time.Time) bool {
+	if s.pausedUntil.IsZero() {
+		return false
+	}
+	if now.Before(s.pausedUntil) {
+		return true
+	}
+	steps := int(now.Sub(s.pausedUntil) / resumeStep)
+	if steps >= resumeSteps {
+		return false
+	}
+	begun := 0
+	for _, t := range s.attemptTimes {
+		if !t.Before(s.pausedUntil) {
+			begun++
+		}
+	}
+	return begun >= 1<<steps
+}
+
 // ResumeAfter returns the time until the first of the replicas may get requests again; zero if
 // none has asked for a pause.
 func (pl *Placer) ResumeAfter(replicas []goosedirectory.Replica, now time.Time) time.Duration {
--- a/pkg/gooseplacement/leave_test.go
+++ b/pkg/gooseplacement/leave_test.go
@@ -129,6 +129,37 @@
 	}
 }
 
+// Guards against a burst at the end of a pause, which makes the replica ask for the next one,
+// and against a replica that gets little for long after its pause.
+func TestReturnAfterPause(t *testing.T) {
+	t.Parallel()
+	const pause, step = 4 * time.Second, 10 * time.Millisecond
+	pl, all := newPlacer(), replicas("book", 1)
+	pl.RecordPause(all[0].Replica, pause, start)
+	begun := map[time.Duration]int{}
+	end := start.Add(pause)
+	for now := start; now.Before(end.Add(4 * time.Second)); now = now.Add(step) {
+		// Ten requests at a time are offered.
+		for range 10 {
+			if c, o := pl.Choose(Demand{Service: plainService()}, all, now); o == ObstacleNone {
+				begun[now.Sub(end).Truncate(500*time.Millisecond)]++
+				pl.RecordEnd(c.AttemptID, false, false, now)
+			}
+		}
+	}
+	if got := begun[0]; got < 1 || got > 4 {
+		t.Errorf("got %d requests in the first half second after the pause, want a few", got)
+	}
+	if got, offered := begun[3500*time.Millisecond], 500; got != offered {
+		t.Errorf("got %d requests in half a second long after the pause, want all %d", got, offered)
+	}
+	for at, n := range begun {
+		if at < 0 {
+			t.Errorf("got %d requests %s before the end of the pause", n, -at)
+		}
+	}
+}
+
 // Guards against refusals that tell callers to come back before any replica wants requests, and
 // against instances that all return to a replica at the moment its pause ends.
 func TestEndOfPauses(t *testing.T) {
