serve: backend servers that leave or want a pause get no more permits

Cause: serve read neither Server-Leaving nor the Retry-After of a 503. An engine that said that it leaves got work until an operator said so as well. Change: the engines' client reads both (goose.Wish, parsed in one place for both data paths) from load reports, plain responses and refusals of streams; an instance passes on those of requests with the report of the permit. The state is the replica's at its dispatcher: leaving ends with the process, a pause with the longest time asked for, and the replica is cold then, so that its ramp-up returns the requests a little at a time. If no replica wants requests, those that wait and new ones are refused at once as not run, as leaving or with the end of the first pause and a random part of it. Conclusion: engines report twice a second, so a dispatcher learns it from there even without requests. Plain services tell only by their responses.

--- a/internal/goosecommand/backend.go
+++ b/internal/goosecommand/backend.go
@@ -123,11 +123,22 @@
 			writeRow(w, p.Pool.DataCentre, p.Pool.Service, p.Missing, "", "", "", "", "", "", "", "")
 		}
 		for _, r := range p.Replicas {
-			state := "warm"
-			if r.Cold {
-				state = "cold"
-			}
-			writeRow(w, p.Pool.DataCentre, p.Pool.Service, r.Replica, p.Mode, yesNo(r.Reachable), state, r.Requests, r.Concurrency, r.Tokens, r.TokenLimit, r.Load)
+			writeRow(w, p.Pool.DataCentre, p.Pool.Service, r.Replica, p.Mode, yesNo(r.Reachable), replicaState(r), r.Requests, r.Concurrency, r.Tokens, r.TokenLimit, r.Load)
 		}
 	}
 }
+
+// replicaState returns whether a replica is cold, and what it has said about further requests.
+func replicaState(r goosedispatch.ReplicaStatus) string {
+	state := "warm"
+	if r.Cold {
+		state = "cold"
+	}
+	if r.Leaving {
+		state += ",leaving"
+	}
+	if r.Paused {
+		state += ",paused"
+	}
+	return state
+}
--- a/internal/gooseengine/exchange.go
+++ b/internal/gooseengine/exchange.go
@@ -243,7 +243,19 @@
 	if r := x.resp.BodyStream(); r != nil {
 		b, _ = io.ReadAll(io.LimitReader(r, maxErrorBodyBytes))
 	}
-	return &goose.StatusError{Status: x.resp.StatusCode(), Body: string(b)}
+	return &goose.StatusError{Status: x.resp.StatusCode(), Body: string(b), Wish: wishOf(x.resp)}
+}
+
+// wishOf returns what the head of a response says about further requests.
+func wishOf(resp *fasthttp.Response) goose.Wish {
+	var pauses []string
+	for _, v := range resp.Header.PeekAll(fasthttp.HeaderRetryAfter) {
+		pauses = append(pauses, string(v))
+	}
+	return goose.Wish{
+		Leaving: string(resp.Header.Peek(headerLeaving)) == "1",
+		Pause:   goose.ParsePause(resp.StatusCode(), pauses),
+	}
 }
 
 func (x *exchange) header(name string) string { return string(x.resp.Header.Peek(name)) }
--- a/internal/gooseengine/load.go
+++ b/internal/gooseengine/load.go
@@ -23,9 +23,10 @@
 		return goose.LoadReport{}, err
 	}
 	if s := resp.StatusCode(); s < 200 || s > 299 {
-		return goose.LoadReport{}, &goose.StatusError{Status: s, Body: string(resp.Body())}
+		return goose.LoadReport{}, &goose.StatusError{Status: s, Body: string(resp.Body()), Wish: wishOf(resp)}
 	}
 	r, err := parseLoad(resp.Body())
+	r.Wish = wishOf(resp)
 	return r, errors.Wrapf(err, "load report of %s", address)
 }
 
--- a/internal/gooseengine/openai.go
+++ b/internal/gooseengine/openai.go
@@ -24,6 +24,8 @@
 	headerKVBehind     = "X-KV-Behind"
 	headerProcessID    = "X-Process-Id"
 	headerCold         = "X-Cold"
+	// headerLeaving is "1" in every response of a backend server that leaves.
+	headerLeaving = "Server-Leaving"
 )
 
 func init() {
--- a/internal/gooseengine/plain.go
+++ b/internal/gooseengine/plain.go
@@ -46,6 +46,7 @@
 		Body:        body,
 		Process:     x.header(headerProcessID),
 		Cold:        x.header(headerCold) == "true",
+		Wish:        wishOf(x.resp),
 	}, nil
 }
 
--- a/internal/gooseentry/plain.go
+++ b/internal/gooseentry/plain.go
@@ -137,6 +137,7 @@
 	case err == nil:
 		j.releasePermit(p, goose.PermitReport{
 			Outcome: goose.OutcomeFinished, TimeToFirstToken: max(j.entry.clock.Now().Sub(sent), 1), Process: resp.Process, Cold: resp.Cold,
+			Leaving: resp.Wish.Leaving, Pause: resp.Wish.Pause,
 		})
 		j.recordAnswer(resp)
 		j.clearSuspicion()
--- a/internal/gooseentry/stream.go
+++ b/internal/gooseentry/stream.go
@@ -409,10 +409,15 @@
 const crashCheckTimeout = 1500 * time.Millisecond
 
 func (a *attempt) permitReport(o goose.AttemptOutcome) goose.PermitReport {
-	return goose.PermitReport{
+	r := goose.PermitReport{
 		Outcome: o, OutputTokens: a.job.offset - a.startOffset, TimeToFirstToken: a.timeToFirstToken,
 		Replica: a.grant.Replica, Process: a.process, Cold: a.cold,
 	}
+	var status *goose.StatusError
+	if errors.As(a.err, &status) {
+		r.Leaving, r.Pause = status.Wish.Leaving, status.Wish.Pause
+	}
+	return r
 }
 
 // finish releases the permit after the KV caches of the attempt are deleted.
--- a/internal/gooseoperatortest/instance.go
+++ b/internal/gooseoperatortest/instance.go
@@ -126,6 +126,7 @@
 			Replicas: []goosedispatch.ReplicaStatus{
 				{Replica: "leith-engine-1", Process: "p1", Reachable: true, Concurrency: 16, TokenLimit: 200_000, Requests: 3, Tokens: 900},
 				{Replica: "leith-engine-2", Process: "p2", Reachable: true, Cold: true, Concurrency: 1, TokenLimit: 8000, Load: "load-model wording-8"},
+				{Replica: "leith-engine-3", Process: "p3", Reachable: true, Concurrency: 16, TokenLimit: 200_000, Leaving: true, Paused: true},
 			},
 		}},
 	}
--- a/internal/goosetest/permits.go
+++ b/internal/goosetest/permits.go
@@ -110,3 +110,10 @@
 	}
 	return strings.Join(out, " ")
 }
+
+// Reports returns the released reports in order.
+func (c *PermitClient) Reports() []goose.PermitReport {
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	return slices.Clone(c.reports)
+}
--- a/pkg/goose/backend.go
+++ b/pkg/goose/backend.go
@@ -38,6 +38,7 @@
 	// Status is the HTTP status.
 	Status int
 	Body   string
+	Wish   Wish
 }
 
 // Error returns the status and the start of the body.
@@ -107,6 +108,7 @@
 	UsedKV   int
 	Capacity int
 	Model    string
+	Wish     Wish
 }
 
 // RunningStream is one entry of the backend server's own list of streams.
@@ -125,6 +127,7 @@
 	Process     string
 	// Cold is set if the backend server reported itself as cold.
 	Cold bool
+	Wish Wish
 }
 
 // Protocol is a client of one kind of backend server. Implementations never
--- a/pkg/goose/permit.go
+++ b/pkg/goose/permit.go
@@ -147,8 +147,14 @@
 	Process string `cbor:"9,keyasint,omitempty"`
 	// Cold is set if the replica reported itself cold during the attempt.
 	Cold bool `cbor:"10,keyasint,omitempty"`
+	// Leaving and Pause are the Wish of the replica's response.
+	Leaving bool          `cbor:"11,keyasint,omitempty"`
+	Pause   time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
+// Wish returns the wish of the replica's response.
+func (r PermitReport) Wish() Wish { return Wish{Leaving: r.Leaving, Pause: r.Pause} }
+
 // HeldPermit is a permit as recorded by its holder. A new dispatcher collects the
 // held permits from all instances.
 type HeldPermit struct {
--- a/pkg/goose/routing.go
+++ b/pkg/goose/routing.go
@@ -215,11 +215,7 @@
 	// FaultyHelper names the helper that caused the failure; empty if the response names
 	// none.
 	FaultyHelper string
-	// Leaving is set if the process that responded leaves.
-	Leaving bool
-	// Pause is how long the replica wants no requests from this instance; zero if it does not
-	// ask for a pause.
-	Pause time.Duration
+	Wish         Wish
 }
 
 // HeaderCodec translates between routed requests and the HTTP headers that callers and
--- a/pkg/goosedispatch/admission.go
+++ b/pkg/goosedispatch/admission.go
@@ -75,6 +75,9 @@
 	if refusal, refused := p.unroutableRefusal(r); refused {
 		return refusal, true
 	}
+	if refusal, refused := p.unwantedRefusal(r, now); refused {
+		return refusal, true
+	}
 	if len(p.waiting) >= maxQueueLength {
 		return p.overloadedRefusal(time.Second, "queue full"), true
 	}
--- a/pkg/goosedispatch/fakes_test.go
+++ b/pkg/goosedispatch/fakes_test.go
@@ -88,7 +88,9 @@
 	frozen bool
 	// noStreamCalls engines fail calls that cancel or list streams.
 	noStreamCalls bool
-	streams       map[goose.AttemptID]bool
+	// wish is in the head of every response.
+	wish    goose.Wish
+	streams map[goose.AttemptID]bool
 	// complete are the streams whose output is complete.
 	complete map[goose.AttemptID]bool
 }
@@ -133,9 +135,9 @@
 		return goose.LoadReport{}, goose.ErrNotSent
 	}
 	if e.noLoadReport {
-		return goose.LoadReport{}, &goose.StatusError{Status: 404}
+		return goose.LoadReport{}, &goose.StatusError{Status: 404, Wish: e.wish}
 	}
-	return goose.LoadReport{Process: e.process, Cold: e.cold, UsedKV: e.usedKV}, nil
+	return goose.LoadReport{Process: e.process, Cold: e.cold, UsedKV: e.usedKV, Wish: e.wish}, nil
 }
 
 func (f *fakeProtocol) Streams(_ context.Context, address string) ([]goose.RunningStream, error) {
--- a/pkg/goosedispatch/health.go
+++ b/pkg/goosedispatch/health.go
@@ -129,8 +129,13 @@
 	case err == nil:
 	case errors.As(err, &status):
 		// The replica is alive but has no load report.
-		l = goose.LoadReport{}
+		l = goose.LoadReport{Wish: status.Wish}
 	case errors.Is(err, goose.ErrNotSent), errors.Is(err, goose.ErrDisconnected):
+		if t.plain {
+			// Only its responses show the process of a plain service, and it gets no requests
+			// while it leaves.
+			r.wishes.leavingUntil = time.Time{}
+		}
 		p.markDisconnected(r)
 		return false
 	default:
@@ -148,6 +153,7 @@
 	if l.Cold {
 		p.resetToCold(r, "cold report")
 	}
+	p.recordWish(r, l.Wish, now)
 	p.applyWarmEvidence(r, now)
 	due := now.Sub(r.inspectedAt) >= inspectInterval || !r.inspected || len(r.orphans) > 0
 	return due && p.takeover.quarantineOver(now, p.quarantine())
--- a/pkg/goosedispatch/replica.go
+++ b/pkg/goosedispatch/replica.go
@@ -35,6 +35,7 @@
 	missedPolls   int
 	process       string
 	pastProcesses []string
+	wishes        wishes
 	// processChanges counts the process changes. A load poll stores the count when
 	// it begins, so that a report from before a change can be recognised.
 	processChanges int
@@ -210,7 +211,7 @@
 
 // usable reports whether new requests may be placed on the replica.
 func (p *Pool) usable(r *replica, a Authority, now time.Time) bool {
-	if !r.configured || !r.open || !r.reachable || r.activeCommand != nil || !r.commandKnown {
+	if !r.configured || !r.open || !r.reachable || r.activeCommand != nil || !r.commandKnown || !r.wishes.wantsWork(now) {
 		return false
 	}
 	if a.Owns != nil && !a.Owns(r.id) {
@@ -287,6 +288,7 @@
 	}
 	r.process = ""
 	r.processChanges++
+	r.wishes.leavingUntil = time.Time{}
 	p.deps.Policy.Forget(r.id)
 }
 
--- a/pkg/goosedispatch/report.go
+++ b/pkg/goosedispatch/report.go
@@ -85,7 +85,7 @@
 	}
 	success := false
 	if c, ok := p.replicas[r.Replica]; ok {
-		success = p.applyOutcome(c, g, r)
+		success = p.applyOutcome(c, g, r, now)
 	}
 	if r.Outcome == goose.OutcomeFinished {
 		p.loadEstimate.recordDuration(g.request.Class, g.request.Cost(), now.Sub(g.grantedAt))
@@ -138,7 +138,7 @@
 
 // applyOutcome applies a report to the state of a replica. It returns whether the attempt is
 // evidence that the replica is warm.
-func (p *Pool) applyOutcome(c *replica, g *activePermit, r goose.PermitReport) bool {
+func (p *Pool) applyOutcome(c *replica, g *activePermit, r goose.PermitReport, now time.Time) bool {
 	c.pollRequested = c.pollRequested || r.Outcome == goose.OutcomeNotSent || r.Outcome == goose.OutcomeFailed
 	if r.Outcome == goose.OutcomeNotSent {
 		// The holder names a process here only if it differs from the process that
@@ -158,6 +158,7 @@
 	if !p.observeProcess(c, r.Process) {
 		return false
 	}
+	p.recordWish(c, r.Wish(), now)
 	if r.Cold && !p.staleColdReport(c, g) {
 		c.reportedCold = true
 		p.resetToCold(c, "cold report")
--- a/pkg/goosedispatch/status.go
+++ b/pkg/goosedispatch/status.go
@@ -32,14 +32,19 @@
 	Load string `cbor:"10,keyasint" json:"load,omitempty"`
 	// Orphans are streams without an owner.
 	Orphans int `cbor:"9,keyasint" json:"orphans"`
+	// Leaving and Paused are set if the replica has said in its responses that it leaves, or
+	// wants no requests for a while.
+	Leaving bool `cbor:"11,keyasint,omitempty" json:"leaving,omitempty"`
+	Paused  bool `cbor:"12,keyasint,omitempty" json:"paused,omitempty"`
 }
 
 // Status returns a snapshot of the dispatcher.
 func (p *Pool) Status() Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.deps.Clock.Now()
 	s := Status{
-		Pool: p.deps.Pool, Epoch: p.deps.Epoch, Mode: p.authority(p.deps.Clock.Now()).Mode,
+		Pool: p.deps.Pool, Epoch: p.deps.Epoch, Mode: p.authority(now).Mode,
 		Waiting: len(p.waiting), Permits: len(p.permits),
 	}
 	for _, r := range p.configuredReplicas {
@@ -52,6 +57,7 @@
 			Replica: r.id, Process: r.process, Reachable: r.reachable, Cold: r.limiter.Cold(),
 			Concurrency: r.limiter.Concurrency(), TokenLimit: r.limiter.TokenLimit(),
 			Requests: r.limiter.Requests(), Tokens: r.limiter.Tokens(), Orphans: len(r.orphans),
+			Leaving: r.wishes.leaving(now), Paused: r.wishes.paused(now),
 		})
 	}
 	return s
