goosequarantine: a trial begins when its request is sent

Cause: the trial of a held part was recorded when a request began, before a replica was chosen for it. And a request that waited for room was sent although its parts had been held meanwhile. Change: BeginAttempt only finds that a trial is due. BeginSending records it, or refuses the attempt, once a replica has been chosen (forward) or a permit was granted (serve). Conclusion: a served trial is not delayed by requests that no replica ran.

--- a/internal/gooseentry/job.go
+++ b/internal/gooseentry/job.go
@@ -117,7 +117,7 @@
 			j.unclaimOrder()
 			return j.refusalResult(r)
 		}
-		if r := j.partRefusal(); r != nil {
+		if r := j.beginSending(); r != nil {
 			j.releasePermit(p, goose.PermitReport{Outcome: goose.OutcomeNotSent})
 			j.unclaimOrder()
 			return j.refusalResult(r)
--- a/internal/gooseentry/part.go
+++ b/internal/gooseentry/part.go
@@ -53,12 +53,19 @@
 	}
 }
 
-// partRefusal refuses a request whose prompt has a part that crashes engines, unless it is on
-// trial.
-func (j *job) partRefusal() *goose.Refusal {
-	if j.suspicion != nil && j.suspicion.OnTrial() {
+// beginSending returns a refusal if the request must not be sent to the engine of its permit,
+// because of what has become known of its parts since beginAttempt.
+func (j *job) beginSending() *goose.Refusal {
+	a, ok := j.entry.quarantine.BeginSending(*j.suspicion, j.entry.clock.Now())
+	j.suspicion = &a
+	if ok {
 		return nil
 	}
+	return j.partRefusal()
+}
+
+// partRefusal refuses a request whose prompt has a part that crashes engines.
+func (j *job) partRefusal() *goose.Refusal {
 	left, quarantined := j.entry.quarantine.Quarantined(j.req.subjects, j.entry.clock.Now())
 	if !quarantined {
 		return nil
--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -80,6 +80,9 @@
 			c.writeFailure(last, obstacle)
 			return
 		}
+		if !c.beginSending(choice, last) {
+			return
+		}
 		last = c.tryReplica(choice)
 		switch last.outcome {
 		case outcomeDone, outcomeCallerDisconnected:
--- a/internal/gooseforward/crash.go
+++ b/internal/gooseforward/crash.go
@@ -79,8 +79,7 @@
 	for start := c.o.Clock.Now(); ; {
 		now := c.o.Clock.Now()
 		if remaining, quarantined := c.o.Quarantine.Quarantined(c.subjects, now); quarantined {
-			c.rejectAttempt(last, goose.NotRunRefusal(goose.CodeQuarantined, "replicas ended one after the other while they ran this request, or others with a part of its prompt").
-				WithReason("crashes-replicas").WithRetryAfter(remaining))
+			c.rejectAttempt(last, quarantineRefusal(remaining))
 			return false
 		}
 		suspicion, ok := c.o.Quarantine.BeginAttempt(c.subjects, now)
@@ -96,6 +95,27 @@
 	}
 }
 
+// beginSending reports whether the request may still be sent to the chosen replica. If it may
+// not, it frees the replica and sends the caller the final response.
+func (c *call) beginSending(choice gooseplacement.Choice, last result) bool {
+	now := c.o.Clock.Now()
+	suspicion, ok := c.o.Quarantine.BeginSending(c.suspicion, now)
+	c.suspicion = suspicion
+	if ok {
+		return true
+	}
+	c.o.Placer.RecordEnd(choice.AttemptID, false, false, now)
+	c.o.Quarantine.EndAttempt(c.suspicion)
+	remaining, _ := c.o.Quarantine.Quarantined(c.subjects, now)
+	c.rejectAttempt(last, quarantineRefusal(remaining))
+	return false
+}
+
+func quarantineRefusal(remaining time.Duration) goose.Refusal {
+	return goose.NotRunRefusal(goose.CodeQuarantined, "replicas ended one after the other while they ran this request, or others with a part of its prompt").
+		WithReason("crashes-replicas").WithRetryAfter(remaining)
+}
+
 // rejectAttempt sends the final response of a request that must not be sent to a further
 // replica.
 func (c *call) rejectAttempt(last result, r goose.Refusal) {
--- a/pkg/goosequarantine/attempt.go
+++ b/pkg/goosequarantine/attempt.go
@@ -40,6 +40,8 @@
 	// onTrial is set if a part is quarantined and this attempt shows whether it still crashes
 	// replicas.
 	onTrial bool
+	// trialBegun is set once the trial is recorded.
+	trialBegun bool
 }
 
 // OnTrial reports whether the attempt may run although a part of its prompt is quarantined.
@@ -67,7 +69,8 @@
 // BeginAttempt returns what is known about a request when one of its attempts begins. It
 // returns false if this instance already runs an attempt that will show whether the request
 // may run: an equal request with evidence of a crash, or a request with an equally suspect
-// part. If BeginAttempt returns true, the caller must call EndAttempt.
+// part. If BeginAttempt returns true, the caller must call EndAttempt, and before it sends the
+// request BeginSending.
 func (t *Table) BeginAttempt(s goose.CrashSubjects, now time.Time) (Attempt, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -83,9 +86,7 @@
 			return a, false
 		}
 	}
-	onTrial := t.beginTrials(s, now)
-	a = t.observe(s, now)
-	a.onTrial = onTrial
+	a.onTrial = len(t.heldParts(s, now)) > 0
 	t.running[s.Request]++
 	for _, part := range s.Parts {
 		t.running[part]++
@@ -93,6 +94,26 @@
 	return a, true
 }
 
+// BeginSending reports whether an attempt may still be sent to a replica that has room for it,
+// and begins its trial if it is on one. It returns the attempt for the calls that follow.
+func (t *Table) BeginSending(a Attempt, now time.Time) (Attempt, bool) {
+	if a.trialBegun {
+		return a, true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, quarantined := t.quarantined(a.subjects, now); quarantined {
+		return a, false
+	}
+	if !a.onTrial {
+		return a, true
+	}
+	t.beginTrials(a.subjects, now)
+	begun := t.observe(a.subjects, now)
+	begun.responding, begun.onTrial, begun.trialBegun = a.responding, true, true
+	return begun, true
+}
+
 // EndAttempt records the end of an attempt. It does not change the evidence: RecordLost and
 // RecordSurvived record the result of the attempt.
 func (t *Table) EndAttempt(a Attempt) {
--- a/pkg/goosequarantine/part_test.go
+++ b/pkg/goosequarantine/part_test.go
@@ -251,13 +251,18 @@
 func TestTrialOfPart(t *testing.T) {
 	t.Parallel()
 	p := newPrompts(3)
-	// begin tries to begin an attempt at each instance in turn, and returns the first that may.
+	// begin tries to send an attempt at each instance in turn, and returns the first that may.
 	begin := func() (at int, a Attempt, ok bool) {
 		for n, table := range p.all {
-			if a, ok := table.BeginAttempt(p.next(shared, deadly), p.now); ok {
+			a, ok := table.BeginAttempt(p.next(shared, deadly), p.now)
+			if !ok {
+				continue
+			}
+			if a, ok = table.BeginSending(a, p.now); ok {
 				p.exchange()
 				return n, a, true
 			}
+			table.EndAttempt(a)
 		}
 		return 0, Attempt{}, false
 	}
@@ -298,6 +303,41 @@
 	}
 }
 
+// Guards against a trial that is used up by a request for which no replica has room, so that
+// the part stays quarantined for longer, and against sending what was quarantined meanwhile.
+func TestTrialBeginsWithSending(t *testing.T) {
+	t.Parallel()
+	p := newPrompts(2)
+	for range 3 {
+		p.crash(0, p.next(deadly))
+	}
+	p.now = p.now.Add(partTrialDelay)
+	refused, ok := p.all[0].BeginAttempt(p.next(shared, deadly), p.now)
+	if !ok || !refused.OnTrial() {
+		t.Fatal("got no trial when it was due")
+	}
+	p.all[0].EndAttempt(refused)
+	p.exchange()
+	first, ok := p.all[0].BeginAttempt(p.next(shared, deadly), p.now)
+	if !ok {
+		t.Fatal("got no trial after a request that was not sent")
+	}
+	second, ok := p.all[1].BeginAttempt(p.next(shared, deadly), p.now)
+	if !ok {
+		t.Fatal("got no trial at an instance that knows of no other")
+	}
+	if first, ok = p.all[0].BeginSending(first, p.now); !ok {
+		t.Error("got the first trial not sent")
+	}
+	if _, ok := p.all[0].BeginSending(first, p.now); !ok {
+		t.Error("got the first trial refused when it is sent once more")
+	}
+	p.exchange()
+	if _, ok := p.all[1].BeginSending(second, p.now); ok {
+		t.Error("got a second trial sent beside the first")
+	}
+}
+
 // Guards against a common part that stays quarantined for long although replicas have always
 // responded to it: for a while all replicas crash for other reasons.
 func TestProvenPartIsTriedSoon(t *testing.T) {
--- a/pkg/goosequarantine/verdict.go
+++ b/pkg/goosequarantine/verdict.go
@@ -100,18 +100,24 @@
 	return now.Sub(e.changedAt) >= min(delay, maxTrialDelay)
 }
 
-// beginTrials records that a request begins on trial for those of its parts that are
-// quarantined, and returns whether there are any. All instances learn of it at once and run no
-// trial before the next one is due.
-func (t *Table) beginTrials(s goose.CrashSubjects, now time.Time) bool {
-	onTrial := false
+// heldParts returns the entries of the parts that are quarantined, whether or not a trial is
+// due.
+func (t *Table) heldParts(s goose.CrashSubjects, now time.Time) []*entry {
+	var held []*entry
 	for _, part := range s.Parts {
 		if e := t.liveEntry(part, now); t.remainingQuarantine(e, s, now) > 0 {
-			t.mergeRecord(e.recordAt(now).WithTrial(), SourceOwn, now)
-			onTrial = true
+			held = append(held, e)
 		}
 	}
-	return onTrial
+	return held
+}
+
+// beginTrials records that a request begins on trial for those of its parts that are
+// quarantined. All instances learn of it at once and run no trial before the next one is due.
+func (t *Table) beginTrials(s goose.CrashSubjects, now time.Time) {
+	for _, e := range t.heldParts(s, now) {
+		t.mergeRecord(e.recordAt(now).WithTrial(), SourceOwn, now)
+	}
 }
 
 // suspect reports whether there is so much evidence against a part that only one request of
