goosedirectory: an instance that has lost the store goes on with the changes of a relay

Cause: when the relay of a data centre and others lose the store, one of the rest becomes the relay. Those that had lost it read the whole store again and again, in vain, and without the changes that the new relay sent to all others. Change: after a failure the follower goes on from the revision that it has read, as long as a relay delivers changes and some peer has reached the store throughout. After an outage of the store itself the prefix is read, as before, because leases have expired. The store counts as reachable again once the relay knows of no change that is missing here.

--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -125,6 +125,7 @@
 	h.follower = goosedirectory.NewFollower(goosedirectory.FollowOptions{
 		Store: h.store, StoreDecoder: decoder, Directory: h.directory, CrashRecords: h.storeSync,
 		ReregistrationGrace: s.ReregistrationGrace, WatchPause: watchPause, Log: log, Clock: h.clock,
+		Relayed:               h.relayedRevision,
 		PeerStoreReachableFor: func(now time.Time) time.Duration { return h.gossip.PeerStoreReachableFor(now) },
 	})
 	h.placer = gooseplacement.New(gooseplacement.Options{
@@ -181,6 +182,15 @@
 	return gooseplacement.Registered{Own: s.InstancesIn(h.settings.DataCentre), All: len(s.Instances())}
 }
 
+// relayedRevision returns the revision up to which another instance delivers the changes of the
+// store, or false if none does.
+func (h *host) relayedRevision(now time.Time) (int64, bool) {
+	if h.relay == nil {
+		return 0, false
+	}
+	return h.relay.Relayed(now)
+}
+
 // followingRelay reports whether the changes of the store come from another instance.
 func (h *host) followingRelay() bool { return h.relay != nil && h.relay.Following(h.clock.Now()) }
 
--- a/pkg/goosedirectory/follow.go
+++ b/pkg/goosedirectory/follow.go
@@ -41,9 +41,12 @@
 	// have succeeded without a failure. Leases cannot have expired because of an
 	// outage in that time.
 	PeerStoreReachableFor func(now time.Time) time.Duration
-	CrashRecords          CrashRecords
-	Log                   *slog.Logger
-	Clock                 goose.Clock
+	// Relayed returns the newest revision of the store that another instance delivers changes
+	// up to, or false if this instance follows none. The store's watches use its changes.
+	Relayed      func(now time.Time) (revision int64, ok bool)
+	CrashRecords CrashRecords
+	Log          *slog.Logger
+	Clock        goose.Clock
 }
 
 // CrashRecords receives the store's records of requests that crash replicas.
@@ -61,6 +64,9 @@
 	mu sync.Mutex
 	// synced contains the prefixes that were read at least once.
 	synced map[string]bool
+	// resumable contains the prefixes whose changes after the newest revision that was read
+	// are enough to bring them up to date.
+	resumable map[string]bool
 	// failing contains the prefixes whose last call failed.
 	failing map[string]bool
 	// stateSince is when the store became unavailable or available again. recovered is set
@@ -84,7 +90,7 @@
 // NewFollower returns a follower. Run starts it.
 func NewFollower(o FollowOptions) *Follower {
 	return &Follower{
-		o: o, synced: map[string]bool{}, failing: map[string]bool{}, stateSince: o.Clock.Now(), cancelWatch: map[string]context.CancelCauseFunc{},
+		o: o, synced: map[string]bool{}, resumable: map[string]bool{}, failing: map[string]bool{}, stateSince: o.Clock.Now(), cancelWatch: map[string]context.CancelCauseFunc{},
 	}
 }
 
@@ -126,14 +132,17 @@
 	}
 }
 
-// follow reads the prefix and applies its changes. After each failure it reads the
-// complete prefix again.
+// follow reads the prefix and applies its changes. After each failure it reads the complete
+// prefix again, or goes on with the changes that another instance delivers.
 func (f *Follower) follow(ctx context.Context, prefix string) {
 	pause := minRetryPause
-	for ctx.Err() == nil {
-		revision, err := f.read(ctx, prefix)
-		if err == nil {
-			pause = minRetryPause
+	for revision := int64(0); ctx.Err() == nil; {
+		var err error
+		if !f.mayResume(prefix) {
+			revision, err = f.read(ctx, prefix)
+			if err == nil {
+				pause = minRetryPause
+			}
 		}
 		for err == nil {
 			revision, err = f.watch(ctx, prefix, revision)
@@ -145,6 +154,7 @@
 			return
 		}
 		if errors.Is(err, goose.ErrCompacted) {
+			f.forget(prefix)
 			continue
 		}
 		f.recordResult(prefix, err)
@@ -153,6 +163,39 @@
 	}
 }
 
+// mayResume reports whether a prefix that was read can be kept up to date without the store,
+// because another instance delivers the changes. After an outage of the store itself the
+// prefix has to be read, since leases have expired.
+func (f *Follower) mayResume(prefix string) bool {
+	now := f.o.Clock.Now()
+	_, relayed := f.o.Relayed(now)
+	peerReachableFor := f.o.PeerStoreReachableFor(now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return relayed && f.resumable[prefix] && peerReachableFor > now.Sub(f.stateSince)
+}
+
+// forget makes the follower read the complete prefix again.
+func (f *Follower) forget(prefix string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.resumable, prefix)
+}
+
+// recordRelayed ends the failure of a prefix once another instance has delivered all changes
+// of the store up to the given revision.
+func (f *Follower) recordRelayed(prefix string, revision int64) {
+	f.mu.Lock()
+	failing := f.failing[prefix]
+	f.mu.Unlock()
+	if !failing {
+		return
+	}
+	if newest, ok := f.o.Relayed(f.o.Clock.Now()); ok && newest <= revision {
+		f.recordResult(prefix, nil)
+	}
+}
+
 // recordResult records whether the last call for a prefix succeeded. The first success
 // after an outage of the store starts the time in which missing replicas are kept. It does
 // not start that time if some peer could reach the store throughout, which means that only
@@ -201,7 +244,7 @@
 	}
 	f.logRouting(changes)
 	f.mu.Lock()
-	f.synced[prefix] = true
+	f.synced[prefix], f.resumable[prefix] = true, true
 	f.mu.Unlock()
 	f.recordRevision(revision)
 	return revision, nil
@@ -238,8 +281,12 @@
 		return revision, err
 	}
 	defer w.Close()
+	ticker := time.NewTicker(f.o.WatchPause)
+	defer ticker.Stop()
 	for {
 		select {
+		case <-ticker.C:
+			f.recordRelayed(prefix, revision)
 		case e, ok := <-w.Events():
 			if !ok && ctx.Err() == nil {
 				return revision, w.Err()
--- a/pkg/goosedirectory/follow_test.go
+++ b/pkg/goosedirectory/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,12 +53,21 @@
 // startFollower is like startDirectory and also returns the follower.
 func startFollower(t *testing.T, peerReachableFor time.Duration) (*goosestoretest.Store, *Directory, *Follower) {
 	t.Helper()
-	store, d := goosestoretest.New(), New()
-	f := NewFollower(FollowOptions{
-		Store: store, StoreDecoder: testDecoder{}, Directory: d, ReregistrationGrace: 2 * time.Second, WatchPause: testWatchPause,
-		PeerStoreReachableFor: func(time.Time) time.Duration { return peerReachableFor }, CrashRecords: noCrashRecords{},
-		Log: slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
+	store := goosestoretest.New()
+	d, f := runFollower(t, FollowOptions{
+		Store: store, PeerStoreReachableFor: func(time.Time) time.Duration { return peerReachableFor },
+		Relayed: func(time.Time) (int64, bool) { return 0, false },
 	})
+	return store, d, f
+}
+
+// runFollower runs a follower with the given options until the test ends.
+func runFollower(t *testing.T, o FollowOptions) (*Directory, *Follower) {
+	t.Helper()
+	d := New()
+	o.StoreDecoder, o.Directory, o.ReregistrationGrace, o.WatchPause = testDecoder{}, d, 2*time.Second, testWatchPause
+	o.CrashRecords, o.Log, o.Clock = noCrashRecords{}, slog.New(slog.DiscardHandler), goose.SystemClock{}
+	f := NewFollower(o)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -68,7 +78,67 @@
 		stop()
 		<-done
 	})
-	return store, d, f
+	return d, f
+}
+
+// unlistedStore is a store that this instance cannot read while a relay delivers its changes.
+type unlistedStore struct {
+	*goosestoretest.Store
+	unreadable atomic.Bool
+	lists      atomic.Int64
+}
+
+// List implements goose.Store.
+func (s *unlistedStore) List(ctx context.Context, prefix string, limit int) ([]goose.Entry, int64, error) {
+	s.lists.Add(1)
+	if s.unreadable.Load() {
+		return nil, 0, goose.ErrUnavailable
+	}
+	return s.Store.List(ctx, prefix, limit)
+}
+
+// Guards against an instance that has lost the store itself and goes on reading it in vain,
+// without the changes that a relay of its data centre delivers to all others.
+func TestRelayTakesPlaceOfLostStore(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		store := &unlistedStore{Store: goosestoretest.New()}
+		var relayed atomic.Int64
+		d, f := runFollower(t, FollowOptions{
+			Store: store, PeerStoreReachableFor: func(time.Time) time.Duration { return time.Hour },
+			Relayed: func(time.Time) (int64, bool) { return relayed.Load(), relayed.Load() > 0 },
+		})
+		commit(t, store.Store, goose.Put("r/a", nil))
+		time.Sleep(settleTime)
+		store.unreadable.Store(true)
+		store.SetDown(true)
+		time.Sleep(settleTime)
+		if got := f.ReachableFor(time.Now()); got != 0 {
+			t.Errorf("got the store reachable for %s without it and without a relay, want not", got)
+		}
+		store.SetDown(false)
+		relayed.Store(1)
+		time.Sleep(settleTime)
+		before := store.lists.Load()
+		commit(t, store.Store, goose.Put("r/b", nil))
+		relayed.Store(2)
+		time.Sleep(settleTime)
+		if got := activeIDs(d); len(got) != 2 {
+			t.Errorf("got replicas %v, want a and b by the relay", got)
+		}
+		if got := store.lists.Load() - before; got != 0 {
+			t.Errorf("got %d reads of the store while a relay delivers its changes, want none", got)
+		}
+		if got := f.ReachableFor(time.Now()); got == 0 {
+			t.Error("got the store unreachable although a relay delivers all of its changes")
+		}
+		relayed.Store(1 << 40)
+		store.SetDown(true)
+		time.Sleep(settleTime)
+		if got := f.ReachableFor(time.Now()); got != 0 {
+			t.Errorf("got the store reachable for %s while the relay knows of changes that are missing here", got)
+		}
+	})
 }
 
 func commit(t *testing.T, s *goosestoretest.Store, ops ...goose.Op) {
@@ -81,6 +151,35 @@
 // settleTime is far above every pause of a follower.
 const settleTime = 10 * time.Second
 
+// Guards against replicas that are removed when a relay is the first to reach the store after an
+// outage: their leases expired during the outage, and they write their entries again.
+func TestRelayAfterOutageOfStore(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		store := &unlistedStore{Store: goosestoretest.New()}
+		var relayed atomic.Int64
+		d, _ := runFollower(t, FollowOptions{
+			Store: store, PeerStoreReachableFor: func(time.Time) time.Duration { return 500 * time.Millisecond },
+			Relayed: func(time.Time) (int64, bool) { return relayed.Load(), relayed.Load() > 0 },
+		})
+		commit(t, store.Store, goose.Put("r/a", nil))
+		time.Sleep(settleTime)
+		store.SetDown(true)
+		time.Sleep(settleTime)
+		store.SetDown(false)
+		commit(t, store.Store, goose.Delete("r/a"))
+		relayed.Store(1)
+		time.Sleep(time.Second)
+		if got := activeIDs(d); len(got) != 1 {
+			t.Errorf("got replicas %v just after the outage, want the one whose lease expired in it", got)
+		}
+		time.Sleep(settleTime)
+		if got := activeIDs(d); len(got) != 0 {
+			t.Errorf("got replicas %v long after the outage, want none", got)
+		}
+	})
+}
+
 // Guards against changes that are not applied, and against an unreadable entry that hides
 // others.
 func TestFollow(t *testing.T) {
--- a/pkg/gooserelay/relay.go
+++ b/pkg/gooserelay/relay.go
@@ -153,6 +153,13 @@
 	return ok
 }
 
+// Relayed returns the revision up to which the relay that is followed delivers the changes of
+// the store, or false if there is none.
+func (r *Relay) Relayed(now time.Time) (int64, bool) {
+	s, ok := r.currentSource(now)
+	return s.revision, ok
+}
+
 // currentSource returns the relay that is followed, or false if there is none that vouches
 // for its revision.
 func (r *Relay) currentSource(now time.Time) (source, bool) {
