gooserelay: long values are sent as differences to earlier ones

Cause: a configuration of 25 to 31 KB is an update of four datagrams. A relay sends it to 58 instances at once, 250 KB on a link of 20 Mbit/s, and the datagrams are lost. Change: relays keep the long values of each key, and send a new one as a zstd difference with the one before as the dictionary. The others apply it to the same value, which they keep as well; without it the change counts as missing and is read from the store, as before.

--- a/pkg/gooserelay/message.go
+++ b/pkg/gooserelay/message.go
@@ -35,11 +35,22 @@
 	Age time.Duration `cbor:"3,keyasint,omitempty"`
 	// After and Until are the revisions of the update: it has all changes after After up to
 	// Until.
-	After int64  `cbor:"4,keyasint,omitempty"`
-	Until int64  `cbor:"5,keyasint,omitempty"`
-	Part  int    `cbor:"6,keyasint,omitempty"`
-	Parts int    `cbor:"7,keyasint,omitempty"`
-	Data  []byte `cbor:"8,keyasint,omitempty"`
+	After int64 `cbor:"4,keyasint,omitempty"`
+	Until int64 `cbor:"5,keyasint,omitempty"`
+	Part  int   `cbor:"6,keyasint,omitempty"`
+	Parts int   `cbor:"7,keyasint,omitempty"`
+	// Data is the part of an update that has whole values, and DeltaData of one that has
+	// differences to earlier values. Instances that do not know DeltaData find no update.
+	Data      []byte `cbor:"8,keyasint,omitempty"`
+	DeltaData []byte `cbor:"9,keyasint,omitempty"`
+}
+
+// data returns the part of the update in the message.
+func (m message) data() []byte {
+	if len(m.DeltaData) > 0 {
+		return m.DeltaData
+	}
+	return m.Data
 }
 
 // validate returns an error if no relay can have sent the message.
@@ -63,6 +74,8 @@
 	// second one, of each key the last.
 	after, until int64
 	events       []goose.WatchEvent
+	// deltas are the events of which only differences are known.
+	deltas []deltaEvent
 }
 
 // wireEvent is the encoding of a change.
@@ -73,6 +86,22 @@
 	Revision int64  `cbor:"4,keyasint"`
 	Lease    int64  `cbor:"5,keyasint,omitempty"`
 	Deleted  bool   `cbor:"6,keyasint,omitempty"`
+	// Delta is the difference to the value of the key at revision From, in place of Value.
+	Delta []byte `cbor:"7,keyasint,omitempty"`
+	From  int64  `cbor:"8,keyasint,omitempty"`
+}
+
+func newWireEvent(e goose.WatchEvent) wireEvent {
+	return wireEvent{
+		Key: e.Entry.Key, Value: e.Entry.Value, Created: e.Entry.CreateRevision, Revision: e.Entry.ModRevision,
+		Lease: int64(e.Entry.Lease), Deleted: e.Deleted,
+	}
+}
+
+func (e wireEvent) event() goose.WatchEvent {
+	return goose.WatchEvent{Deleted: e.Deleted, Entry: goose.Entry{
+		Key: e.Key, Value: e.Value, CreateRevision: e.Created, ModRevision: e.Revision, Lease: goose.LeaseID(e.Lease),
+	}}
 }
 
 // newUpdate returns the update of a poll, with the last change of each key.
@@ -92,12 +121,14 @@
 
 // encode returns the parts of the update, or nil if there would be too many.
 func (u update) encode() ([][]byte, error) {
-	all := make([]wireEvent, 0, len(u.events))
+	all := make([]wireEvent, 0, len(u.events)+len(u.deltas))
 	for _, e := range u.events {
-		all = append(all, wireEvent{
-			Key: e.Entry.Key, Value: e.Entry.Value, Created: e.Entry.CreateRevision, Revision: e.Entry.ModRevision,
-			Lease: int64(e.Entry.Lease), Deleted: e.Deleted,
-		})
+		all = append(all, newWireEvent(e))
+	}
+	for _, d := range u.deltas {
+		w := newWireEvent(d.event)
+		w.Delta, w.From = d.delta, d.from
+		all = append(all, w)
 	}
 	plain, err := cbor.Marshal(all)
 	if err != nil {
@@ -126,24 +157,26 @@
 	return parts, nil
 }
 
-// decodeEvents decodes the joined parts of an update.
-func decodeEvents(data []byte) ([]goose.WatchEvent, error) {
+// decodeUpdate decodes the joined parts of an update.
+func decodeUpdate(after, until int64, data []byte) (update, error) {
 	r := flate.NewReader(bytes.NewReader(data))
 	plain, err := io.ReadAll(io.LimitReader(r, maxUpdateBytes))
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return update{}, errors.WithStack(err)
 	}
 	var all []wireEvent
 	if err := cbor.Unmarshal(plain, &all); err != nil {
-		return nil, errors.WithStack(err)
+		return update{}, errors.WithStack(err)
 	}
-	events := make([]goose.WatchEvent, 0, len(all))
+	u := update{after: after, until: until}
 	for _, e := range all {
-		events = append(events, goose.WatchEvent{Deleted: e.Deleted, Entry: goose.Entry{
-			Key: e.Key, Value: e.Value, CreateRevision: e.Created, ModRevision: e.Revision, Lease: goose.LeaseID(e.Lease),
-		}})
+		if len(e.Delta) > 0 {
+			u.deltas = append(u.deltas, deltaEvent{event: e.event(), from: e.From, delta: e.Delta})
+			continue
+		}
+		u.events = append(u.events, e.event())
 	}
-	return events, nil
+	return u, nil
 }
 
 // assembly collects the parts of one update.
@@ -163,13 +196,10 @@
 	if a.missing == 0 || a.parts[m.Part] != nil {
 		return update{}, false, nil
 	}
-	a.parts[m.Part] = append([]byte{}, m.Data...)
+	a.parts[m.Part] = append([]byte{}, m.data()...)
 	if a.missing--; a.missing > 0 {
 		return update{}, false, nil
 	}
-	events, err := decodeEvents(bytes.Join(a.parts, nil))
-	if err != nil {
-		return update{}, false, err
-	}
-	return update{after: m.After, until: m.Until, events: events}, true, nil
+	u, err := decodeUpdate(m.After, m.Until, bytes.Join(a.parts, nil))
+	return u, err == nil, err
 }
--- a/pkg/gooserelay/watch.go
+++ b/pkg/gooserelay/watch.go
@@ -142,6 +142,7 @@
 	}
 	w.failures = 0
 	w.relay.recordPoll(newUpdate(after, until, events), w.polledAt)
+	w.relay.keepBases(events)
 	if err := w.deliver(events); err != nil {
 		return err
 	}
@@ -252,6 +253,12 @@
 	if u.after > w.revision || u.until <= w.revision {
 		return nil
 	}
+	u, err := w.relay.expand(u)
+	if err != nil {
+		// It is read from the store as one that is missing.
+		return nil
+	}
+	w.relay.keepBases(u.events)
 	var fresh []goose.WatchEvent
 	for _, e := range u.events {
 		if e.Entry.ModRevision > w.revision {
