gooserelay: differences are fuzzed, and older builds find no update in them

Cause: the wire format of the relays has a new field; both builds run side by side during a release. Change: a test that an older build drops such a datagram, and a seed and an expansion of differences in the fuzz target of datagrams. Conclusion: an older build reads the change from the store.

--- a/pkg/gooserelay/delta_test.go
+++ b/pkg/gooserelay/delta_test.go
@@ -126,3 +126,34 @@
 		}
 	}
 }
+
+// Guards against instances of an older build, which do not know differences, that take one for
+// the value itself while both builds run.
+func TestOlderInstanceFindsNoUpdate(t *testing.T) {
+	t.Parallel()
+	relay := bases{}.with([]goose.WatchEvent{{Entry: goose.Entry{Key: "op/config", Value: []byte(configuration(3)), ModRevision: 3}}})
+	r := &Relay{bases: relay}
+	u := newUpdate(3, 4, []goose.WatchEvent{{Entry: goose.Entry{Key: "op/config", Value: []byte(configuration(4)), ModRevision: 4}}})
+	parts, err := r.encode(&u)
+	if err != nil || len(u.deltas) != 1 || len(parts) != 1 {
+		t.Fatalf("got %d differences in %d parts, error %v, want one", len(u.deltas), len(parts), err)
+	}
+	datagram, err := cbor.Marshal(message{From: "b", Revision: 4, After: 3, Until: 4, Parts: 1, DeltaData: parts[0]})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// older has the fields that an older build knows and that an update needs.
+	var older struct {
+		From         goose.InstanceID `cbor:"1,keyasint"`
+		After, Until int64            `cbor:"-"`
+		Parts        int              `cbor:"7,keyasint,omitempty"`
+		Data         []byte           `cbor:"8,keyasint,omitempty"`
+	}
+	if err := cbor.Unmarshal(datagram, &older); err != nil {
+		t.Fatalf("got error %v, want the fields that are known", err)
+	}
+	var a assembly
+	if got, complete, err := a.add(message{From: older.From, After: 3, Until: 4, Parts: older.Parts, Data: older.Data}); complete || err == nil {
+		t.Errorf("got an update %+v, error %v, want none, so that it is read from the store", got, err)
+	}
+}
--- a/pkg/gooserelay/message_test.go
+++ b/pkg/gooserelay/message_test.go
@@ -54,6 +54,9 @@
 	}
 }
 
+// fuzzBases are the long values of the instances that exchange the datagrams.
+var fuzzBases = bases{}.with([]goose.WatchEvent{{Entry: goose.Entry{Key: "op/config", Value: []byte(configuration(3)), ModRevision: 3}}})
+
 // datagramTarget checks that no datagram panics, and that one without a valid update
 // delivers none.
 var datagramTarget = goosefuzz.Target{
@@ -63,8 +66,15 @@
 		if err != nil {
 			panic(err)
 		}
+		r := &Relay{bases: fuzzBases}
+		u := newUpdate(3, 4, []goose.WatchEvent{{Entry: goose.Entry{Key: "op/config", Value: []byte(configuration(4)), ModRevision: 4}}})
+		differences, err := r.encode(&u)
+		if err != nil {
+			panic(err)
+		}
 		var seeds [][]any
 		for _, m := range []message{
+			{From: "b", Revision: 4, After: 3, Until: 4, Parts: 1, DeltaData: differences[0]},
 			{From: "b", Revision: 4, After: 3, Until: 4, Parts: 1, Data: parts[0]},
 			{From: "b", Revision: 9, Age: time.Second},
 		} {
@@ -81,9 +91,12 @@
 			Instance: "a", Instances: func(time.Time) int { return 20 }, ChangeBound: changeBound,
 			Log: slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
 		})
+		r.bases = fuzzBases
 		r.handleDatagram(datagram)
 		select {
 		case u := <-r.received:
+			// An update that cannot be expanded counts as missing.
+			_, _ = r.expand(u)
 			if u.until < u.after {
 				t.Errorf("got an update from %d to %d", u.after, u.until)
 			}
