gooserelay, gooseplacement: differences and pauses in files of their own

Cause: relay.go and leave.go had grown by two concerns each. Change: moves only. Conclusion: no change of behaviour.

--- a/pkg/gooseplacement/leave.go
+++ b/pkg/gooseplacement/leave.go
@@ -15,24 +15,12 @@
 	// leavingMemory is how long a process that leaves is remembered after the last response
 	// or report that said so. A registry may list it again for a while after it has ended.
 	leavingMemory = 10 * time.Minute
-	// maxPause bounds the pause that a replica may ask for.
-	maxPause = 10 * time.Minute
 	// maxLeaving bounds the remembered processes of which peers have told.
 	maxLeaving = 1 << 12
 	// MaxReportedLeaving bounds the processes in one report; the newest are reported.
 	MaxReportedLeaving = 24
 	// maxReplicaIDBytes is far above the length of any replica's name.
 	maxReplicaIDBytes = 128
-	// resumeSpread is the longest random time that is added to the end of a pause, so that
-	// instances do not return to the replica together.
-	resumeSpread = time.Second
-	// resumeShare bounds that time by the pause.
-	resumeShare = 4
-	// resumeStep is the time after the end of a pause after which the number of requests that
-	// the replica may have got since then doubles. resumeSteps is the number of steps after
-	// which there is no limit.
-	resumeStep  = 250 * time.Millisecond
-	resumeSteps = 8
 )
 
 // Process identifies one process of a replica.
@@ -130,57 +118,6 @@
 	return reported[:min(len(reported), MaxReportedLeaving)]
 }
 
-// RecordPause records that a replica wants no requests from this instance for the given time.
-// The longest time counts if several responses ask for one.
-func (pl *Placer) RecordPause(r goose.Replica, pause time.Duration, now time.Time) {
-	pl.mu.Lock()
-	defer pl.mu.Unlock()
-	pause = min(pause, maxPause)
-	spread := min(pause/resumeShare, resumeSpread)
-	until := now.Add(pause + time.Duration(pl.opts.Rand(int(spread)+1)))
-	if s := pl.stateOf(r); until.After(s.pausedUntil) {
-		s.pausedUntil = until
-	}
-}
-
-// isPaused reports whether the replica gets no request because of a pause: until its end, and
-// then while the replica has got as many as it may, so that the requests return a little at a
-// time.
-func (s *replicaState) isPaused(now time.Time) bool {
-	if s.pausedUntil.IsZero() {
-		return false
-	}
-	if now.Before(s.pausedUntil) {
-		return true
-	}
-	steps := int(now.Sub(s.pausedUntil) / resumeStep)
-	if steps >= resumeSteps {
-		return false
-	}
-	begun := 0
-	for _, t := range s.attemptTimes {
-		if !t.Before(s.pausedUntil) {
-			begun++
-		}
-	}
-	return begun >= 1<<steps
-}
-
-// ResumeAfter returns the time until the first of the replicas may get requests again; zero if
-// none has asked for a pause.
-func (pl *Placer) ResumeAfter(replicas []goosedirectory.Replica, now time.Time) time.Duration {
-	pl.mu.Lock()
-	defer pl.mu.Unlock()
-	earliest := time.Duration(0)
-	for _, r := range pl.withoutLeaving(replicas) {
-		left := pl.stateOf(r.Replica).pausedUntil.Sub(now)
-		if left > 0 && (earliest == 0 || left < earliest) {
-			earliest = left
-		}
-	}
-	return earliest
-}
-
 // LeavingCount returns the number of processes that are known to leave.
 func (pl *Placer) LeavingCount() int {
 	pl.mu.Lock()
@@ -188,19 +125,6 @@
 	return len(pl.leaving)
 }
 
-// PausedCount returns the number of replicas that have asked for a pause that has not ended.
-func (pl *Placer) PausedCount(now time.Time) int {
-	pl.mu.Lock()
-	defer pl.mu.Unlock()
-	n := 0
-	for _, s := range pl.replicas {
-		if now.Before(s.pausedUntil) {
-			n++
-		}
-	}
-	return n
-}
-
 // withoutLeaving returns the replicas whose processes are not known to leave.
 func (pl *Placer) withoutLeaving(replicas []goosedirectory.Replica) []goosedirectory.Replica {
 	if len(pl.leaving) == 0 {
--- a/pkg/gooserelay/delta.go
+++ b/pkg/gooserelay/delta.go
@@ -1,6 +1,8 @@
 package gooserelay
 
 import (
+	"cmp"
+	"context"
 	"slices"
 
 	"github.com/klauspost/compress/zstd"
@@ -151,3 +153,50 @@
 	e.Entry.Value = value
 	return e, nil
 }
+
+// encode returns the parts of an update, whose long values it replaces by differences. The lock
+// must be held.
+func (r *Relay) encode(u *update) ([][]byte, error) {
+	whole, deltas, err := r.bases.split(u.events)
+	if err != nil {
+		return nil, err
+	}
+	u.events, u.deltas = whole, deltas
+	return u.encode()
+}
+
+// List implements goose.Store. It keeps the long values for the differences that follow.
+func (r *Relay) List(ctx context.Context, prefix string, limit int) ([]goose.Entry, int64, error) {
+	entries, revision, err := r.Store.List(ctx, prefix, limit)
+	events := make([]goose.WatchEvent, 0, len(entries))
+	for _, e := range entries {
+		events = append(events, goose.WatchEvent{Entry: e})
+	}
+	r.keepBases(events)
+	return entries, revision, err
+}
+
+// keepBases keeps the long values of changes that were delivered.
+func (r *Relay) keepBases(events []goose.WatchEvent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bases = r.bases.with(events)
+}
+
+// expand adds the changes of an update that are known by their differences.
+func (r *Relay) expand(u update) (update, error) {
+	r.mu.Lock()
+	known := r.bases
+	r.mu.Unlock()
+	for _, d := range u.deltas {
+		e, err := known.expand(d)
+		if err != nil {
+			return update{}, err
+		}
+		u.events = append(u.events, e)
+	}
+	u.deltas = nil
+	// A watch that ends in the middle of an update goes on after the newest change delivered.
+	slices.SortFunc(u.events, func(a, b goose.WatchEvent) int { return cmp.Compare(a.Entry.ModRevision, b.Entry.ModRevision) })
+	return u, nil
+}
