gooserelay: the encoder of differences takes less memory

Change: the window follows the length of the values, and the fastest level is used. Conclusion: only relays encode, once for each change.

--- a/pkg/gooserelay/delta.go
+++ b/pkg/gooserelay/delta.go
@@ -20,8 +20,10 @@
 	maxBases = 8
 	// maxBaseBytes bounds the values that are kept of all keys.
 	maxBaseBytes = 512 << 10
-	// deltaWindow is the distance over which an earlier value is searched.
-	deltaWindow = 256 << 10
+	// minDeltaWindow and maxDeltaWindow bound the distance over which an earlier value is
+	// searched. It takes memory at the relay while it encodes.
+	minDeltaWindow = 32 << 10
+	maxDeltaWindow = 256 << 10
 	// dictionaryID is any number that is not zero.
 	dictionaryID = 1
 )
@@ -84,8 +86,12 @@
 
 // encodeDelta returns the difference of a value to an earlier one.
 func encodeDelta(from, value []byte) ([]byte, error) {
-	w, err := zstd.NewWriter(nil, zstd.WithEncoderDictRaw(dictionaryID, from), zstd.WithWindowSize(deltaWindow),
-		zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
+	window := minDeltaWindow
+	for window < len(from)+len(value) && window < maxDeltaWindow {
+		window *= 2
+	}
+	w, err := zstd.NewWriter(nil, zstd.WithEncoderDictRaw(dictionaryID, from), zstd.WithWindowSize(window),
+		zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
