gooseplacement: sources of marks are strings

Cause: the house style has enums as strings; these were numbers with an order. Change: names for the sources, their order in a table. Conclusion: no change of behaviour.

--- a/pkg/gooseplacement/leave.go
+++ b/pkg/gooseplacement/leave.go
@@ -41,19 +41,21 @@
 	return nil
 }
 
-// LeavingSource is from whom this instance knows that a process leaves. Lower values are
-// closer to the replica.
-type LeavingSource int
+// LeavingSource is from whom this instance knows that a process leaves.
+type LeavingSource string
 
 const (
 	// LeavingFromReplica means that the replica has said so to this instance.
-	LeavingFromReplica LeavingSource = iota
+	LeavingFromReplica LeavingSource = "replica"
 	// LeavingFromPeer means that a peer has reported it.
-	LeavingFromPeer
+	LeavingFromPeer LeavingSource = "peer"
 	// LeavingFromDataCentre means that the sum of another data centre contains it.
-	LeavingFromDataCentre
+	LeavingFromDataCentre LeavingSource = "data-centre"
 )
 
+// leavingDistances order the sources; a lower one is closer to the replica.
+var leavingDistances = map[LeavingSource]int{LeavingFromReplica: 0, LeavingFromPeer: 1, LeavingFromDataCentre: 2}
+
 // leavingMark is what is known of a process that leaves.
 type leavingMark struct {
 	// since is when this instance learned it, and confirmedAt when it last heard it.
@@ -97,18 +99,22 @@
 	if source == LeavingFromReplica && (!known || m.source != source) {
 		pl.requestReport()
 	}
-	m.confirmedAt, m.source = now, min(m.source, source)
+	m.confirmedAt = now
+	if leavingDistances[source] < leavingDistances[m.source] {
+		m.source = source
+	}
 	pl.leaving[p] = m
 	return !known
 }
 
-// reportedLeaving returns the processes that leave according to the given source or a closer
-// one, newest first and at most MaxReportedLeaving. Only what was heard is told on, so that
-// data centres do not keep each other's marks alive. The lock must be held.
-func (pl *Placer) reportedLeaving(farthest LeavingSource) []Process {
+// reportedLeaving returns the processes that leave according to one of the given sources,
+// newest first and at most MaxReportedLeaving. No report contains what only the sum of another
+// data centre says, so that data centres do not keep each other's marks alive. The lock must
+// be held.
+func (pl *Placer) reportedLeaving(sources ...LeavingSource) []Process {
 	var reported []Process
 	for p, m := range pl.leaving {
-		if m.source <= farthest && p.validate() == nil {
+		if slices.Contains(sources, m.source) && p.validate() == nil {
 			reported = append(reported, p)
 		}
 	}
--- a/pkg/gooseplacement/peers.go
+++ b/pkg/gooseplacement/peers.go
@@ -172,7 +172,7 @@
 	defer pl.mu.Unlock()
 	pl.table.removeStale(now)
 	own.Instances = 1
-	own.Leaving = pl.reportedLeaving(LeavingFromPeer)
+	own.Leaving = pl.reportedLeaving(LeavingFromReplica, LeavingFromPeer)
 	for _, p := range pl.table.peers {
 		own.Instances += p.instances()
 		for id, l := range p.report.Replicas {
