goosedirectory: a read that fails does not lose the revision to go on from

Cause: after a read without a response the follower went on with the changes of a relay from revision 0, which a relay never sends: the instance stayed where it was until the store came back. Change: the revision is that of the last complete read and the changes after it.

--- a/pkg/goosedirectory/follow.go
+++ b/pkg/goosedirectory/follow.go
@@ -136,12 +136,13 @@
 // prefix again, or goes on with the changes that another instance delivers.
 func (f *Follower) follow(ctx context.Context, prefix string) {
 	pause := minRetryPause
+	// revision is that up to which the prefix was read, also while reading it fails.
 	for revision := int64(0); ctx.Err() == nil; {
 		var err error
 		if !f.mayResume(prefix) {
-			revision, err = f.read(ctx, prefix)
-			if err == nil {
-				pause = minRetryPause
+			var read int64
+			if read, err = f.read(ctx, prefix); err == nil {
+				revision, pause = read, minRetryPause
 			}
 		}
 		for err == nil {
--- a/pkg/goosedirectory/follow_test.go
+++ b/pkg/goosedirectory/follow_test.go
@@ -86,6 +86,14 @@
 	*goosestoretest.Store
 	unreadable atomic.Bool
 	lists      atomic.Int64
+	// watchedFrom is the first revision of the latest watch.
+	watchedFrom atomic.Int64
+}
+
+// Watch implements goose.Store.
+func (s *unlistedStore) Watch(ctx context.Context, prefix string, fromRevision int64) (goose.Watcher, error) {
+	s.watchedFrom.Store(fromRevision)
+	return s.Store.Watch(ctx, prefix, fromRevision)
 }
 
 // List implements goose.Store.
@@ -129,6 +137,9 @@
 		if got := store.lists.Load() - before; got != 0 {
 			t.Errorf("got %d reads of the store while a relay delivers its changes, want none", got)
 		}
+		if got := store.watchedFrom.Load(); got != 2 {
+			t.Errorf("got a watch from revision %d, want it to go on after the one that was read", got)
+		}
 		if got := f.ReachableFor(time.Now()); got == 0 {
 			t.Error("got the store unreachable although a relay delivers all of its changes")
 		}
