--- a/pkg/goosegossip/gossip_test.go
+++ b/pkg/goosegossip/gossip_test.go
@@ -61,6 +61,44 @@
 	}
 }
 
+// startFleet runs instances in several data centres on one network.
+func startFleet(n *goosepackettest.Network, dataCentres, instances int) ([]*gooseplacement.Placer, func()) {
+	all := map[goose.InstanceID]goose.RegisteredInstance{}
+	for i := range dataCentres * instances {
+		all[goose.InstanceID(fmt.Sprint("edge-", i))] = goose.RegisteredInstance{
+			Address: fmt.Sprintf("10.0.%d.1:7", i), DataCentre: goose.DataCentre(fmt.Sprint("dc-", i%dataCentres)),
+		}
+	}
+	var registered atomic.Pointer[map[goose.InstanceID]goose.RegisteredInstance]
+	registered.Store(&all)
+	var placers []*gooseplacement.Placer
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	for i := range dataCentres * instances {
+		name := goose.InstanceID(fmt.Sprint("edge-", i))
+		pl := gooseplacement.New(gooseplacement.Options{DataCentre: all[name].DataCentre, Rand: func(int) int { return 0 }})
+		placers = append(placers, pl)
+		g := New(Options{
+			Quarantine: goosequarantine.New(slog.New(slog.DiscardHandler)), Instance: name, DataCentre: all[name].DataCentre,
+			Incarnation: time.Now().UnixNano(), Conn: n.Listen(all[name].Address),
+			Instances: func() map[goose.InstanceID]goose.RegisteredInstance { return *registered.Load() }, Placer: pl,
+			StoreView:  func(time.Time) goosedirectory.StoreView { return goosedirectory.StoreView{} },
+			OnPeerView: func(goosedirectory.StoreView) {},
+			Log:        slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
+		})
+		go func() {
+			g.Run(ctx)
+			done <- struct{}{}
+		}()
+	}
+	return placers, func() {
+		stop()
+		for range placers {
+			<-done
+		}
+	}
+}
+
 func newPlacer() *gooseplacement.Placer {
 	return gooseplacement.New(gooseplacement.Options{DataCentre: "leith", Rand: func(int) int { return 0 }})
 }
