Show streams that are cut at the end of a planned stop

Cause: channels that have brought no request yet stay open while others are busy after the listener has closed, and requests on them are taken as long as the mean time of the route fits before the end.

--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -106,7 +106,7 @@
 	cases := map[string]func(*record) int{
 		"silent-channels": silentChannels,
 		"other-writer":    otherWriter,
-		"changed-path":    changedPath,
+		"planned-stop":    plannedStop,
 		"many-channels":   manyChannels,
 		"long-bodies":     longBodies,
 	}
