--- a/review/_stand/burst.go
+++ b/review/_stand/burst.go
@@ -207,7 +207,7 @@
 		// usual is the number of callers of the zone dalkeith in the site file.
 		usual = 36
 		// shortShare is the inverse of the part of the callers that send short orders.
-		shortShare = 3
+		shortShare = 4
 		// bodyBytes is max-body-bytes.
 		bodyBytes = 4194304
 		// work is the time of one order at its replica; the longest of the site takes 450 ms.
