--- a/review/_stand/burst.go
+++ b/review/_stand/burst.go
@@ -99,7 +99,8 @@
 // burstDeployment is a zone with one machine, as dalkeith has, and six replicas of the order book.
 func burstDeployment(rec *record, work time.Duration) (*deployment, []*replica) {
 	d := newDeployment(rec, "dalkeith")
-	d.store.Put("op/config", routing)
+	// The orders may take as long as their callers wait, so that a long body has time to arrive.
+	d.store.Put("op/config", strings.ReplaceAll(routing, `"timeout-ms":2000`, `"timeout-ms":4000`))
 	var replicas []*replica
 	for i, zone := range []string{"leith", "musselburgh", "dalkeith", "leith", "musselburgh", "dalkeith"} {
 		r := newReplica(rec, d.store, fmt.Sprintf("i-%s-%d", zone, i), "order-book", zone, work)
@@ -207,7 +208,10 @@
 		// usual is the number of callers of the zone dalkeith in the site file.
 		usual = 36
 		// shortShare is the inverse of the part of the callers that send short orders.
-		shortShare = 4
+		shortShare = 2
+		// linkBytesPerSecond is four fifths of the machine's link of 1,000 Mbit/s for all callers
+		// together, so that no packet waits for it.
+		linkBytesPerSecond = 100_000_000
 		// bodyBytes is max-body-bytes.
 		bodyBytes = 4194304
 		// work is the time of one order at its replica; the longest of the site takes 450 ms.
@@ -223,7 +227,7 @@
 	}
 	body := strings.Repeat("a guild's archive ", bodyBytes/18)
 	rec.say("%d callers send short orders one after the other", n/shortShare)
-	w.add(n/shortShare, time.Second, 0)
+	w.add(n/shortShare, time.Second, 20*time.Millisecond)
 	var callers []*caller
 	for range n - n/shortShare {
 		c := &caller{address: w.m.front}
@@ -233,6 +237,7 @@
 	rec.say("%d callers with kept channels send an order of %d bytes each", len(callers), len(body))
 	var long sync.WaitGroup
 	for _, c := range callers {
+		c.bytesPerSecond = linkBytesPerSecond / len(callers)
 		long.Add(1)
 		go func() {
 			defer long.Done()
--- a/review/_stand/client.go
+++ b/review/_stand/client.go
@@ -29,6 +29,8 @@
 	address string
 	conn    net.Conn
 	r       *bufio.Reader
+	// bytesPerSecond bounds the rate at which bodies are sent; zero means no bound.
+	bytesPerSecond int
 }
 
 func (c *caller) close() {
@@ -52,7 +54,7 @@
 	if body != "" || method == "POST" {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
-	if _, err := io.WriteString(c.conn, head+"\r\n"+body); err != nil {
+	if err := c.write(head+"\r\n", body); err != nil {
 		c.close()
 		return answer{err: err}
 	}
@@ -67,3 +69,25 @@
 	}
 	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
 }
+
+// write sends the head and the body of a request, the body not faster than it may.
+func (c *caller) write(head, body string) error {
+	const piece = 16 << 10
+	if c.bytesPerSecond == 0 {
+		_, err := io.WriteString(c.conn, head+body)
+		return err
+	}
+	if _, err := io.WriteString(c.conn, head); err != nil {
+		return err
+	}
+	start := time.Now()
+	for sent := 0; sent < len(body); {
+		n := min(piece, len(body)-sent)
+		if _, err := io.WriteString(c.conn, body[sent:sent+n]); err != nil {
+			return err
+		}
+		sent += n
+		time.Sleep(time.Until(start.Add(time.Duration(float64(sent) / float64(c.bytesPerSecond) * float64(time.Second)))))
+	}
+	return nil
+}
