--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -290,9 +290,6 @@
 // finish records the end of a request whose response is complete or whose caller has
 // disconnected.
 func (c *call) finish(last result) {
-	if last.outcome == outcomeDone {
-		c.durations.observe(c.durationKey(), c.o.Clock.Now().Sub(c.arrived))
-	}
 	c.o.Metrics.countRequest(c.service.Name, string(last.outcome))
 	gooseevent.RequestForwarded.Log(c.o.Log, append(c.logAttrs(), slog.String("outcome", string(last.outcome)))...)
 	if last.outcome == outcomeCallerDisconnected {
--- a/internal/gooseforward/crash.go
+++ b/internal/gooseforward/crash.go
@@ -98,17 +98,32 @@
 // beginSending reports whether the request may still be sent to the chosen replica. If it may
 // not, it frees the replica and sends the caller the final response.
 func (c *call) beginSending(choice gooseplacement.Choice, last result) bool {
+	refusal, ok := c.maySend()
+	if ok {
+		return true
+	}
+	c.o.Placer.RecordEnd(choice.AttemptID, false, false, c.o.Clock.Now())
+	c.o.Quarantine.EndAttempt(c.suspicion)
+	c.rejectAttempt(last, refusal)
+	return false
+}
+
+// maySend returns a refusal if the request was quarantined since the attempt began, or if the
+// instance has begun to drain and no replica has run the request.
+func (c *call) maySend() (goose.Refusal, bool) {
+	if c.runs == 0 && !c.committed {
+		if refusal, ok := c.endsBeforeStop(); !ok {
+			return refusal, false
+		}
+	}
 	now := c.o.Clock.Now()
 	suspicion, ok := c.o.Quarantine.BeginSending(c.suspicion, now)
 	c.suspicion = suspicion
 	if ok {
-		return true
+		return goose.Refusal{}, true
 	}
-	c.o.Placer.RecordEnd(choice.AttemptID, false, false, now)
-	c.o.Quarantine.EndAttempt(c.suspicion)
 	remaining, _ := c.o.Quarantine.Quarantined(c.subjects, now)
-	c.rejectAttempt(last, quarantineRefusal(remaining))
-	return false
+	return quarantineRefusal(remaining), false
 }
 
 func quarantineRefusal(remaining time.Duration) goose.Refusal {
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -31,6 +30,8 @@
 	// StopAt returns when the instance ends the requests that still run; zero unless it
 	// drains. While it drains, callers should send no further requests on their connections.
 	StopAt func() time.Time
+	// Draining ends when the instance begins to drain, after StopAt has been set.
+	Draining context.Context
 	// Stopping ends when the instance ends the requests that still run.
 	Stopping context.Context
 	// MaxReservationTTL bounds how long the memory of a replica stays reserved without a renewal.
@@ -44,12 +45,11 @@
 type Forwarder struct {
 	o              Options
 	responseMemory *responseMemory
-	durations      *durations
 }
 
 // New returns a forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{o: o, responseMemory: newResponseMemory(), durations: newDurations()}
+	return &Forwarder{o: o, responseMemory: newResponseMemory()}
 }
 
 // notReadyRetryAfter is the Retry-After while the instance has no routing or the route
@@ -77,11 +77,9 @@
 	defer context.AfterFunc(f.o.Stopping, cancel)()
 	c.ctx = ctx
 	if refusal, ok := c.readBody(); !ok {
-		c.refuse(refusal)
-		return
-	}
-	if refusal, ok := c.fitsBeforeStop(); !ok {
-		c.refuse(refusal)
+		if !c.committed {
+			c.refuse(refusal)
+		}
 		return
 	}
 	f.o.Budget.CountRequest(c.service.Name, c.arrived)
@@ -207,7 +205,8 @@
 // class matters; it has to be above that class.
 const longPromptTokens = 1 << 30
 
-// readBody reads the complete body, so that the request can be sent again.
+// readBody reads the complete body, so that the request can be sent again. If it returns a
+// refusal, the caller may have been sent one already.
 func (c *call) readBody() (goose.Refusal, bool) {
 	limit := c.snapshot.Table.Limits().BodyBytes
 	if limit <= 0 {
@@ -218,7 +217,10 @@
 	}
 	control := http.NewResponseController(c.w)
 	_ = control.SetReadDeadline(c.deadline)
-	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	body, refused, err := c.readAll(limit)
+	if refused {
+		return goose.Refusal{}, false
+	}
 	_ = control.SetReadDeadline(time.Time{})
 	switch {
 	case err != nil:
--- a/internal/gooseforward/stop.go
+++ b/internal/gooseforward/stop.go
@@ -1,83 +1,81 @@
 package gooseforward
 
 import (
-	"sync"
+	"context"
+	"io"
+	"net/http"
 	"time"
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
-// leavingRetryAfter is the Retry-After of an instance that stops: others can take the request at
-// once.
-const leavingRetryAfter = 100 * time.Millisecond
+const (
+	// leavingRetryAfter is the Retry-After of an instance that stops: others can take the
+	// request at once.
+	leavingRetryAfter = 100 * time.Millisecond
+	// discardTimeout bounds how long the rest of a body is read after its request was refused.
+	// Closing a connection with unread bytes resets it, and the caller may lose the refusal.
+	discardTimeout = 3 * time.Second
+)
 
-// fitsBeforeStop returns a refusal if the instance stops before the request is likely to end.
-func (c *call) fitsBeforeStop() (goose.Refusal, bool) {
+// endsBeforeStop returns a refusal if the instance drains and stops before the deadline of the
+// request. The deadline is the only bound on the duration of a request that is sure to hold.
+func (c *call) endsBeforeStop() (goose.Refusal, bool) {
 	stopAt := c.o.StopAt()
-	if stopAt.IsZero() {
-		return goose.Refusal{}, true
-	}
-	left := stopAt.Sub(c.o.Clock.Now())
-	if min(c.durations.upper(c.durationKey()), c.deadline.Sub(c.o.Clock.Now())) <= left {
+	if stopAt.IsZero() || !c.deadline.After(stopAt) {
 		return goose.Refusal{}, true
 	}
-	return goose.NotRunRefusal(goose.CodeLeaving, "this instance stops before the request could end").
+	return goose.NotRunRefusal(goose.CodeLeaving, "this instance stops before the deadline of the request").
 		WithReason("instance-stopping").WithRetryAfter(leavingRetryAfter), false
 }
 
-func (c *call) durationKey() durationKey {
-	return durationKey{route: c.route.Name, class: c.promptClass()}
+// drainWatch refuses a request whose body is still arriving when the instance begins to drain.
+type drainWatch struct {
+	call *call
+	stop func() bool
+	// done is closed when refuse has returned.
+	done chan struct{}
+	// refused is set if the caller has the refusal. It may be read once done is closed.
+	refused bool
 }
 
-const (
-	// meanShare and deviationShare are the inverse weights of a new duration in the mean and
-	// in the mean deviation, and deviations is how many of the latter the bound lies above
-	// the mean, as for the retransmission timeout of TCP.
-	meanShare      = 8
-	deviationShare = 4
-	deviations     = 4
-	// maxDurationKeys bounds the table; routes come and go with versions of the routing.
-	maxDurationKeys = 4096
-)
-
-// durationKey is what requests of similar duration have in common.
-type durationKey struct {
-	route string
-	class goose.LengthClass
+// watchDrain starts the watch. It refuses the request at once if the instance already drains.
+func (c *call) watchDrain() *drainWatch {
+	w := &drainWatch{call: c, done: make(chan struct{})}
+	w.stop = context.AfterFunc(c.o.Draining, w.refuse)
+	return w
 }
 
-// durationEstimate is the mean duration of requests and its mean deviation.
-type durationEstimate struct{ mean, deviation time.Duration }
-
-// durations estimates how long requests take. It is safe for concurrent use.
-type durations struct {
-	mu    sync.Mutex
-	byKey map[durationKey]durationEstimate
+// refuse sends the refusal while the body is still being read.
+func (w *drainWatch) refuse() {
+	defer close(w.done)
+	refusal, ok := w.call.endsBeforeStop()
+	if ok {
+		return
+	}
+	control := http.NewResponseController(w.call.w)
+	// Without full duplex, a server may read the whole body before it sends a response.
+	_ = control.EnableFullDuplex()
+	w.call.w.Header().Set("Connection", "close")
+	w.call.refuse(refusal)
+	_ = control.Flush()
+	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
+	w.refused = true
 }
 
-func newDurations() *durations { return &durations{byKey: map[durationKey]durationEstimate{}} }
-
-// observe records the duration of a request that was served.
-func (d *durations) observe(k durationKey, took time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	e, known := d.byKey[k]
-	switch {
-	case !known && len(d.byKey) >= maxDurationKeys:
-		return
-	case !known:
-		e = durationEstimate{mean: took, deviation: took / 2}
-	default:
-		e.deviation += ((took - e.mean).Abs() - e.deviation) / deviationShare
-		e.mean += (took - e.mean) / meanShare
+// end ends the watch and reports whether it has refused the request.
+func (w *drainWatch) end() bool {
+	if w.stop() {
+		return false
 	}
-	d.byKey[k] = e
+	<-w.done
+	return w.refused
 }
 
-// upper returns a duration that nearly all requests stay below, or zero if none was observed.
-func (d *durations) upper(k durationKey) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	e := d.byKey[k]
-	return e.mean + deviations*e.deviation
+// readAll reads the body, which is larger than limit if more than limit bytes are returned. It
+// reports whether the request was refused meanwhile, because the instance drains.
+func (c *call) readAll(limit int64) (body []byte, refused bool, err error) {
+	watch := c.watchDrain()
+	body, err = io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	return body, watch.end(), err
 }
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -79,10 +79,11 @@
 	// droppedLines counts the log lines that were not written.
 	droppedLines *metrics.Counter
 	// stopAt is when requests that still run get their final response; nil unless the
-	// instance drains. stopping ends then.
-	stopAt   atomic.Pointer[time.Time]
-	stopping context.Context
-	endWork  context.CancelFunc
+	// instance drains. draining ends once it is set, and stopping at that time.
+	stopAt             atomic.Pointer[time.Time]
+	draining, stopping context.Context
+	beginDrain         context.CancelFunc
+	endWork            context.CancelFunc
 }
 
 // Run serves until ctx ends, and then drains: the load balancer removes the instance, and
@@ -104,6 +105,7 @@
 // newHost builds the components in the order of their dependencies.
 func newHost(s gooseplatform.Settings, logWriter *gooselog.Writer, logHandler *gooselog.Handler, log *slog.Logger) (*host, error) {
 	h := &host{settings: s, log: log, logWriter: logWriter, logHandler: logHandler, clock: goose.SystemClock{}, metrics: metrics.NewSet()}
+	h.draining, h.beginDrain = context.WithCancel(context.Background())
 	h.stopping, h.endWork = context.WithCancel(context.Background())
 	store, err := gooseplatform.NewStore(s.StoreAddress)
 	if err != nil {
@@ -137,7 +139,7 @@
 		Budget: gooseretry.New(gooseretry.Options{
 			Window: s.Retry.Window, Ratio: s.Retry.Ratio, Burst: s.Retry.Burst, Instances: h.placer.Instances, UsableShare: retryBudgetShare,
 		}),
-		StopAt: h.stopTime, Stopping: h.stopping, MaxReservationTTL: s.MaxReservationTTL,
+		StopAt: h.stopTime, Draining: h.draining, Stopping: h.stopping, MaxReservationTTL: s.MaxReservationTTL,
 		Metrics: gooseforward.NewMetrics(h.metrics), Log: log, Clock: h.clock,
 	})
 	return h, h.buildGossip()
@@ -280,6 +282,7 @@
 	}
 	stopAt := start.Add(total - stopMargin - answerMargin)
 	h.stopAt.Store(&stopAt)
+	h.beginDrain()
 	defer time.AfterFunc(time.Until(stopAt), h.endWork).Stop()
 	gooseevent.InstanceDraining.Log(h.log, slog.Duration("limit", total))
 	time.Sleep(min(deregisterDelay, total/2))
--- a/internal/goosehosttest/fleet.go
+++ b/internal/goosehosttest/fleet.go
@@ -163,20 +163,25 @@
 
 // Send is like Get for any method, path and request id.
 func (i *Instance) Send(method, path, key, id string) (int, string) {
-	return i.send(method, path, key, id, "", "")
+	return i.send(method, path, key, id, "", nil)
 }
 
 // Post sends a POST request with a body and the API key of the routing version.
 func (i *Instance) Post(path, id, body string) (int, string) {
-	return i.send(http.MethodPost, path, "k1", id, body, "")
+	return i.send(http.MethodPost, path, "k1", id, body, nil)
 }
 
 // PostPrompt is like Post for a request that lists the parts of its prompt.
 func (i *Instance) PostPrompt(path, id, body, parts string) (int, string) {
-	return i.send(http.MethodPost, path, "k1", id, body, parts)
+	return i.send(http.MethodPost, path, "k1", id, body, map[string]string{"X-Prompt-Prefix": parts})
 }
 
-func (i *Instance) send(method, path, key, id, body, parts string) (int, string) {
+// GetWithin is like Get for a caller that waits for at most timeout.
+func (i *Instance) GetWithin(key string, timeout time.Duration) (int, string) {
+	return i.send(http.MethodGet, "/x/1", key, "a1", "", map[string]string{"X-Deadline-Ms": strconv.FormatInt(timeout.Milliseconds(), 10)})
+}
+
+func (i *Instance) send(method, path, key, id, body string, header map[string]string) (int, string) {
 	r, err := http.NewRequest(method, "http://"+i.settings.CallerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return 0, ""
@@ -186,8 +191,8 @@
 	r.Host = "desk.example"
 	r.Header.Set("Authorization", "Bearer "+key)
 	r.Header.Set("X-Attempt-Id", id)
-	if parts != "" {
-		r.Header.Set("X-Prompt-Prefix", parts)
+	for name, value := range header {
+		r.Header.Set(name, value)
 	}
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
--- a/internal/goosesoak/instance_test.go
+++ b/internal/goosesoak/instance_test.go
@@ -139,6 +139,8 @@
 		return
 	}
 	p.cmd = exec.Command(filepath.Join(bin, gooseprogramtest.InstanceProgram), "forward", "--settings", i.settingsFile, "--metrics-port", fmt.Sprint(metricsPort))
+	// A program with the race detector waits for a second when it exits, unless told otherwise.
+	p.cmd.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0")
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	if err := p.cmd.Start(); err != nil {
 		i.t.Error(err)
