--- a/internal/goosehost/conns.go
+++ b/internal/goosehost/conns.go
@@ -2,72 +2,207 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
 const (
-	// newConnGrace is how long a new connection may wait for its first request while the
-	// instance drains. Callers send it at once, but it may still be on its way.
-	newConnGrace = time.Second
+	// defaultHeadTime is how long a new connection may wait for the head of its first request
+	// while the instance drains, if the routing sets no timeout for it.
+	defaultHeadTime = 3 * time.Second
+	// reuseGrace is how long a connection stays open after a response while the instance
+	// drains. If the response began before, its caller does not know that the connection is
+	// about to close, and may be sending the next request.
+	reuseGrace = 500 * time.Millisecond
 	// drainCheckInterval is the interval at which the connections are checked.
 	drainCheckInterval = 10 * time.Millisecond
 )
 
-// connTracker knows the connections of a server that may have a request. The shutdown of
-// net/http does not serve requests that it reads after its begin, so connections are waited
-// for before it.
+// connState is what a connection of a caller is used for.
+type connState string
+
+const (
+	// connNew means that the connection has brought no byte.
+	connNew connState = "new"
+	// connReceiving means that a part of the head of a request has arrived.
+	connReceiving connState = "receiving"
+	// connServing means that a request waits for the end of its response.
+	connServing connState = "serving"
+	// connIdle means that no byte has arrived since the last response.
+	connIdle connState = "idle"
+	// connClosed means that the instance has closed the connection.
+	connClosed connState = "closed"
+)
+
+// callerConn is a connection of a caller that can be closed without the loss of a request: once
+// a byte of a request has been read, close fails, and once close has succeeded, no byte is read.
+type callerConn struct {
+	*net.TCPConn
+
+	mu    sync.Mutex
+	state connState
+	// since is when the state began.
+	since time.Time
+}
+
+func newCallerConn(conn *net.TCPConn) *callerConn {
+	return &callerConn{TCPConn: conn, state: connNew, since: time.Now()}
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && !c.receive() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// receive records that bytes have arrived. It returns false if the connection is closed.
+func (c *callerConn) receive() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connNew || c.state == connIdle {
+		c.state, c.since = connReceiving, time.Now()
+	}
+	return c.state != connClosed
+}
+
+// setState records a state unless the connection is closed.
+func (c *callerConn) setState(s connState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != connClosed {
+		c.state, c.since = s, time.Now()
+	}
+}
+
+func (c *callerConn) currentState() connState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+// unused reports whether no request is expected on the connection; headTime is how long a new
+// connection may wait for one.
+func (c *callerConn) unused(now time.Time, headTime time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unusedLocked(now, headTime)
+}
+
+func (c *callerConn) unusedLocked(now time.Time, headTime time.Duration) bool {
+	switch c.state {
+	case connNew:
+		return now.Sub(c.since) >= headTime
+	case connIdle:
+		return now.Sub(c.since) >= reuseGrace
+	}
+	return c.state == connClosed
+}
+
+// closeUnused closes the connection if it is unused, and reports whether it is closed.
+func (c *callerConn) closeUnused(now time.Time, headTime time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.unusedLocked(now, headTime) {
+		return false
+	}
+	if c.state != connClosed {
+		c.state = connClosed
+		_ = c.Close()
+	}
+	return true
+}
+
+// connTracker knows the open connections of a server whose listener returns callerConns. The
+// shutdown of net/http does not serve requests that it reads after its begin, so connections
+// are waited for before it.
 type connTracker struct {
-	mu sync.Mutex
-	// openSince is when each new connection was accepted. It is zero for connections with a
-	// request.
-	openSince map[net.Conn]time.Time
+	mu   sync.Mutex
+	open map[*callerConn]struct{}
 }
 
-func newConnTracker() *connTracker { return &connTracker{openSince: map[net.Conn]time.Time{}} }
+func newConnTracker() *connTracker { return &connTracker{open: map[*callerConn]struct{}{}} }
 
 // handleState records a change of a connection; it is the ConnState of a http.Server.
 func (t *connTracker) handleState(conn net.Conn, state http.ConnState) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
 	switch state {
 	case http.StateNew:
-		t.openSince[conn] = time.Now()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.open[c] = struct{}{}
 	case http.StateActive:
-		t.openSince[conn] = time.Time{}
+		c.setState(connServing)
+	case http.StateIdle:
+		c.setState(connIdle)
 	default:
-		delete(t.openSince, conn)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.open, c)
 	}
 }
 
-// busy reports whether any connection has a request, or is new and may still get one.
-func (t *connTracker) busy(now time.Time) bool {
+// conns returns the open connections.
+func (t *connTracker) conns() []*callerConn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, since := range t.openSince {
-		if since.IsZero() || now.Sub(since) < newConnGrace {
-			return true
+	all := make([]*callerConn, 0, len(t.open))
+	for c := range t.open {
+		all = append(all, c)
+	}
+	return all
+}
+
+// closeUnused closes all connections if none is in use, and reports whether all are closed.
+// Idle connections stay open until then, so that callers which still use them get a response.
+func (t *connTracker) closeUnused(now time.Time, headTime time.Duration) bool {
+	all := t.conns()
+	for _, c := range all {
+		if !c.unused(now, headTime) {
+			return false
 		}
 	}
-	return false
+	closed := true
+	for _, c := range all {
+		closed = c.closeUnused(now, headTime) && closed
+	}
+	return closed
 }
 
-// wait returns when no connection is busy or ctx ends.
-func (t *connTracker) wait(ctx context.Context) {
-	for t.busy(time.Now()) && goose.Sleep(ctx, drainCheckInterval) {
+// wait returns when all connections are closed, or when ctx ends.
+func (t *connTracker) wait(ctx context.Context, headTime time.Duration) {
+	for !t.closeUnused(time.Now(), headTime) && goose.Sleep(ctx, drainCheckInterval) {
+	}
+}
+
+// logCut logs the number of connections that are still in use, in each state.
+func (t *connTracker) logCut(log *slog.Logger) {
+	count := map[connState]int{}
+	for _, c := range t.conns() {
+		count[c.currentState()]++
+	}
+	if n := count[connReceiving] + count[connServing]; n > 0 {
+		gooseevent.ConnectionsCut.Log(log, slog.Int("serving", count[connServing]), slog.Int("receiving", count[connReceiving]),
+			slog.Int("new", count[connNew]), slog.Int("idle", count[connIdle]))
 	}
 }
 
 // drainServer closes a server once every connection that was accepted has its response, or
-// when ctx ends.
-func drainServer(ctx context.Context, server *http.Server, callers *drainingListener, conns *connTracker) {
+// when ctx ends. headTime is how long a new connection may wait for its first request.
+func drainServer(ctx context.Context, server *http.Server, callers *drainingListener, conns *connTracker, headTime time.Duration, log *slog.Logger) {
 	callers.Drain(stopMargin)
-	// This closes idle connections, and the others after their response.
-	server.SetKeepAlivesEnabled(false)
-	conns.wait(ctx)
+	conns.wait(ctx, headTime)
+	conns.logCut(log)
 	_ = server.Close()
 }
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -288,7 +288,16 @@
 	time.Sleep(min(deregisterDelay, total/2))
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(total-stopMargin))
 	defer cancel()
-	drainServer(ctx, server, callers, conns)
+	drainServer(ctx, server, callers, conns, h.headTime(), h.log)
+}
+
+// headTime returns how long callers may take from opening a connection to the end of the head
+// of their first request.
+func (h *host) headTime() time.Duration {
+	if t := h.directory.Current().Table; t != nil && t.Limits().HeaderTimeout > 0 {
+		return t.Limits().HeaderTimeout
+	}
+	return defaultHeadTime
 }
 
 // stopTime returns when requests that still run get their final response; zero unless the
--- a/internal/goosehost/listener.go
+++ b/internal/goosehost/listener.go
@@ -48,10 +48,10 @@
 			// An error means that the listener is closed, which Accept reports.
 			_ = l.SetDeadline(time.Now().Add(acceptGrace))
 		}
-		conn, err := l.TCPListener.Accept()
+		conn, err := l.AcceptTCP()
 		switch {
 		case err == nil:
-			return conn, nil
+			return newCallerConn(conn), nil
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			l.endDrain()
 			return nil, errors.WithStack(err)
--- a/internal/goosehost/listener_test.go
+++ b/internal/goosehost/listener_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -33,7 +34,7 @@
 	server := &http.Server{ConnState: tracker.handleState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })}
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = server.Serve(l) })
-	drainServer(context.Background(), server, l, tracker)
+	drainServer(context.Background(), server, l, tracker, time.Second, slog.New(slog.DiscardHandler))
 	wg.Wait()
 	for i, conn := range conns {
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -62,3 +63,78 @@
 	}
 	l.Drain(time.Minute)
 }
+
+// Guards against a graceful shutdown that closes connections on which a request is arriving or
+// still to be expected: new ones whose callers take their time, kept ones on which a part of a
+// head has arrived, and those whose last response began before the shutdown.
+func TestDrainServesUsedConnections(t *testing.T) {
+	t.Parallel()
+	const (
+		get      = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+		headTime = 3 * time.Second
+	)
+	tests := map[string]struct {
+		// kept is true if a request was served on the connection before the drain.
+		kept bool
+		// before is sent before the drain, and after is sent late into it.
+		before, after string
+		late          time.Duration
+	}{
+		"new, the request comes late":        {after: get, late: 2 * time.Second},
+		"new, the head arrives in pieces":    {before: get[:10], after: get[10:], late: 2 * time.Second},
+		"kept, the head arrives in pieces":   {kept: true, before: get[:10], after: get[10:], late: time.Second},
+		"kept, a further request comes soon": {kept: true, after: get, late: reuseGrace / 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := listen("127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			tracker := newConnTracker()
+			server := &http.Server{ConnState: tracker.handleState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })}
+			go func() { _ = server.Serve(l) }()
+			conn, err := net.Dial("tcp4", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			if tc.kept {
+				sendText(t, conn, get)
+				readResponse(t, reader)
+			}
+			sendText(t, conn, tc.before)
+			time.Sleep(50 * time.Millisecond)
+			drained := make(chan struct{})
+			go func() {
+				defer close(drained)
+				drainServer(context.Background(), server, l, tracker, headTime, slog.New(slog.DiscardHandler))
+			}()
+			time.Sleep(tc.late)
+			sendText(t, conn, tc.after)
+			readResponse(t, reader)
+			<-drained
+		})
+	}
+}
+
+func sendText(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatalf("got error %v while a request was sent", err)
+	}
+}
+
+func readResponse(t *testing.T, reader *bufio.Reader) {
+	t.Helper()
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatalf("got error %v, want a response", err)
+	}
+	defer resp.Body.Close()
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "done" {
+		t.Errorf("got body %q, error %v, want the whole response", body, err)
+	}
+}
