--- a/internal/gooseentry/linger.go
+++ b/internal/gooseentry/linger.go
@@ -23,16 +23,22 @@
 
 func (l lingerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	if t, ok := c.(*net.TCPConn); ok && err == nil {
-		return &lingerConn{TCPConn: t}, nil
+	if t, ok := c.(halfCloser); ok && err == nil {
+		return &lingerConn{halfCloser: t}, nil
 	}
 	return c, err
 }
 
+// halfCloser is a connection whose sending side can be shut down.
+type halfCloser interface {
+	net.Conn
+	CloseWrite() error
+}
+
 // lingerConn shuts down its sending side on Close and discards incoming data
 // until the caller closes the connection too.
 type lingerConn struct {
-	*net.TCPConn
+	halfCloser
 	closed  atomic.Bool
 	reading atomic.Bool
 }
@@ -41,7 +47,7 @@
 func (c *lingerConn) Read(b []byte) (int, error) {
 	c.reading.Store(true)
 	defer c.reading.Store(false)
-	return c.TCPConn.Read(b)
+	return c.halfCloser.Read(b)
 }
 
 // Close does not block. A connection that waits for data has nothing unread and
@@ -51,11 +57,11 @@
 		return errors.WithStack(net.ErrClosed)
 	}
 	if c.reading.Load() || c.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
-		return errors.WithStack(c.TCPConn.Close())
+		return errors.WithStack(c.halfCloser.Close())
 	}
 	go func() {
-		_, _ = io.Copy(io.Discard, c.TCPConn)
-		_ = c.TCPConn.Close()
+		_, _ = io.Copy(io.Discard, c.halfCloser)
+		_ = c.halfCloser.Close()
 	}()
 	return nil
 }
--- a/internal/gooseevent/events.go
+++ b/internal/gooseevent/events.go
@@ -13,6 +13,7 @@
 	CertificateExpiresSoon = define(108, slog.LevelWarn, "certificate expires soon", "Less than a tenth of the certificate's lifetime remains; renew the files.")
 	ProcessResumed         = define(109, slog.LevelWarn, "process resumed after a pause", "The process did not run for the time in the field pause: it was stopped, or its machine was or is overloaded. Its dispatchers grant no permits until the configuration is confirmed.")
 	ConnectionsCut         = define(110, slog.LevelWarn, "connections cut at the end of a stop", "Connections of callers were still in use when the stop timeout passed; the fields count them by what they waited for: the end of a response, the rest of a request's head, a first or a further request.")
+	AcceptFailed           = define(111, slog.LevelWarn, "connections of callers not accepted", "The kernel gave an error for a new connection of a caller, for example because the process has no free descriptor. The instance tries again after a short pause; new connections wait.")
 	SettingsInvalid        = define(105, slog.LevelError, "settings invalid", "The settings file has an error; the field error names the file and the setting.")
 )
 
--- a/internal/goosehost/conns.go
+++ b/internal/goosehost/conns.go
@@ -5,10 +5,12 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
+	"github.com/gooseberryhold/gooseberryhold/internal/gooselisten"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
@@ -16,9 +18,8 @@
 	// defaultHeadTime is how long a new connection may wait for the head of its first request
 	// while the instance drains, if the routing sets no timeout for it.
 	defaultHeadTime = 3 * time.Second
-	// reuseGrace is how long a connection stays open after a response while the instance
-	// drains. If the response began before, its caller does not know that the connection is
-	// about to close, and may be sending the next request.
+	// reuseGrace is how long a connection stays open after a response. Its caller may be
+	// sending the next request: if the instance drains, the response may have begun before.
 	reuseGrace = 500 * time.Millisecond
 	// drainCheckInterval is the interval at which the connections are checked.
 	drainCheckInterval = 10 * time.Millisecond
@@ -43,7 +44,7 @@
 // callerConn is a connection of a caller that can be closed without the loss of a request: once
 // a byte of a request has been read, close fails, and once close has succeeded, no byte is read.
 type callerConn struct {
-	*net.TCPConn
+	*gooselisten.Conn
 
 	mu    sync.Mutex
 	state connState
@@ -51,13 +52,21 @@
 	since time.Time
 }
 
-func newCallerConn(conn *net.TCPConn) *callerConn {
-	return &callerConn{TCPConn: conn, state: connNew, since: time.Now()}
+// callerListener is a listener whose connections are callerConns.
+type callerListener struct{ *gooselisten.Listener }
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if c, ok := conn.(*gooselisten.Conn); ok && err == nil {
+		return &callerConn{Conn: c, state: connNew, since: time.Now()}, nil
+	}
+	return conn, err
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.Conn.Read(p)
 	if n > 0 && !c.receive() {
 		return 0, net.ErrClosed
 	}
@@ -89,6 +98,13 @@
 	return c.state
 }
 
+// lastChange returns when the state began.
+func (c *callerConn) lastChange() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since
+}
+
 // unused reports whether no request is expected on the connection; headTime is how long a new
 // connection may wait for one.
 func (c *callerConn) unused(now time.Time, headTime time.Duration) bool {
@@ -180,6 +196,24 @@
 	return closed
 }
 
+// evictShare is the part of the open connections that closeLongestIdle closes at most, so that it
+// need not look at all of them again for each new connection.
+const evictShare = 16
+
+// closeLongestIdle closes those connections that have been idle for the longest time, and
+// reports whether it has closed any. Connections that were used just now stay open.
+func (t *connTracker) closeLongestIdle() bool {
+	now := time.Now()
+	all := t.conns()
+	idle := slices.DeleteFunc(all, func(c *callerConn) bool { return c.currentState() != connIdle })
+	slices.SortFunc(idle, func(a, b *callerConn) int { return a.lastChange().Compare(b.lastChange()) })
+	closed := false
+	for _, c := range idle[:min(len(idle), 1+len(idle)/evictShare)] {
+		closed = c.closeUnused(now, defaultHeadTime) || closed
+	}
+	return closed
+}
+
 // wait returns when all connections are closed, or when ctx ends.
 func (t *connTracker) wait(ctx context.Context, headTime time.Duration) {
 	for !t.closeUnused(time.Now(), headTime) && goose.Sleep(ctx, drainCheckInterval) {
@@ -200,7 +234,7 @@
 
 // drainServer closes a server once every connection that was accepted has its response, or
 // when ctx ends. headTime is how long a new connection may wait for its first request.
-func drainServer(ctx context.Context, server *http.Server, callers *drainingListener, conns *connTracker, headTime time.Duration, log *slog.Logger) {
+func drainServer(ctx context.Context, server *http.Server, callers callerListener, conns *connTracker, headTime time.Duration, log *slog.Logger) {
 	callers.Drain(stopMargin)
 	conns.wait(ctx, headTime)
 	conns.logCut(log)
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -21,6 +21,7 @@
 
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseforward"
+	"github.com/gooseberryhold/gooseberryhold/internal/gooselisten"
 	"github.com/gooseberryhold/gooseberryhold/internal/gooselog"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosedirectory"
@@ -224,7 +225,10 @@
 
 // run serves until ctx ends and the instance has drained.
 func (h *host) run(ctx context.Context, metricsPort int) error {
-	callerListener, err := listen(h.settings.CallerAddress)
+	conns := newConnTracker()
+	callers, err := gooselisten.Listen("tcp4", h.settings.CallerAddress, gooselisten.Options{
+		MaxConns: gooselisten.MaxConns(h.settings.MaxDescriptors), CloseIdle: conns.closeLongestIdle, Log: h.log,
+	})
 	if err != nil {
 		return errors.Wrap(err, "setting listen.front")
 	}
@@ -251,13 +255,12 @@
 	// The registration uses ctx, so that it ends when the shutdown begins and not after the
 	// last request.
 	wg.Go(func() { h.registration.Run(ctx) })
-	conns := newConnTracker()
 	server := &http.Server{
 		Handler: h.forwarder, ConnState: conns.handleState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
 	}
 	failed := make(chan error, 3)
-	go func() { failed <- errors.Wrap(server.Serve(callerListener), "callers' listener") }()
+	go func() { failed <- errors.Wrap(server.Serve(callerListener{callers}), "callers' listener") }()
 	go func() { failed <- errors.Wrap(http.Serve(readyListener, h.readinessHandler()), "readiness listener") }()
 	go func() { failed <- errors.Wrap(http.Serve(metricsListener, h.metricsHandler()), "metrics listener") }()
 	select {
@@ -265,7 +268,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	h.drain(server, callerListener, conns)
+	h.drain(server, callerListener{callers}, conns)
 	stop()
 	wg.Wait()
 	gooseevent.InstanceStopped.Log(h.log)
@@ -274,7 +277,7 @@
 
 // drain stops the server before SIGKILL arrives. Every connection that was accepted before
 // the listener closes gets its response.
-func (h *host) drain(server *http.Server, callers *drainingListener, conns *connTracker) {
+func (h *host) drain(server *http.Server, callers callerListener, conns *connTracker) {
 	start := time.Now()
 	total := h.settings.StopTimeout
 	if total <= 0 {
--- a/internal/gooseserve/serve.go
+++ b/internal/gooseserve/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseentry"
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
+	"github.com/gooseberryhold/gooseberryhold/internal/gooselisten"
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseoperator"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooseconfig"
@@ -33,6 +34,10 @@
 // ended.
 const closeTimeout = 5 * time.Second
 
+// listenerDrainTimeout bounds the time in which connections that the kernel has accepted are
+// taken over when the listener closes.
+const listenerDrainTimeout = time.Second
+
 // instance holds the components of one entry instance.
 type instance struct {
 	settings goosesettings.Settings
@@ -68,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	callerListener, err := net.Listen("tcp", s.Listen)
+	callerListener, err := gooselisten.Listen("tcp", s.Listen, gooselisten.Options{MaxConns: gooselisten.MaxConns(0), Log: log})
 	if err != nil {
 		return errors.Wrapf(err, "setting listen %q", s.Listen)
 	}
@@ -243,7 +248,7 @@
 
 // run serves requests until ctx ends or a listener fails, and then stops the
 // components in order.
-func (i *instance) run(ctx context.Context, callerListener, operatorListener net.Listener) error {
+func (i *instance) run(ctx context.Context, callerListener *gooselisten.Listener, operatorListener net.Listener) error {
 	controlCtx, stopControl := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
 	i.link.Start()
@@ -267,7 +272,7 @@
 	case <-ctx.Done():
 	case err = <-failed:
 	}
-	i.stop()
+	i.stop(callerListener)
 	stopControl()
 	tasks.Wait()
 	_ = i.link.Close()
@@ -298,7 +303,7 @@
 // callers are directed away by the load balancer's readiness check. Pools are
 // handed over before the running requests have ended, so that other instances
 // need not wait for a lease to expire.
-func (i *instance) stop() {
+func (i *instance) stop(callers *gooselisten.Listener) {
 	stopAt := time.Now().Add(i.settings.DrainTimeout)
 	i.stopAt.Store(&stopAt)
 	i.leaving.Store(true)
@@ -307,6 +312,7 @@
 	defer cancel()
 	i.manager.Shutdown(ctx)
 	goose.Sleep(ctx, i.settings.DrainDelay)
+	callers.Drain(listenerDrainTimeout)
 	if err := i.entry.Drain(ctx); err != nil {
 		i.log.Warn("drain timeout passed with requests running", "error", err)
 	}
