--- a/internal/goosesoak/journal_test.go
+++ b/internal/goosesoak/journal_test.go
@@ -56,8 +56,6 @@
 	timeout   time.Duration
 	// work is the time that a replica takes for the request; zero is the default of the kind.
 	work time.Duration
-	// chunked is true if the body is sent in chunks, slow if the request is sent in pieces.
-	chunked, slow bool
 	// process is the instance's process when the request was sent.
 	process *process
 	sentAt  time.Time
--- a/internal/goosesoak/stop_test.go
+++ b/internal/goosesoak/stop_test.go
@@ -1,11 +1,8 @@
 package goosesoak
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -15,6 +12,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/gooseberryhold/gooseberryhold/internal/goosecallertest"
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseprogramtest"
 )
 
@@ -32,12 +30,10 @@
 	usualShare = 0.85
 	// deregisterTime is how long after SIGTERM a load balancer may still open connections.
 	deregisterTime = 2900 * time.Millisecond
-	// maxFirstPause is how long a caller may take from opening a connection to the end of
-	// its request's head.
-	maxFirstPause = 3 * time.Second
-	// lossSlack is the time after the last byte of a request in which the end of its
-	// connection may cross it.
-	lossSlack = 200 * time.Millisecond
+	// maxFirstPause is how long a caller may take until it sends on a new connection, and
+	// maxReusePause until it uses a kept one again.
+	maxFirstPause = 2800 * time.Millisecond
+	maxReusePause = time.Second
 	// maxStopGap bounds the time between the stops of two instances, so that they overlap.
 	maxStopGap = 5 * time.Second
 	// stopWarmup is the time of load before the first stop.
@@ -162,7 +158,7 @@
 // run opens connections and sends requests on them, some of which are kept.
 func (c *stopCaller) run() {
 	for c.target.inRotation() {
-		conn, err := net.DialTimeout("tcp4", c.target.instance.address+fmt.Sprintf(":%d", callerPort), time.Second)
+		conn, err := goosecallertest.Dial(fmt.Sprintf("%s:%d", c.target.instance.address, callerPort), c.random)
 		if err != nil {
 			if c.target.inRotation() {
 				c.fleet.journal.violate("stop", "got no connection %s after SIGTERM: %v", time.Since(c.target.signalledAt()), err)
@@ -174,55 +170,34 @@
 }
 
 // useConnection sends requests on a connection until either side closes it.
-func (c *stopCaller) useConnection(conn net.Conn) {
+func (c *stopCaller) useConnection(conn *goosecallertest.Conn) {
 	defer func() { _ = conn.Close() }()
 	if c.random.IntN(3) == 0 {
-		// Half of the time the head takes as long as it may.
-		time.Sleep(randomTime(c.random, 0, maxFirstPause-lossSlack))
+		time.Sleep(randomTime(c.random, 0, maxFirstPause))
 	}
-	reader := bufio.NewReader(conn)
-	for kept := false; ; kept = true {
-		if !c.exchange(conn, reader, kept) {
-			return
-		}
-		time.Sleep(randomTime(c.random, 0, time.Second))
+	for kept := false; c.exchange(conn, kept); kept = true {
+		time.Sleep(randomTime(c.random, 0, maxReusePause))
 	}
 }
 
 // exchange sends one request, reads its response and checks it. It reports whether the
 // connection may be used again.
-func (c *stopCaller) exchange(conn net.Conn, reader *bufio.Reader, kept bool) bool {
-	r, text := c.newRequest()
+func (c *stopCaller) exchange(conn *goosecallertest.Conn, kept bool) bool {
+	r, form := c.newRequest()
 	c.fleet.journal.add(r)
-	_ = conn.SetDeadline(time.Now().Add(stopRequestTimeout + time.Second))
-	sent := make(chan time.Time, 1)
-	go func() { sent <- c.write(conn, text) }()
-	resp, err := http.ReadResponse(reader, nil)
-	var body []byte
-	if err == nil {
-		body, err = io.ReadAll(resp.Body)
-		_ = resp.Body.Close()
-	}
-	ended := time.Now()
+	resp := conn.Exchange(form)
 	c.fleet.journal.withLock(func() {
-		r.respondedAt, r.complete, r.responseBody = ended, err == nil, string(body)
-		if resp != nil {
-			r.status, r.stamp = resp.StatusCode, resp.Header.Get("X-Stamp")
-		}
+		r.respondedAt, r.complete, r.responseBody, r.status = resp.EndedAt, resp.Err == nil, resp.Body, resp.Status
+		r.stamp = resp.Header.Get("X-Stamp")
 	})
-	reusable := err == nil && !resp.Close
-	if !reusable {
-		_ = conn.Close()
-	}
-	sentAt := <-sent
-	if err != nil {
-		c.checkLoss(r, err, sentAt, kept)
+	if resp.Err != nil {
+		c.checkLoss(r, form, resp, kept)
 	}
-	return reusable
+	return resp.Reusable
 }
 
-// newRequest draws a request and returns the pieces in which it is sent.
-func (c *stopCaller) newRequest() (*request, []string) {
+// newRequest draws a request and the form in which it is sent.
+func (c *stopCaller) newRequest() (*request, goosecallertest.Request) {
 	c.sent++
 	kinds := []kind{kindLookup, kindOrder, kindStream, kindResumableStream}
 	k := kinds[c.random.IntN(len(kinds))]
@@ -234,74 +209,38 @@
 		id: fmt.Sprintf("%s-%d", c.name, c.sent), kind: k, method: http.MethodPost, path: fmt.Sprintf("/%s/%d", k, c.sent), workspace: "guild",
 		timeout: stopRequestTimeout, work: work, process: c.target.process, sentAt: time.Now(), body: strings.Repeat("x", 1+c.random.IntN(20_000)),
 	}
-	var text strings.Builder
-	fmt.Fprintf(&text, "POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer k1\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n", r.path, callerHost, r.id, r.timeout.Milliseconds())
-	if promptTokens[k] > 0 {
-		fmt.Fprintf(&text, "X-Tokens: %d,100\r\n", promptTokens[k])
-	}
-	r.chunked, r.slow = c.random.IntN(2) == 0, c.random.IntN(3) == 0
-	if !r.chunked {
-		fmt.Fprintf(&text, "Content-Length: %d\r\n\r\n%s", len(r.body), r.body)
-	} else {
-		fmt.Fprintf(&text, "Transfer-Encoding: chunked\r\n\r\n")
-		half := len(r.body) / 2
-		for _, chunk := range []string{r.body[:half], r.body[half:]} {
-			if chunk != "" {
-				fmt.Fprintf(&text, "%x\r\n%s\r\n", len(chunk), chunk)
-			}
-		}
-		text.WriteString("0\r\n\r\n")
-	}
-	if !r.slow {
-		return r, []string{text.String()}
+	if c.random.IntN(4) == 0 {
+		// Some requests are sure to end before the stop.
+		r.timeout = randomTime(c.random, 2*usualWork, stopTimeout/2)
 	}
-	return r, split(text.String(), c.random)
-}
-
-// maxPieces is the number of pieces in which a request is sent slowly.
-const maxPieces = 6
-
-func split(text string, random *rand.Rand) []string {
-	var pieces []string
-	for len(pieces) < maxPieces && len(text) > 1 {
-		n := 1 + random.IntN(len(text)-1)
-		pieces, text = append(pieces, text[:n]), text[n:]
+	header := map[string]string{"Authorization": "Bearer k1", "X-Attempt-Id": r.id, "X-Deadline-Ms": fmt.Sprint(r.timeout.Milliseconds())}
+	if promptTokens[k] > 0 {
+		header["X-Tokens"] = fmt.Sprintf("%d,100", promptTokens[k])
 	}
-	return append(pieces, text)
-}
-
-// write sends the pieces with pauses and returns when the last one was sent.
-func (c *stopCaller) write(conn net.Conn, pieces []string) time.Time {
-	for n, piece := range pieces {
-		if n > 0 {
-			time.Sleep(rand.N(maxFirstPause / maxPieces))
-		}
-		if _, err := io.WriteString(conn, piece); err != nil {
-			return time.Time{}
-		}
+	return r, goosecallertest.Request{
+		Method: r.method, Path: r.path, Host: callerHost, Body: r.body, Header: header,
+		Chunked: c.random.IntN(2) == 0, Slow: c.random.IntN(3) == 0, Timeout: r.timeout + goosecallertest.MaxSlowTime + time.Second,
 	}
-	return time.Now()
 }
 
 // checkLoss records a violation for a request without a complete response, unless no instance
-// that stops could have served it. sentAt is when its last byte was sent, or zero.
-func (c *stopCaller) checkLoss(r *request, cause error, sentAt time.Time, kept bool) {
+// that stops could have served it.
+func (c *stopCaller) checkLoss(r *request, form goosecallertest.Request, resp goosecallertest.Response, kept bool) {
 	j := c.fleet.journal
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	stop := c.target.signalledAt()
 	wasPassedOn := len(r.runs) > 0
 	switch {
-	case r.respondedAt.Sub(r.sentAt) >= r.timeout:
+	case resp.EndedAt.Sub(r.sentAt) >= r.timeout:
 		// The request's time was over.
 		return
-	case wasPassedOn && r.sentAt.Before(stop) && !r.respondedAt.Before(stop.Add(stopTimeout-stopTimeout/6)):
+	case wasPassedOn && r.sentAt.Before(stop) && !resp.EndedAt.Before(stop.Add(stopTimeout-stopTimeout/6)):
 		// The request was sent before the stop and takes longer than the stop may.
 		return
-	case kept && !wasPassedOn && (sentAt.IsZero() || r.respondedAt.Sub(sentAt) <= lossSlack):
-		// The request has crossed the end of an idle connection.
+	case kept && !wasPassedOn && resp.Crossed():
 		return
 	}
-	j.violateLocked("stop", "%s %s (chunked %t, slow %t, kept connection %t, %d runs, work %s), sent %s after SIGTERM, lost %s after SIGTERM: status %d, %v",
-		r.kind, r.id, r.chunked, r.slow, kept, len(r.runs), r.work, r.sentAt.Sub(stop), r.respondedAt.Sub(stop), r.status, cause)
+	j.violateLocked("stop", "%s %s (chunked %t, slow %t, kept connection %t, %d runs, work %s, timeout %s), sent %s after SIGTERM, lost %s after SIGTERM: status %d, %v",
+		r.kind, r.id, form.Chunked, form.Slow, kept, len(r.runs), r.work, r.timeout, r.sentAt.Sub(stop), resp.EndedAt.Sub(stop), resp.Status, resp.Err)
 }
