--- a/internal/gooseentry/linger.go
+++ b/internal/gooseentry/linger.go
@@ -4,9 +4,12 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/gooseberryhold/gooseberryhold/internal/gooselisten"
 )
 
 // lingerTimeout bounds how long a closed connection still accepts data from its
@@ -29,12 +32,19 @@
 	return c, err
 }
 
-// halfCloser is a connection whose sending side can be shut down.
+// halfCloser is a connection whose sending side can be shut down. It gives access to its
+// descriptor, at which goosedial looks for callers that have disconnected.
 type halfCloser interface {
 	net.Conn
+	syscall.Conn
 	CloseWrite() error
 }
 
+var (
+	_ halfCloser   = (*gooselisten.Conn)(nil)
+	_ syscall.Conn = (*lingerConn)(nil)
+)
+
 // lingerConn shuts down its sending side on Close and discards incoming data
 // until the caller closes the connection too.
 type lingerConn struct {
