--- a/internal/gooseentry/request.go
+++ b/internal/gooseentry/request.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"os"
 	"strings"
 	"time"
 
@@ -134,8 +135,8 @@
 		return newRefusal(goose.CodeOverloaded, "body-bytes-in-flight",
 			"this instance holds too many request bodies", time.Second)
 	}
-	if !req.deadline.IsZero() && !e.clock.Now().Before(req.deadline) {
-		return newRefusal(goose.CodeDeadline, "body", "the deadline passed while the body was read", 0)
+	if errors.Is(err, os.ErrDeadlineExceeded) || !req.deadline.IsZero() && !e.clock.Now().Before(req.deadline) {
+		return newRefusal(goose.CodeRequestTimeout, "body", "the body did not arrive in time", 0)
 	}
 	return badRequestRefusal("the body could not be read: %v", errors.Cause(err))
 }
--- /dev/null
+++ b/internal/gooseforward/body_test.go
@@ -0,0 +1,204 @@
+package gooseforward
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+)
+
+// bodyMemoryLeft returns the memory that is free for long and small bodies.
+func bodyMemoryLeft(m *bodyMemory) (long, small int64) { return free(m.long), free(m.small) }
+
+// free returns the free part of a semaphore, which nobody else uses.
+func free(s *semaphore.Weighted) int64 {
+	return int64(sort.Search(defaultMemoryBytes, func(n int) bool {
+		if !s.TryAcquire(int64(n)) {
+			return true
+		}
+		s.Release(int64(n))
+		return false
+	}) - 1)
+}
+
+// Guards against bodies that are changed on the way into their buffer, and against memory that
+// stays reserved after a request.
+func TestBodiesAreReadWhole(t *testing.T) {
+	t.Parallel()
+	const limit = 300 << 10
+	for name, length := range map[string]int{
+		"empty": 0, "one byte": 1, "first buffer": firstBufferBytes, "first buffer and one": firstBufferBytes + 1,
+		"small": smallBodyBytes, "small and one": smallBodyBytes + 1, "long": 200_000, "limit": limit, "beyond the limit": limit + 1,
+	} {
+		for _, known := range []bool{false, true} {
+			t.Run(name+map[bool]string{true: ", length known", false: ", length unknown"}[known], func(t *testing.T) {
+				t.Parallel()
+				m := newBodyMemory(4 << 20)
+				wantLong, wantSmall := bodyMemoryLeft(m)
+				body := bytes.Repeat([]byte("0123456789abcde"), length/15+1)[:length]
+				announced := int64(-1)
+				if known {
+					announced = int64(length)
+				}
+				got, held, err := m.read(context.Background(), iotest.HalfReader(bytes.NewReader(body)), announced, limit)
+				switch {
+				case err != nil:
+					t.Fatal(err)
+				case length <= limit && !bytes.Equal(got, body):
+					t.Errorf("got %d bytes, want the %d of the body", len(got), length)
+				case length > limit && int64(len(got)) <= limit:
+					t.Errorf("got %d bytes of a body that is too long, want more than %d", len(got), limit)
+				}
+				if held.long+held.small < int64(cap(got)) {
+					t.Errorf("%d bytes are held for a buffer of %d", held.long+held.small, cap(got))
+				}
+				m.release(held)
+				if long, small := bodyMemoryLeft(m); long != wantLong || small != wantSmall {
+					t.Errorf("got %d and %d bytes free after the release, want %d and %d", long, small, wantLong, wantSmall)
+				}
+			})
+		}
+	}
+}
+
+// Guards against bodies that were cut and pass as whole.
+func TestCutBodyIsError(t *testing.T) {
+	t.Parallel()
+	for name, length := range map[string]int64{"length known": 10, "length unknown": -1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cut := io.MultiReader(strings.NewReader("abc"), iotest.ErrReader(io.ErrUnexpectedEOF))
+			if _, _, err := newBodyMemory(0).read(context.Background(), cut, length, 100); !errors.Is(err, io.ErrUnexpectedEOF) {
+				t.Errorf("got error %v, want %v", err, io.ErrUnexpectedEOF)
+			}
+		})
+	}
+}
+
+// Guards against a process whose memory long bodies fill, and against short requests that wait
+// for them. The load pattern is a burst of long bodies that are sent slowly.
+func TestBodyMemoryIsBounded(t *testing.T) {
+	t.Parallel()
+	const machine, length, wait = 4 << 20, 100 << 10, 50 * time.Millisecond
+	for name, announced := range map[string]int64{"length known": length, "length unknown": -1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := newBodyMemory(machine)
+			read := func(body string, announced int64) (heldBody, error) {
+				ctx, cancel := context.WithTimeout(context.Background(), wait)
+				defer cancel()
+				_, held, err := m.read(ctx, strings.NewReader(body), announced, length)
+				return held, err
+			}
+			long := strings.Repeat("x", length)
+			var held []heldBody
+			for {
+				h, err := read(long, announced)
+				if err != nil {
+					if !errors.Is(err, errNoBodyMemory) {
+						t.Errorf("got error %v, want %v", err, errNoBodyMemory)
+					}
+					m.release(h)
+					break
+				}
+				held = append(held, h)
+			}
+			if got := len(held) * length; got == 0 || got > machine/longBodyShare {
+				t.Errorf("long bodies hold %d bytes, want at most %d", got, machine/longBodyShare)
+			}
+			if _, err := read("short", 5); err != nil {
+				t.Errorf("got error %v for a short body beside long ones", err)
+			}
+			time.AfterFunc(wait/5, func() { m.release(held[0]) })
+			if _, err := read(long, announced); err != nil {
+				t.Errorf("got error %v for a body that waits until another one is done", err)
+			}
+		})
+	}
+}
+
+// Guards against callers that wait for their deadline, or are told too little, because there is
+// no memory for their bodies.
+func TestNoBodyMemoryIsRefused(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, succeed)
+	_, all := bodyMemoryLeft(h.forwarder.bodyMemory)
+	if !h.forwarder.bodyMemory.small.TryAcquire(all) {
+		t.Fatal("the memory is in use")
+	}
+	r := h.request(context.Background(), "/order/x", "body")
+	r.Header.Set("X-Deadline-Ms", "400")
+	got := h.send(r)
+	if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, `"run":"not-run"`) || got.header.Get("Retry-After") == "" || h.reached("i-0") != 0 {
+		t.Errorf("got status %d, body %s, %d requests at the replica, want a refusal as not run", got.status, got.body, h.reached("i-0"))
+	}
+	h.forwarder.bodyMemory.small.Release(all)
+	if got := h.post("/order/x", "body"); got.status != http.StatusOK {
+		t.Errorf("got status %d once there is memory, want 200", got.status)
+	}
+	if _, left := bodyMemoryLeft(h.forwarder.bodyMemory); left != all {
+		t.Errorf("got %d bytes free after the response, want %d", left, all)
+	}
+}
+
+// Guards against a body that does not arrive in time and is refused with a status after which
+// callers do not come again.
+func TestLateBodyMayBeSentAgain(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, succeed)
+	body, w := io.Pipe()
+	defer w.Close()
+	r := h.request(context.Background(), "/order/x", "")
+	r.Body, r.ContentLength = body, -1
+	r.Header.Set("X-Deadline-Ms", "100")
+	go func() { _, _ = io.WriteString(w, "a part") }()
+	if got := h.send(r); got.status != http.StatusRequestTimeout || !strings.Contains(got.body, `"run":"not-run"`) || h.reached("i-0") != 0 {
+		t.Errorf("got status %d, body %s, %d requests at the replica, want 408 as not run", got.status, got.body, h.reached("i-0"))
+	}
+}
+
+// Guards against a refusal of a long body that its caller loses, because the connection is
+// reset while the body is still being sent.
+func TestRefusalArrivesBeforeBody(t *testing.T) {
+	t.Parallel()
+	const length = 16 << 20
+	for name, tc := range map[string]struct {
+		path string
+		want int
+	}{"too long": {"/order/x", http.StatusRequestEntityTooLarge}, "no route": {"/none", http.StatusNotFound}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, succeed)
+			conn, err := net.Dial("tcp4", strings.TrimPrefix(h.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(testTimeout))
+			head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer k1\r\nX-Attempt-Id: a1\r\nContent-Length: %d\r\n\r\n", tc.path, length)
+			// The caller reads only when it has sent the whole body.
+			if _, err := io.WriteString(conn, head+strings.Repeat("x", length)); err != nil {
+				t.Fatalf("got error %v while the body was sent", err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("got error %v, want the refusal", err)
+			}
+			defer resp.Body.Close()
+			if body, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != tc.want || !strings.Contains(string(body), `"run":"not-run"`) {
+				t.Errorf("got status %d, body %s, error %v, want the whole refusal with status %d", resp.StatusCode, body, err, tc.want)
+			}
+		})
+	}
+}
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -34,6 +33,8 @@
 	Draining context.Context
 	// Stopping ends when the instance ends the requests that still run.
 	Stopping context.Context
+	// MemoryBytes is the memory of the machine; zero if unknown.
+	MemoryBytes int64
 	// MaxReservationTTL bounds how long the memory of a replica stays reserved without a renewal.
 	MaxReservationTTL time.Duration
 	Metrics           *Metrics
@@ -45,11 +46,12 @@
 type Forwarder struct {
 	o              Options
 	responseMemory *responseMemory
+	bodyMemory     *bodyMemory
 }
 
 // New returns a forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{o: o, responseMemory: newResponseMemory()}
+	return &Forwarder{o: o, responseMemory: newResponseMemory(), bodyMemory: newBodyMemory(o.MemoryBytes)}
 }
 
 // notReadyRetryAfter is the Retry-After while the instance has no routing or the route
@@ -69,16 +71,17 @@
 	defer f.o.Metrics.inFlight.Dec()
 	defer func() { f.responseMemory.release(c.responseBytes) }()
 	if refusal, ok := c.admit(); !ok {
-		c.refuse(refusal)
+		c.refuseBeforeBody(refusal)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	defer context.AfterFunc(f.o.Stopping, cancel)()
 	c.ctx = ctx
+	defer func() { f.bodyMemory.release(c.heldBody) }()
 	if refusal, ok := c.readBody(); !ok {
 		if !c.committed {
-			c.refuse(refusal)
+			c.refuseBeforeBody(refusal)
 		}
 		return
 	}
@@ -102,6 +105,8 @@
 	workspace goose.RoutedWorkspace
 	header    goose.RequestHeader
 	body      []byte
+	// heldBody is the memory that the body holds.
+	heldBody heldBody
 	// subjects are the fingerprints of the request, which is equal for equal requests
 	// regardless of their ids, and of the shared parts of its prompt. They are zero until the
 	// body was read.
@@ -204,41 +209,3 @@
 // longPromptTokens is the memory size that is passed to goose.Classify where only the short
 // class matters; it has to be above that class.
 const longPromptTokens = 1 << 30
-
-// readBody reads the complete body, so that the request can be sent again. If it returns a
-// refusal, the caller may have been sent one already.
-func (c *call) readBody() (goose.Refusal, bool) {
-	limit := c.snapshot.Table.Limits().BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if c.r.ContentLength > limit {
-		return tooLarge(limit), false
-	}
-	control := http.NewResponseController(c.w)
-	_ = control.SetReadDeadline(c.deadline)
-	body, refused, err := c.readAll(limit)
-	if refused {
-		return goose.Refusal{}, false
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	switch {
-	case err != nil:
-		return goose.NotRunRefusal(goose.CodeBadRequest, "the body did not arrive whole: "+err.Error()), false
-	case int64(len(body)) > limit:
-		return tooLarge(limit), false
-	}
-	c.body = body
-	c.subjects.Request = goose.NewFingerprint(c.workspace.Name, "", body).WithTarget(c.r.Method, c.r.RequestURI)
-	for _, part := range c.header.SharedParts {
-		c.subjects.Parts = append(c.subjects.Parts, goose.NewPartFingerprint(c.header.Model, part))
-	}
-	return goose.Refusal{}, true
-}
-
-func tooLarge(limit int64) goose.Refusal {
-	return goose.NotRunRefusal(goose.CodePromptTooLong, fmt.Sprintf("the body exceeds %d bytes", limit))
-}
-
-// defaultBodyBytes bounds a body if the routing sets no bound.
-const defaultBodyBytes = 8 << 20
--- a/internal/gooseforward/forward_test.go
+++ b/internal/gooseforward/forward_test.go
@@ -34,6 +34,7 @@
 	url        string
 	placer     *gooseplacement.Placer
 	quarantine *goosequarantine.Table
+	forwarder  *Forwarder
 	// directory lists the replicas.
 	directory *goosedirectory.Directory
 	// stopAt is when the instance stops; nil unless it drains. endWork ends the requests that
@@ -105,6 +106,7 @@
 		StopAt: h.stopTime, Draining: draining, Stopping: stopping, MaxReservationTTL: time.Minute, Metrics: NewMetrics(metrics.NewSet()),
 		Log: slog.New(slog.NewJSONHandler(&h.log, nil)), Clock: goose.SystemClock{},
 	})
+	h.forwarder = f
 	server := httptest.NewServer(f)
 	t.Cleanup(server.Close)
 	h.url = server.URL
--- a/internal/gooseforward/stop.go
+++ b/internal/gooseforward/stop.go
@@ -2,21 +2,14 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
 	"time"
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
-const (
-	// leavingRetryAfter is the Retry-After of an instance that stops: others can take the
-	// request at once.
-	leavingRetryAfter = 100 * time.Millisecond
-	// discardTimeout bounds how long the rest of a body is read after its request was refused.
-	// Closing a connection with unread bytes resets it, and the caller may lose the refusal.
-	discardTimeout = 3 * time.Second
-)
+// leavingRetryAfter is the Retry-After of an instance that stops: others can take the request at
+// once.
+const leavingRetryAfter = 100 * time.Millisecond
 
 // endsBeforeStop returns a refusal if the instance drains and stops before the deadline of the
 // request. The deadline is the only bound on the duration of a request that is sure to hold.
@@ -53,13 +46,8 @@
 	if ok {
 		return
 	}
-	control := http.NewResponseController(w.call.w)
-	// Without full duplex, a server may read the whole body before it sends a response.
-	_ = control.EnableFullDuplex()
 	w.call.w.Header().Set("Connection", "close")
-	w.call.refuse(refusal)
-	_ = control.Flush()
-	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
+	w.call.sendBeforeBody(refusal)
 	w.refused = true
 }
 
@@ -71,11 +59,3 @@
 	<-w.done
 	return w.refused
 }
-
-// readAll reads the body, which is larger than limit if more than limit bytes are returned. It
-// reports whether the request was refused meanwhile, because the instance drains.
-func (c *call) readAll(limit int64) (body []byte, refused bool, err error) {
-	watch := c.watchDrain()
-	body, err = io.ReadAll(io.LimitReader(c.r.Body, limit+1))
-	return body, watch.end(), err
-}
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -54,9 +54,10 @@
 	retryBudgetShare = 0.7
 	// maintenanceInterval is the time between two rounds of maintenance.
 	maintenanceInterval = time.Second
-	// memoryLimitBytes makes the garbage collector run more often before the machine's memory
-	// limit is reached.
-	memoryLimitBytes = 160 << 20
+	// memoryLimitShare is the part of the machine's memory from which on the garbage collector
+	// runs more often, and defaultMemoryLimitBytes that limit if the memory is unknown.
+	memoryLimitShare        = 0.56
+	defaultMemoryLimitBytes = 160 << 20
 )
 
 // host contains the components of one instance.
@@ -91,7 +92,7 @@
 // running requests finish. Run returns an error if the instance cannot start or a listener
 // fails. Log lines are written to out, and metrics are served on metricsPort.
 func Run(ctx context.Context, s gooseplatform.Settings, metricsPort int, out io.Writer) error {
-	debug.SetMemoryLimit(memoryLimitBytes)
+	debug.SetMemoryLimit(memoryLimit(s.MemoryBytes))
 	logWriter := gooselog.NewWriter(out)
 	defer logWriter.Close(stopMargin / 3)
 	logHandler := gooselog.NewHandler(slog.NewJSONHandler(logWriter, nil))
@@ -103,6 +104,14 @@
 	return h.run(ctx, metricsPort)
 }
 
+// memoryLimit returns the soft limit of the garbage collector for the memory of the machine.
+func memoryLimit(machineBytes int64) int64 {
+	if machineBytes <= 0 {
+		return defaultMemoryLimitBytes
+	}
+	return int64(memoryLimitShare * float64(machineBytes))
+}
+
 // newHost builds the components in the order of their dependencies.
 func newHost(s gooseplatform.Settings, logWriter *gooselog.Writer, logHandler *gooselog.Handler, log *slog.Logger) (*host, error) {
 	h := &host{settings: s, log: log, logWriter: logWriter, logHandler: logHandler, clock: goose.SystemClock{}, metrics: metrics.NewSet()}
@@ -140,7 +149,7 @@
 		Budget: gooseretry.New(gooseretry.Options{
 			Window: s.Retry.Window, Ratio: s.Retry.Ratio, Burst: s.Retry.Burst, Instances: h.placer.Instances, UsableShare: retryBudgetShare,
 		}),
-		StopAt: h.stopTime, Draining: h.draining, Stopping: h.stopping, MaxReservationTTL: s.MaxReservationTTL,
+		StopAt: h.stopTime, Draining: h.draining, Stopping: h.stopping, MemoryBytes: s.MemoryBytes, MaxReservationTTL: s.MaxReservationTTL,
 		Metrics: gooseforward.NewMetrics(h.metrics), Log: log, Clock: h.clock,
 	})
 	return h, h.buildGossip()
--- a/pkg/goose/refusal.go
+++ b/pkg/goose/refusal.go
@@ -29,6 +29,7 @@
 	CodeNoRoute          RefusalCode = "no-route"
 	CodeOverloaded       RefusalCode = "overloaded"
 	CodeDeadline         RefusalCode = "deadline"
+	CodeRequestTimeout   RefusalCode = "request-timeout"
 	CodeStoreUnavailable RefusalCode = "store-unavailable"
 	CodeNotReady         RefusalCode = "not-ready"
 	CodeLeaving          RefusalCode = "leaving"
@@ -62,6 +63,7 @@
 	CodeNoRoute:          403,
 	CodeOverloaded:       429,
 	CodeDeadline:         504,
+	CodeRequestTimeout:   408,
 	CodeStoreUnavailable: 503,
 	CodeNotReady:         503,
 	CodeLeaving:          503,
