--- a/internal/goosehost/conns.go
+++ b/internal/goosehost/conns.go
@@ -209,6 +209,7 @@
 	slices.SortFunc(idle, func(a, b *callerConn) int { return a.lastChange().Compare(b.lastChange()) })
 	closed := false
 	for _, c := range idle[:min(len(idle), 1+len(idle)/evictShare)] {
+		// The time for a head is of no importance here, since new connections are not idle.
 		closed = c.closeUnused(now, defaultHeadTime) || closed
 	}
 	return closed
--- a/internal/goosehost/conns_test.go
+++ b/internal/goosehost/conns_test.go
@@ -137,17 +137,17 @@
 // requests on connections that are closed to make room.
 func TestLongestIdleConnectionsMakeRoom(t *testing.T) {
 	t.Parallel()
-	long := time.Now().Add(-time.Minute)
 	tests := map[string]struct {
 		state connState
-		since time.Time
-		want  bool
+		// age is the time since the state began.
+		age  time.Duration
+		want bool
 	}{
-		"idle for long":     {connIdle, long, true},
-		"used just now":     {connIdle, time.Now(), false},
-		"serving":           {connServing, long, false},
-		"head is arriving":  {connReceiving, long, false},
-		"without a request": {connNew, long, false},
+		"idle for long":     {connIdle, time.Minute, true},
+		"used just now":     {connIdle, 0, false},
+		"serving":           {connServing, time.Minute, false},
+		"head is arriving":  {connReceiving, time.Minute, false},
+		"without a request": {connNew, time.Minute, false},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -167,7 +167,7 @@
 				t.Fatal(err)
 			}
 			conn := accepted.(*callerConn)
-			conn.state, conn.since = tc.state, tc.since
+			conn.state, conn.since = tc.state, time.Now().Add(-tc.age)
 			tracker := newConnTracker()
 			tracker.open[conn] = struct{}{}
 			if got := tracker.closeLongestIdle(); got != tc.want || (conn.currentState() == connClosed) != tc.want {
