--- a/internal/goosehost/host_test.go
+++ b/internal/goosehost/host_test.go
@@ -67,11 +67,11 @@
 	deep := strings.Repeat("[", 300_000)
 	odd := map[string]string{
 		"servers/odd-1": deep + strings.Repeat("]", 300_000),
-		"servers/odd-2": `{"service":"a","addr":"127.0.0.1:99999","zone":"leith","slots":8,"state":"ready","born":1}`,
-		"servers/odd-3": `{"service":"a","addr":"127.0.0.1:9","zone":"leith","slots":1e400,"state":"ready","born":1}`,
-		"servers/odd-4": `{"service":"a","addr":"127.0.0.1:9","zone":"leith","slots":9223372036854775807,"state":"ready","born":9223372036854775807}`,
-		"servers/":      `{"service":"a","addr":"127.0.0.1:9","zone":"leith","slots":8,"state":"ready","born":1}`,
-		"servers/i-a":   `{"service":"a","addr":"127.0.0.1:9","zone":"leith","slots":8,"state":"ready","born":9000000000000}`,
+		"servers/odd-2": `{"service":"a","addr":"127.0.0.1:99999","zone":"leith","slots":8,"state":"ready","version":"v1","cold-left-ms":0,"seq":1,"born":1}`,
+		"servers/odd-3": `{"service":"a","addr":"127.0.0.1:9","zone":"leith","slots":1e400,"state":"ready","version":"v1","cold-left-ms":0,"seq":1,"born":1}`,
+		"servers/odd-4": `{"service":"a","addr":"127.0.0.1:9","zone":"leith","slots":9223372036854775807,"state":"ready","version":"v1","cold-left-ms":0,"seq":1,"born":9223372036854775807}`,
+		"servers/":      `{"service":"a","addr":"127.0.0.1:9","zone":"leith","slots":8,"state":"ready","version":"v1","cold-left-ms":0,"seq":1,"born":1}`,
+		"servers/i-a":   `{"service":"a","addr":"127.0.0.1:9","zone":"leith","slots":8,"state":"ready","version":"v1","cold-left-ms":0,"seq":1,"born":9000000000000}`,
 		"op/evacuate/":  deep,
 
 		"gooseberryhold/instances/odd":            deep,
--- a/internal/goosehosttest/fleet.go
+++ b/internal/goosehosttest/fleet.go
@@ -96,7 +96,8 @@
 	server := httptest.NewServer(gooseplatformtest.WithStamp(id, h))
 	f.t.Cleanup(server.Close)
 	entry, err := json.Marshal(map[string]any{
-		"service": service, "addr": strings.TrimPrefix(server.URL, "http://"), "zone": "leith", "slots": 8, "state": "ready", "born": 1,
+		"service": service, "addr": strings.TrimPrefix(server.URL, "http://"), "zone": "leith", "slots": 8, "state": "ready",
+		"version": "v1", "cold-left-ms": 0, "seq": 1, "born": 1,
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/gooseplatformtest/replica.go
+++ b/internal/gooseplatformtest/replica.go
@@ -66,7 +66,8 @@
 
 func (r *Replica) entry() string {
 	b, err := json.Marshal(map[string]any{
-		"service": r.service, "addr": r.address, "zone": "leith", "slots": 8, "state": "ready", "born": r.starts,
+		"service": r.service, "addr": r.address, "zone": "leith", "slots": 8, "state": "ready",
+		"version": "v1", "cold-left-ms": 0, "seq": 1, "born": r.starts,
 	})
 	if err != nil {
 		panic(err)
--- a/internal/goosesoak/replica_test.go
+++ b/internal/goosesoak/replica_test.go
@@ -99,7 +99,7 @@
 
 // storeEntry returns the replica's entry in the store; address is the address of its proxy.
 func (r *replica) storeEntry(address, state string) string {
-	return fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"slots":16,"state":%q,"version":"1","seq":1,"born":%d}`,
+	return fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"slots":16,"state":%q,"version":"1","cold-left-ms":0,"seq":1,"born":%d}`,
 		r.service, address, r.dataCentre, state, r.startedMS)
 }
 
