--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -122,7 +122,7 @@
 		return nil, errors.Wrap(err, "setting platform.addr")
 	}
 	watchPause := gooseplatform.WatchPause(s.ChangeBound)
-	store = store.WithWatchPause(watchPause).WithObserver(func(path string, status int, d time.Duration) {
+	store = store.WithWatchPause(watchPause).WithMaxPollWait(gooseplatform.MaxPollWait(s.ChangeBound)).WithObserver(func(path string, status int, d time.Duration) {
 		h.metrics.GetOrCreateHistogram(fmt.Sprintf(`gooseberryhold_store_call_seconds{call=%q,status="%d"}`, path, status)).Update(d.Seconds())
 	})
 	if err := h.buildRelay(store, watchPause); err != nil {
@@ -170,7 +170,7 @@
 	h.relay = gooserelay.New(gooserelay.Options{
 		Instance: h.settings.Instance, Store: store, Conn: conn, Neighbours: h.neighbourRelays,
 		Instances:   func(now time.Time) int { return h.placer.Instances(now) },
-		ChangeBound: h.settings.ChangeBound, WatchPause: watchPause, Log: h.log, Clock: h.clock,
+		ChangeBound: h.settings.ChangeBound, WatchPause: watchPause, MaxPollWait: gooseplatform.MaxPollWait(h.settings.ChangeBound), Log: h.log, Clock: h.clock,
 	})
 	h.store = h.relay
 	return nil
--- a/pkg/gooserelay/relay.go
+++ b/pkg/gooserelay/relay.go
@@ -71,8 +71,11 @@
 	ChangeBound time.Duration
 	// WatchPause is the pause between two polls of the store in a small fleet.
 	WatchPause time.Duration
-	Log        *slog.Logger
-	Clock      goose.Clock
+	// MaxPollWait bounds how long the store may delay the response to a poll in a small fleet. A
+	// connection that goes silent is noticed only when the poll on it ends.
+	MaxPollWait time.Duration
+	Log         *slog.Logger
+	Clock       goose.Clock
 }
 
 // Relay is a store whose watches of all keys are fed by the relay of the data centre, or by
--- a/pkg/gooserelay/relay_test.go
+++ b/pkg/gooserelay/relay_test.go
@@ -21,6 +21,9 @@
 // changeBound is the bound for changes in these tests.
 const changeBound = 4 * time.Second
 
+// maxPollWait is the longest wait of a poll that the platform's adapter gives for changeBound.
+const maxPollWait = 5 * time.Second
+
 // fleet is the instances of one data centre.
 type fleet struct {
 	t         *testing.T
@@ -57,6 +60,8 @@
 	// stalled is set while polls get no response.
 	stalled atomic.Bool
 	polls   atomic.Int64
+	// silences counts how often the open connections went silent.
+	silences atomic.Int64
 }
 
 // Poll implements goose.PollingStore.
@@ -65,7 +70,12 @@
 	if s.unavailable.Load() {
 		return nil, 0, goose.ErrUnavailable
 	}
+	silences, start := s.silences.Load(), time.Now()
 	events, revision, err := s.Store.Poll(ctx, prefix, after, wait)
+	if s.silences.Load() != silences {
+		goose.Sleep(ctx, wait+1200*time.Millisecond-time.Since(start))
+		return nil, 0, goose.ErrOutcomeUnknown
+	}
 	if s.stalled.Load() {
 		goose.Sleep(ctx, wait+1200*time.Millisecond)
 		return nil, 0, goose.ErrOutcomeUnknown
@@ -112,7 +122,7 @@
 			return all
 		},
 		Instances:   func(time.Time) int { return len(f.instances) },
-		ChangeBound: changeBound, WatchPause: 1600 * time.Millisecond,
+		ChangeBound: changeBound, WatchPause: 1600 * time.Millisecond, MaxPollWait: maxPollWait,
 		Log: slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -421,3 +431,31 @@
 		f.stop()
 	})
 }
+
+// Guards against changes that all instances of a small fleet learn of too late, because the
+// connections on which they wait for the store have gone silent while new ones work.
+func TestSilentConnections(t *testing.T) {
+	t.Parallel()
+	const (
+		// excused is the time after the silence in which late changes are excused.
+		excused = 3200 * time.Millisecond
+		quiet   = 40 * time.Second
+	)
+	for _, age := range []time.Duration{0, time.Second, 2 * time.Second, 3 * time.Second} {
+		t.Run(age.String(), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 6, nil)
+				defer f.stop()
+				time.Sleep(quiet + age)
+				for _, e := range f.instances {
+					e.store.silences.Add(1)
+				}
+				time.Sleep(excused)
+				last := f.put("servers/i-1", "draining")
+				time.Sleep(changeBound)
+				f.check("servers/i-1", last)
+			})
+		})
+	}
+}
--- a/pkg/gooserelay/watch.go
+++ b/pkg/gooserelay/watch.go
@@ -20,10 +20,9 @@
 	// gapPollDivisor gives the least time between two reads of missing updates as a part of
 	// the bound for changes.
 	gapPollDivisor = 4
-	// firstPollWait and maxPollWait bound how long the store may delay the response to a poll
-	// in a small fleet.
+	// firstPollWait is how long the store may delay the response to the first poll in a small
+	// fleet.
 	firstPollWait = 1500 * time.Millisecond
-	maxPollWait   = 10 * time.Second
 )
 
 // watcher delivers the changes of all keys.
@@ -127,7 +126,7 @@
 		return w.relay.o.ChangeBound / pollDivisor
 	}
 	d := w.pollWait
-	w.pollWait = min(2*w.pollWait, maxPollWait)
+	w.pollWait = min(2*w.pollWait, w.relay.o.MaxPollWait)
 	return d
 }
 
