--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -147,7 +147,7 @@
 	if table == nil {
 		return goose.NotRunRefusal(goose.CodeNotReady, "this instance knows no routing yet").WithRetryAfter(notReadyRetryAfter), false
 	}
-	route, ok := table.Match(c.r.Host, c.r.URL.Path)
+	route, ok := table.Match(c.r.Host, c.r.URL.EscapedPath())
 	if !ok {
 		return goose.NotRunRefusal(goose.CodeNotFound, "no route for this host and path"), false
 	}
--- a/internal/gooseforward/forward_test.go
+++ b/internal/gooseforward/forward_test.go
@@ -65,7 +65,9 @@
 	short.Name, short.Prefix, short.Kind, short.Timeout = "short", "/short/", goose.RouteNonIdempotent, 200*time.Millisecond
 	brief.Name, brief.Prefix, brief.Kind, brief.Objective = "brief", "/brief/", goose.RouteStream, 80*time.Millisecond
 	swift.Name, swift.Prefix, swift.Kind, swift.Objective, swift.Resumable = "swift", "/swift/", goose.RouteStream, 80*time.Millisecond, true
-	return []goose.Route{look, order, stream, whole, open, short, brief, swift}
+	root := base
+	root.Name, root.Host, root.Prefix, root.Kind = "root", "root.example", "/", goose.RouteNonIdempotent
+	return []goose.Route{look, order, stream, whole, open, short, brief, swift, root}
 }
 
 // newHarness starts a forwarder in front of one replica for each handler. The forwarder
--- a/internal/gooseforward/upstream.go
+++ b/internal/gooseforward/upstream.go
@@ -2,12 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/pkg/errors"
@@ -70,18 +69,17 @@
 // roundTrip writes the request while it reads the head of the response, since a replica
 // may respond before it has read a long body.
 func (u *upstream) roundTrip(f outgoingRequest) error {
-	req := f.request()
 	countingConn := &goosedial.CountingConn{Conn: u.conn}
 	writeDone := make(chan struct{})
 	go func() {
 		defer close(writeDone)
 		w := bufio.NewWriterSize(countingConn, readBufferBytes)
 		// A write error needs no handling, since it shows when the response is read.
-		if err := req.Write(w); err == nil {
+		if err := f.write(w); err == nil {
 			_ = w.Flush()
 		}
 	}()
-	err := u.readHead(req)
+	err := u.readHead(f.method)
 	if err == nil {
 		return nil
 	}
@@ -94,11 +92,11 @@
 }
 
 // readHead reads the head of the response and skips the interim responses before it.
-func (u *upstream) readHead(req *http.Request) error {
+func (u *upstream) readHead(method string) error {
 	reader := bufio.NewReaderSize(u.reader, readBufferBytes)
 	for {
 		// The method close closes the connection, and with it the body.
-		resp, err := http.ReadResponse(reader, req) //nolint:bodyclose
+		resp, err := http.ReadResponse(reader, &http.Request{Method: method}) //nolint:bodyclose
 		if err != nil {
 			return err
 		}
@@ -109,19 +107,30 @@
 	}
 }
 
-// request returns the HTTP request, with the caller's request target unchanged.
-func (r outgoingRequest) request() *http.Request {
-	req := &http.Request{
-		Method: r.method, URL: &url.URL{Opaque: r.uri}, Host: r.host, Header: r.header,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Close: true,
+// headersOfConnection are written by outgoingRequest.write itself.
+var headersOfConnection = map[string]bool{
+	"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true, "Connection": true,
+}
+
+// write writes the request with the caller's request target unchanged. http.Request.Write
+// changes targets that begin with two slashes.
+func (r outgoingRequest) write(w io.Writer) error {
+	if _, err := fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n", r.method, r.uri, r.host); err != nil {
+		return errors.WithStack(err)
 	}
-	if _, ok := req.Header["User-Agent"]; !ok {
-		req.Header["User-Agent"] = []string{""}
+	if err := r.header.WriteSubset(w, headersOfConnection); err != nil {
+		return errors.WithStack(err)
+	}
+	if len(r.body) > 0 || r.method != http.MethodGet && r.method != http.MethodHead {
+		if _, err := fmt.Fprintf(w, "Content-Length: %d\r\n", len(r.body)); err != nil {
+			return errors.WithStack(err)
+		}
 	}
-	if len(r.body) > 0 {
-		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(r.body)), int64(len(r.body))
+	if _, err := io.WriteString(w, "\r\n"); err != nil {
+		return errors.WithStack(err)
 	}
-	return req
+	_, err := w.Write(r.body)
+	return errors.WithStack(err)
 }
 
 func (u *upstream) close() {
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -266,7 +266,9 @@
 	wg.Go(func() { h.registration.Run(ctx) })
 	server := &http.Server{
 		Handler: h.forwarder, ConnState: conns.handleState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
+		// net/http would answer "OPTIONS *" itself, with a success that no replica has given.
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
 	}
 	failed := make(chan error, 3)
 	go func() { failed <- errors.Wrap(server.Serve(callerListener{callers}), "callers' listener") }()
--- a/internal/goosehost/host_test.go
+++ b/internal/goosehost/host_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/gooseberryhold/gooseberryhold/internal/goosecallertest"
 	"github.com/gooseberryhold/gooseberryhold/internal/goosehosttest"
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseplatformtest"
 )
@@ -140,3 +142,21 @@
 	}
 	goosehosttest.Eventually(t, "the registration is gone", func() bool { return len(f.Store.Keys("gooseberryhold/instances/")) == 0 })
 }
+
+// Guards against a success that no replica has given: net/http answers "OPTIONS *" by itself
+// unless it is told otherwise.
+func TestOptionsOfServerIsRefused(t *testing.T) {
+	t.Parallel()
+	f := goosehosttest.New(t)
+	f.WriteRouting(1, "a")
+	e := f.StartInstance("edge-1", io.Discard)
+	goosehosttest.Eventually(t, "the instance is ready", e.IsReady)
+	conn, err := goosecallertest.Dial(e.CallerAddress(), rand.New(rand.NewPCG(1, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := conn.Exchange(goosecallertest.Request{Method: http.MethodOptions, Path: "*", Host: "desk.example", Timeout: time.Minute})
+	if got.Err != nil || got.Status != http.StatusNotFound {
+		t.Errorf("got status %d, error %v, want 404", got.Status, got.Err)
+	}
+}
