--- a/internal/goosesoak/inject_test.go
+++ b/internal/goosesoak/inject_test.go
@@ -1,7 +1,9 @@
 package goosesoak
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"syscall"
 	"time"
 
@@ -47,6 +49,8 @@
 		f.injectUnreachablePeers(i, ft)
 	case faultInvalidEntry:
 		injectFor(ft, func() { f.store.Put("servers/rubbish", "\x00{") }, func() { f.store.Delete("servers/rubbish") })
+	case faultForeignEntry:
+		f.injectForeignEntry(e, ft)
 	}
 }
 
@@ -60,6 +64,45 @@
 	injectFor(ft, func() { f.store.SetFault(func(string) gooseplatformtest.Fault { return fault }) }, func() { f.store.SetFault(nil) })
 }
 
+// injectForeignEntry replaces a replica's entry by one of another writer, which names another
+// service and lacks a field, has one of another type or one twice.
+func (f *fleet) injectForeignEntry(e *endpoint, ft fault) {
+	e.replaceMu.Lock()
+	defer e.replaceMu.Unlock()
+	r := e.current()
+	good := r.storeEntry(e.proxy.address(), "ready")
+	other := f.endpoints[(ft.target+3)%len(f.endpoints)].service
+	foreign := spoilEntry(strings.Replace(good, fmt.Sprintf("%q", r.service), fmt.Sprintf("%q", other), 1), ft.target)
+	injectFor(ft, func() { f.store.Put("servers/"+r.id, foreign) }, func() { f.store.Put("servers/"+r.id, good) })
+}
+
+// spoilEntry returns an entry with one field left out, of another type or twice.
+func spoilEntry(good string, choice int) string {
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal([]byte(good), &fields); err != nil {
+		panic(err)
+	}
+	names := []string{"addr", "cold-left-ms", "seq", "service", "slots", "state", "version", "zone"}
+	name := names[choice/spoilings%len(names)]
+	twice := fmt.Sprintf("%s,%q:%s}", good[:len(good)-1], name, fields[name])
+	switch choice % spoilings {
+	case 0:
+		delete(fields, name)
+	case 1:
+		fields[name] = json.RawMessage("[1]")
+	default:
+		return twice
+	}
+	text, err := json.Marshal(fields)
+	if err != nil {
+		panic(err)
+	}
+	return string(text)
+}
+
+// spoilings is the number of ways in which spoilEntry changes a field.
+const spoilings = 3
+
 // injectUnreachablePeers replaces the address of every instance in the store by one on
 // which no process listens, and restarts one instance during the fault.
 func (f *fleet) injectUnreachablePeers(i *instance, ft fault) {
--- a/internal/goosesoak/plan_test.go
+++ b/internal/goosesoak/plan_test.go
@@ -32,6 +32,8 @@
 	faultNewVersion          faultKind = "new-version"
 	faultEvacuate            faultKind = "evacuate"
 	faultInvalidEntry        faultKind = "unreadable-entry"
+	// faultForeignEntry replaces the entry of a replica by one of another writer.
+	faultForeignEntry faultKind = "entry-of-another-writer"
 	// faultPeersUnreachable replaces the peer addresses in the store, so that load reports
 	// are sent to the wrong address: an instance that starts during the fault receives no
 	// reports, and no peer receives its own.
@@ -80,6 +82,22 @@
 	maxSeriesGap      = 400 * time.Millisecond
 )
 
+// meanForeignInterval is the mean time between two faultForeignEntry.
+const meanForeignInterval = 2 * time.Second
+
+// planForeignEntries draws the faults of kind faultForeignEntry, which like
+// faultPeersUnreachable was added after seeds had been fixed.
+func planForeignEntries(random *rand.Rand, within time.Duration) []fault {
+	var all []fault
+	for range 1 + int(within/meanForeignInterval) {
+		all = append(all, fault{
+			kind: faultForeignEntry, start: time.Duration(random.Int64N(int64(within))),
+			duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration))), target: random.IntN(1 << 20),
+		})
+	}
+	return all
+}
+
 // meanUnreachableInterval is the mean time between two faultPeersUnreachable.
 const meanUnreachableInterval = 4 * time.Second
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -18,6 +18,11 @@
 go test -race -timeout "$TEST_TIMEOUT" "${skip[@]}" "$@" 2>&1 | tee "$out" || status=$?
 if [ "$status" -ne 0 ]; then
 	echo "failing tests:"
+	# The whole output of a failed run is kept, so that a failure that does not come back can be traced.
+	mkdir -p out
+	kept=out/failed-$(date -u +%Y%m%dT%H%M%S)-$$.txt
+	cp "$out" "$kept"
+	echo "the whole output is kept in $kept"
 	grep -E '^ *--- FAIL|^panic:|^FAIL[[:space:]]|^fatal error:|WARNING: DATA RACE|running tests:|^[[:space:]]+Test[A-Za-z0-9_/,]+ \(' "$out" || true
 fi
 exit "$status"
