--- a/internal/gooseforward/body_test.go
+++ b/internal/gooseforward/body_test.go
@@ -158,7 +158,7 @@
 	t.Parallel()
 	h := newHarness(t, succeed)
 	body, w := io.Pipe()
-	defer w.Close()
+	defer func() { _ = w.Close() }()
 	r := h.request(context.Background(), "/order/x", "")
 	r.Body, r.ContentLength = body, -1
 	r.Header.Set("X-Deadline-Ms", "100")
@@ -184,7 +184,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer conn.Close()
+			defer func() { _ = conn.Close() }()
 			_ = conn.SetDeadline(time.Now().Add(testTimeout))
 			head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer k1\r\nX-Attempt-Id: a1\r\nContent-Length: %d\r\n\r\n", tc.path, length)
 			// The caller reads only when it has sent the whole body.
--- a/internal/gooseforward/stop_test.go
+++ b/internal/gooseforward/stop_test.go
@@ -112,7 +112,7 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				defer conn.Close()
+				defer func() { _ = conn.Close() }()
 				_ = conn.SetDeadline(time.Now().Add(testTimeout))
 				_, _ = fmt.Fprintf(conn, "POST /order/x HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer k1\r\nX-Attempt-Id: a1\r\n%s\r\n\r\n%s", body.header, body.begin)
 				if !drainFirst {
--- a/internal/gooseforward/target_test.go
+++ b/internal/gooseforward/target_test.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return 0, err
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(testTimeout))
 	_, _ = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer k1\r\nX-Attempt-Id: a1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", method, target, host)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
--- a/internal/goosehost/conns_test.go
+++ b/internal/goosehost/conns_test.go
@@ -93,7 +93,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer conn.Close()
+			defer func() { _ = conn.Close() }()
 			reader := bufio.NewReader(conn)
 			if tc.kept {
 				sendText(t, conn, get)
@@ -156,12 +156,12 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer l.Close()
+			defer func() { _ = l.Close() }()
 			client, err := net.Dial("tcp4", l.Addr().String())
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer client.Close()
+			defer func() { _ = client.Close() }()
 			accepted, err := l.Accept()
 			if err != nil {
 				t.Fatal(err)
