--- a/internal/goosehost/conns.go
+++ b/internal/goosehost/conns.go
@@ -232,12 +232,3 @@
 			slog.Int("new", count[connNew]), slog.Int("idle", count[connIdle]))
 	}
 }
-
-// drainServer closes a server once every connection that was accepted has its response, or
-// when ctx ends. headTime is how long a new connection may wait for its first request.
-func drainServer(ctx context.Context, server *http.Server, callers callerListener, conns *connTracker, headTime time.Duration, log *slog.Logger) {
-	callers.Drain(stopMargin)
-	conns.wait(ctx, headTime)
-	conns.logCut(log)
-	_ = server.Close()
-}
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -34,16 +34,6 @@
 )
 
 const (
-	// deregisterDelay is how long new connections are accepted after SIGTERM. The load
-	// balancer probes the readiness each second and removes an instance after two probes
-	// without a 200.
-	deregisterDelay = 3 * time.Second
-	// stopMargin is the time between closing the connections of callers and SIGKILL, and
-	// answerMargin the time before that in which requests that still run get a final response.
-	stopMargin   = 300 * time.Millisecond
-	answerMargin = 200 * time.Millisecond
-	// defaultStopTimeout is used if the settings contain no stop timeout.
-	defaultStopTimeout = 8 * time.Second
 	// headerTimeout and idleTimeout are above the timeouts that callers have to observe, so
 	// that the instance never closes a connection that a caller may still use.
 	headerTimeout = 5 * time.Second
@@ -286,43 +276,6 @@
 	return nil
 }
 
-// drain stops the server before SIGKILL arrives. Every connection that was accepted before
-// the listener closes gets its response.
-func (h *host) drain(server *http.Server, callers callerListener, conns *connTracker) {
-	start := time.Now()
-	total := h.settings.StopTimeout
-	if total <= 0 {
-		total = defaultStopTimeout
-	}
-	stopAt := start.Add(total - stopMargin - answerMargin)
-	h.stopAt.Store(&stopAt)
-	h.beginDrain()
-	defer time.AfterFunc(time.Until(stopAt), h.endWork).Stop()
-	gooseevent.InstanceDraining.Log(h.log, slog.Duration("limit", total))
-	time.Sleep(min(deregisterDelay, total/2))
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(total-stopMargin))
-	defer cancel()
-	drainServer(ctx, server, callers, conns, h.headTime(), h.log)
-}
-
-// headTime returns how long callers may take from opening a connection to the end of the head
-// of their first request.
-func (h *host) headTime() time.Duration {
-	if t := h.directory.Current().Table; t != nil && t.Limits().HeaderTimeout > 0 {
-		return t.Limits().HeaderTimeout
-	}
-	return defaultHeadTime
-}
-
-// stopTime returns when requests that still run get their final response; zero unless the
-// instance drains.
-func (h *host) stopTime() time.Time {
-	if at := h.stopAt.Load(); at != nil {
-		return *at
-	}
-	return time.Time{}
-}
-
 // ready reports whether the instance should receive new callers.
 func (h *host) ready() bool {
 	s := h.directory.Current()
@@ -337,59 +290,6 @@
 	})
 }
 
-func (h *host) metricsHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		h.metrics.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
-	})
-}
-
-// registerGauges registers the gauges that show the state of the instance.
-func (h *host) registerGauges() {
-	gauge := func(name string, value func(s *goosedirectory.Snapshot) float64) {
-		h.metrics.NewGauge(name, func() float64 { return value(h.directory.Current()) })
-	}
-	gauge("gooseberryhold_routing_version", func(s *goosedirectory.Snapshot) float64 {
-		if s.Table == nil {
-			return 0
-		}
-		return float64(s.Table.Version())
-	})
-	gauge("gooseberryhold_replicas", func(s *goosedirectory.Snapshot) float64 { return float64(s.Len()) })
-	gauge("gooseberryhold_instances", func(*goosedirectory.Snapshot) float64 {
-		return float64(h.placer.Instances(h.clock.Now()))
-	})
-	gauge("gooseberryhold_quarantined_requests", func(*goosedirectory.Snapshot) float64 {
-		return float64(h.quarantine.QuarantinedCount(goose.SubjectRequest, h.clock.Now()))
-	})
-	gauge("gooseberryhold_quarantined_parts", func(*goosedirectory.Snapshot) float64 {
-		return float64(h.quarantine.QuarantinedCount(goose.SubjectPart, h.clock.Now()))
-	})
-	gauge("gooseberryhold_replicas_leaving", func(*goosedirectory.Snapshot) float64 { return float64(h.placer.LeavingCount()) })
-	gauge("gooseberryhold_replicas_paused", func(*goosedirectory.Snapshot) float64 { return float64(h.placer.PausedCount(h.clock.Now())) })
-	gauge("gooseberryhold_store_reach_seconds", func(*goosedirectory.Snapshot) float64 {
-		return h.follower.ReachableFor(h.clock.Now()).Seconds()
-	})
-	gauge("gooseberryhold_store_relay", func(*goosedirectory.Snapshot) float64 {
-		if h.relay != nil && h.relay.Leading() {
-			return 1
-		}
-		return 0
-	})
-	gauge("gooseberryhold_store_relay_followed", func(*goosedirectory.Snapshot) float64 {
-		if h.followingRelay() {
-			return 1
-		}
-		return 0
-	})
-	gauge("gooseberryhold_ready", func(*goosedirectory.Snapshot) float64 {
-		if h.ready() {
-			return 1
-		}
-		return 0
-	})
-}
-
 // maintain removes expired state and refills the log's budget at a fixed interval.
 func (h *host) maintain(ctx context.Context) {
 	for goose.Sleep(ctx, maintenanceInterval) {
