--- a/internal/gooseforward/body.go
+++ b/internal/gooseforward/body.go
@@ -250,6 +250,10 @@
 	control := http.NewResponseController(c.w)
 	// Without full duplex, a server may read the whole body before it sends a response.
 	_ = control.EnableFullDuplex()
+	if c.r.ContentLength != 0 {
+		// The rest of the body must not be read as the next request.
+		c.w.Header().Set("Connection", "close")
+	}
 	c.refuse(r)
 	_ = control.Flush()
 	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
--- a/internal/gooseforward/body_test.go
+++ b/internal/gooseforward/body_test.go
@@ -202,3 +202,24 @@
 		})
 	}
 }
+
+// Guards against the rest of a body that is read as the next request, after a refusal that was
+// sent before the body's end.
+func TestRestOfBodyIsNoRequest(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, succeed)
+	body, w := io.Pipe()
+	defer func() { _ = w.Close() }()
+	r := h.request(context.Background(), "/order/x", "")
+	r.Body, r.ContentLength = body, -1
+	r.Header.Set("X-Deadline-Ms", "100")
+	go func() { _, _ = io.WriteString(w, "a part") }()
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if !resp.Close {
+		t.Errorf("got status %d on a connection that stays open, want it closed", resp.StatusCode)
+	}
+}
