gooseforward: a response that ends with its connection needs a written request

Cause: the kernel reports a reset to one call only. The write of the upload receives it, and its error was dropped; the read sees an ordinary end of the connection. A replica that half-closes before it has read the request ended as complete in each run, too. Change: the reader of a body without length or chunks asks for the outcome of the write at the end of the connection. A write that still blocks is broken off first. A replica may respond before it has read the request, if it keeps the connection open until it has. Conclusion: only bodies that the end of the connection delimits depend on the write.

--- a/internal/gooseforward/stream.go
+++ b/internal/gooseforward/stream.go
@@ -126,8 +126,7 @@
 // that is closed after the head looks the same.
 func (s *streamAttempt) end() result {
 	resp := s.upstream.resp
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if s.newEvents == 0 && (!s.resumed || !framed) {
+	if s.newEvents == 0 && (!s.resumed || !isFramed(resp)) {
 		return result{outcome: outcomeLost, status: resp.StatusCode, err: errors.New("stream without events")}
 	}
 	if !s.committed {
--- a/internal/gooseforward/upstream.go
+++ b/internal/gooseforward/upstream.go
@@ -46,6 +46,7 @@
 	// reader bounds what is read from conn.
 	reader           *boundedReader
 	resp             *http.Response
+	write            *requestWrite
 	stopContextWatch func() bool
 }
 
@@ -69,23 +70,16 @@
 // roundTrip writes the request while it reads the head of the response, since a replica
 // may respond before it has read a long body.
 func (u *upstream) roundTrip(f outgoingRequest) error {
-	countingConn := &goosedial.CountingConn{Conn: u.conn}
-	writeDone := make(chan struct{})
-	go func() {
-		defer close(writeDone)
-		w := bufio.NewWriterSize(countingConn, readBufferBytes)
-		// A write error needs no handling, since it shows when the response is read.
-		if err := f.write(w); err == nil {
-			_ = w.Flush()
-		}
-	}()
+	u.write = beginWrite(u.conn, f)
 	err := u.readHead(f.method)
 	if err == nil {
+		if !isFramed(u.resp) {
+			u.resp.Body = &connectionBody{ReadCloser: u.resp.Body, write: u.write}
+		}
 		return nil
 	}
 	_ = u.conn.Close()
-	<-writeDone
-	if countingConn.Written == 0 {
+	if u.write.written() == 0 {
 		return errors.Wrap(goose.ErrNotSent, err.Error())
 	}
 	return errors.Wrap(goose.ErrDisconnected, err.Error())
