gooseengine: a response that ends with its connection needs a written request

Cause: the error of the write was used only if no head of a response arrived. Change: the error is kept until the body has been read. TestStreamDuringUpload passes before: a stream needs its end marker.

--- a/internal/gooseengine/exchange.go
+++ b/internal/gooseengine/exchange.go
@@ -29,6 +29,8 @@
 	maxReportBytes = 4 << 20
 	// maxResponseBytes bounds the response of a plain service, which is held in memory.
 	maxResponseBytes = 32 << 20
+	// contentLengthChunked is what fasthttp returns as the length of a response with chunks.
+	contentLengthChunked = -1
 	// readBufferBytes also bounds the header of the response.
 	readBufferBytes = 16 << 10
 )
@@ -65,6 +67,8 @@
 	// reader is kept after a response, since a verified connection carries two responses.
 	reader *bufio.Reader
 	resp   *fasthttp.Response
+	// writeErr is the error of a request that was not written completely, but got a response.
+	writeErr error
 	// stopContextWatch prevents the end of the context from breaking the connection.
 	stopContextWatch func() bool
 	ctx              context.Context
@@ -182,15 +186,15 @@
 		}
 	}
 	countingConn := &goosedial.CountingConn{Conn: x.conn}
-	writeErr := writeRequest(countingConn, req)
-	if writeErr != nil && countingConn.Written == 0 {
-		return notSent(x.causeOf(writeErr))
+	x.writeErr = writeRequest(countingConn, req)
+	if x.writeErr != nil && countingConn.Written == 0 {
+		return notSent(x.causeOf(x.writeErr))
 	}
 	// A backend server may respond and close before it has read the whole body,
 	// so the response is read even after a failed write.
 	if err := x.resp.Read(x.reader); err != nil {
-		if writeErr != nil {
-			err = writeErr
+		if x.writeErr != nil {
+			err = x.writeErr
 		}
 		return disconnected(x.causeOf(err))
 	}
@@ -216,7 +220,8 @@
 
 // body reads the complete body of the response, which may have at most limit bytes. A body
 // without a length or chunks is complete when the connection is closed, but not when it is
-// reset.
+// reset. The kernel reports a reset to one call only: if the write of the request received it,
+// the read sees an ordinary end of the connection.
 func (x *exchange) body(limit int) ([]byte, error) {
 	if x.resp.SkipBody || x.resp.BodyStream() == nil {
 		return nil, nil
@@ -233,10 +238,15 @@
 		return nil, disconnected(errors.Errorf("response exceeds %d bytes", limit))
 	case length >= 0 && len(b) < length:
 		return nil, disconnected(io.ErrUnexpectedEOF)
+	case length < 0 && !x.isChunked() && x.writeErr != nil:
+		return nil, disconnected(x.causeOf(x.writeErr))
 	}
 	return b, nil
 }
 
+// isChunked reports whether the body of the response has chunks.
+func (x *exchange) isChunked() bool { return x.resp.Header.ContentLength() == contentLengthChunked }
+
 // statusError reads the body of an error response and returns it as a goose.StatusError.
 func (x *exchange) statusError() error {
 	var b []byte
