gooseresponse: heads of responses are checked before a parser reads them

Callers saw: 000, 099 and +20 were taken for interim responses, and a 200 after them was passed on; 600, 999 and a status after a second space were passed on with the replica's stamp. Also passed on: a 200 after 101, versions 1.2 and 2.0, a control byte or bare CR in the reason, folded lines, a space before the colon, two equal lengths, a length beside chunks, and chunks of HTTP/1.0 as a body. Cause: net/http's parser accepts more than HTTP allows, and readHead skipped every status below 200. Change: internal/gooseresponse reads the head from the connection, skips interim responses (100 and 102 to 199), and accepts one space, three digits from 100 to 599, a space and a reason. It also checks names, values, and that there is at most one length or transfer coding. The parser gets only what passed. Lines that end in LF alone and a status without a reason stay valid. forward uses it here. Conclusion: whatever is no response of HTTP counts as a lost one: 502 for an order, another replica for what may be repeated.

--- a/internal/gooseforward/upstream.go
+++ b/internal/gooseforward/upstream.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/goosedial"
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseresponse"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
@@ -87,18 +88,14 @@
 
 // readHead reads the head of the response and skips the interim responses before it.
 func (u *upstream) readHead(method string) error {
-	reader := bufio.NewReaderSize(u.reader, readBufferBytes)
-	for {
-		// The method close closes the connection, and with it the body.
-		resp, err := http.ReadResponse(reader, &http.Request{Method: method}) //nolint:bodyclose
-		if err != nil {
-			return err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			u.resp = resp
-			return nil
-		}
+	checked := gooseresponse.NewReader(u.reader)
+	if err := checked.ReadHead(maxResponseHeadBytes); err != nil {
+		return err
 	}
+	// The method close closes the connection, and with it the body.
+	resp, err := http.ReadResponse(bufio.NewReaderSize(checked, readBufferBytes), &http.Request{Method: method}) //nolint:bodyclose
+	u.resp = resp
+	return err
 }
 
 // headersOfConnection are written by outgoingRequest.write itself.
