gooseengine: heads of responses are checked by gooseresponse

Callers saw: the same responses that are none as in forward counted: 099 and 000 were statuses of their own, 600 and 999 were passed on, +20 was refused already. fasthttp also reads a head after empty lines, a space before the colon and a length beside chunks. Cause: fasthttp's parser accepts more than HTTP allows, and other things than net/http's. Change: every response that gooseengine reads passes gooseresponse first: calls, streams, control calls, load reports and verified connections. Before: TestResponseHeads fails in 12 of its 16 cases, in three runs of three. After: 50 runs beside two busy processes pass; the package passes with the race detector.

--- a/internal/gooseengine/exchange.go
+++ b/internal/gooseengine/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/goosedial"
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseresponse"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
@@ -64,6 +65,8 @@
 // share a connection.
 type exchange struct {
 	conn net.Conn
+	// checked checks the heads of the responses that reader reads.
+	checked *gooseresponse.Reader
 	// reader is kept after a response, since a verified connection carries two responses.
 	reader *bufio.Reader
 	resp   *fasthttp.Response
@@ -115,7 +118,11 @@
 	if err != nil {
 		return nil, notSent(err)
 	}
-	x := &exchange{conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), resp: &fasthttp.Response{StreamBody: true}}
+	checked := gooseresponse.NewReader(raw)
+	x := &exchange{
+		conn: raw, checked: checked, reader: bufio.NewReaderSize(checked, readBufferBytes),
+		resp: &fasthttp.Response{StreamBody: true},
+	}
 	x.watchContext(ctx)
 	return x, nil
 }
@@ -150,8 +157,7 @@
 	if resp.ConnectionClose() {
 		return notSent(errors.New("backend server closes the connection after its load report"))
 	}
-	if x.reader.Buffered() > 0 || goosedial.HasPendingData(x.conn) {
-		// These bytes would be taken for the response to the next request.
+	if x.hasUnreadData() {
 		return notSent(errors.New("backend server sent more than its load report"))
 	}
 	return nil
@@ -167,7 +173,21 @@
 	if err := writeRequest(x.conn, req); err != nil {
 		return err
 	}
-	return resp.ReadLimitBody(x.reader, maxReportBytes)
+	return x.readResponse(resp, maxReportBytes)
+}
+
+// readResponse reads a response; maxBodyBytes is zero for one whose body is read later.
+func (x *exchange) readResponse(resp *fasthttp.Response, maxBodyBytes int) error {
+	if err := x.checked.ReadHead(readBufferBytes); err != nil {
+		return err
+	}
+	return resp.ReadLimitBody(x.reader, maxBodyBytes)
+}
+
+// hasUnreadData reports whether bytes have arrived that belong to no response. They would be
+// taken for the next one.
+func (x *exchange) hasUnreadData() bool {
+	return x.reader.Buffered() > 0 || x.checked.Buffered() > 0 || goosedial.HasPendingData(x.conn)
 }
 
 func (x *exchange) send(address string, check func() error, fill func(*fasthttp.Request)) error {
@@ -192,7 +212,7 @@
 	}
 	// A backend server may respond and close before it has read the whole body,
 	// so the response is read even after a failed write.
-	if err := x.resp.Read(x.reader); err != nil {
+	if err := x.readResponse(x.resp, 0); err != nil {
 		if x.writeErr != nil {
 			err = x.writeErr
 		}
