gooseengine: a second copy of a load report is not taken for the next report

Callers saw: if an engine writes a report twice on the connection that is kept for reports, each report after it is one behind. Change: a kept connection is closed if more than its report has arrived, after the report and before the next request. Before: TestReportSentTwice fails in three runs of three (report 2 is report 1 again). Conclusion: a copy that arrives between the check and the next report cannot be told from it; reports name no request.

--- a/internal/gooseengine/reports.go
+++ b/internal/gooseengine/reports.go
@@ -62,7 +62,8 @@
 	defer c.mu.Unlock()
 	x, ok := c.idle[address]
 	delete(c.idle, address)
-	if ok && time.Since(x.opened) >= reportConnLifetime {
+	// Reports name no request: a late second copy of one would be taken for the next report.
+	if ok && (time.Since(x.opened) >= reportConnLifetime || x.hasUnreadData()) {
 		_ = x.conn.Close()
 		return reportConn{}, false
 	}
@@ -70,9 +71,10 @@
 }
 
 // put keeps the connection for the next report. It closes the connection if the context
-// has ended, which may have broken it, or if the engine closes it.
+// has ended, which may have broken it, if the engine closes it, or if more than the report
+// has arrived.
 func (c *reportConns) put(address string, x reportConn, resp *fasthttp.Response) {
-	if !x.stopContextWatch() || resp.ConnectionClose() {
+	if !x.stopContextWatch() || resp.ConnectionClose() || x.hasUnreadData() {
 		_ = x.conn.Close()
 		return
 	}
--- a/internal/gooseengine/reports_test.go
+++ b/internal/gooseengine/reports_test.go
@@ -1,7 +1,9 @@
 package gooseengine
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -99,3 +102,46 @@
 		t.Errorf("got %v, want a ProcessChangedError", err)
 	}
 }
+
+// Guards against a second copy of a load report that is taken for the next one: each report
+// after it would be one behind.
+func TestReportSentTwice(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	running := make(chan int)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				for in := bufio.NewReader(conn); ; {
+					if _, err := http.ReadRequest(in); err != nil {
+						return
+					}
+					text := fmt.Sprintf("engine_process_info{process=\"p\"} 1\nengine_requests_running %d\n", <-running)
+					text = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+					_, _ = io.WriteString(conn, text+text)
+				}
+			}()
+		}
+	}()
+	for n := range 10 {
+		go func() { running <- n }()
+		r, err := OpenAI{}.Load(t.Context(), l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Running != n {
+			t.Fatalf("got the report with %d running requests, want %d", r.Running, n)
+		}
+		// The second copy may arrive after the report has been read.
+		time.Sleep(time.Millisecond)
+	}
+}
