gooseforward: headers that a response's Connection names are not passed on

Callers saw: headers that the replica declares to concern its connection alone. Cause: only the fixed list of such headers was removed; net/http drops the header Connection, which names the others, before it can be read. Change: gooseresponse returns the names, and forward removes them before the response is judged. A replica that names its stamp there has sent no stamp: 502 instead of a success that callers refuse.

--- a/internal/gooseengine/exchange.go
+++ b/internal/gooseengine/exchange.go
@@ -178,7 +178,7 @@
 
 // readResponse reads a response; maxBodyBytes is zero for one whose body is read later.
 func (x *exchange) readResponse(resp *fasthttp.Response, maxBodyBytes int) error {
-	if err := x.checked.ReadHead(readBufferBytes); err != nil {
+	if _, err := x.checked.ReadHead(readBufferBytes); err != nil {
 		return err
 	}
 	return resp.ReadLimitBody(x.reader, maxBodyBytes)
--- a/internal/gooseforward/upstream.go
+++ b/internal/gooseforward/upstream.go
@@ -89,13 +89,22 @@
 // readHead reads the head of the response and skips the interim responses before it.
 func (u *upstream) readHead(method string) error {
 	checked := gooseresponse.NewReader(u.reader)
-	if err := checked.ReadHead(maxResponseHeadBytes); err != nil {
+	head, err := checked.ReadHead(maxResponseHeadBytes)
+	if err != nil {
 		return err
 	}
 	// The method close closes the connection, and with it the body.
 	resp, err := http.ReadResponse(bufio.NewReaderSize(checked, readBufferBytes), &http.Request{Method: method}) //nolint:bodyclose
+	if err != nil {
+		return err
+	}
+	// What the replica calls a header of this connection is none of the response, the stamp
+	// included: a success without it is refused here, and not by the caller.
+	for _, name := range head.ConnectionHeaders {
+		resp.Header.Del(name)
+	}
 	u.resp = resp
-	return err
+	return nil
 }
 
 // headersOfConnection are written by outgoingRequest.write itself.
--- a/internal/gooseresponse/head.go
+++ b/internal/gooseresponse/head.go
@@ -20,9 +20,12 @@
 // maxStatus is the last status of the classes that HTTP defines (RFC 9110, section 15).
 const maxStatus = 599
 
-// head is what decides where a response ends.
-type head struct {
-	status int
+// Head is what a head states about its response and the connection.
+type Head struct {
+	Status int
+	// ConnectionHeaders are the names of headers that concern the connection alone. net/http drops
+	// the header Connection, which lists them.
+	ConnectionHeaders []string
 	// old is set for HTTP/1.0, which has no chunks.
 	old             bool
 	lengths, chunks int
@@ -30,7 +33,7 @@
 
 // parseHead checks a head, which ends with an empty line. Lines may end with LF alone (RFC 9112,
 // section 2.2).
-func parseHead(b []byte) (head, error) {
+func parseHead(b []byte) (Head, error) {
 	line, rest, _ := bytes.Cut(b, []byte("\n"))
 	h, err := parseStatusLine(trimLineEnd(line))
 	for err == nil {
@@ -40,7 +43,7 @@
 		}
 		err = h.addField(line)
 	}
-	return head{}, err
+	return Head{}, err
 }
 
 func trimLineEnd(line []byte) []byte {
@@ -50,23 +53,23 @@
 // parseStatusLine accepts a version, one space, three digits from 100 to 599, and either the end
 // of the line or a further space and the reason. The status 101 is an error: no request asks for
 // another protocol.
-func parseStatusLine(line []byte) (head, error) {
+func parseStatusLine(line []byte) (Head, error) {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	if string(version) != "HTTP/1.1" && string(version) != "HTTP/1.0" {
-		return head{}, malformed("version", line)
+		return Head{}, malformed("version", line)
 	}
 	code, reason, _ := bytes.Cut(rest, []byte(" "))
 	if len(code) != 3 || !isDigits(code) {
-		return head{}, malformed("status", line)
+		return Head{}, malformed("status", line)
 	}
 	status := int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0')
 	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
-		return head{}, malformed("status", line)
+		return Head{}, malformed("status", line)
 	}
 	if !httpguts.ValidHeaderFieldValue(string(reason)) {
-		return head{}, malformed("reason", line)
+		return Head{}, malformed("reason", line)
 	}
-	return head{status: status, old: string(version) == "HTTP/1.0"}, nil
+	return Head{Status: status, old: string(version) == "HTTP/1.0"}, nil
 }
 
 func isDigits(b []byte) bool {
@@ -80,7 +83,7 @@
 
 // addField checks a header line. A line that continues the one before it is an error, like a
 // space before the colon (RFC 9112, sections 5.1 and 5.2).
-func (h *head) addField(line []byte) error {
+func (h *Head) addField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !httpguts.ValidHeaderFieldName(string(name)) {
 		return malformed("header name", line)
@@ -90,6 +93,10 @@
 		return malformed("header value", line)
 	}
 	switch http.CanonicalHeaderKey(string(name)) {
+	case "Connection":
+		for _, named := range strings.Split(text, ",") {
+			h.ConnectionHeaders = append(h.ConnectionHeaders, strings.Trim(named, " \t"))
+		}
 	case "Content-Length":
 		h.lengths++
 		if _, err := strconv.ParseUint(text, 10, 63); err != nil {
@@ -107,8 +114,8 @@
 // checkFraming returns an error unless a final response has at most one length or one transfer
 // coding. Others would end at different bytes for different readers. Interim responses end with
 // their head, whatever they state.
-func (h head) checkFraming() error {
-	if h.status < http.StatusOK {
+func (h Head) checkFraming() error {
+	if h.Status < http.StatusOK {
 		return nil
 	}
 	if h.lengths+h.chunks > 1 || h.old && h.chunks > 0 {
--- a/internal/gooseresponse/head_test.go
+++ b/internal/gooseresponse/head_test.go
@@ -34,7 +34,7 @@
 		"HTTP/1.2 200 OK": false, "HTTP/2 200 OK": false, "HTTP/2.0 200 OK": false, "http/1.1 200 OK": false, "HTTP/01.1 200 OK": false, "ICY 200 OK": false,
 	}
 	for line, want := range tests {
-		if err := NewReader(strings.NewReader(line + "\r\n\r\n")).ReadHead(testLimit); err == nil != want {
+		if _, err := NewReader(strings.NewReader(line + "\r\n\r\n")).ReadHead(testLimit); err == nil != want {
 			t.Errorf("%q: got error %v, want valid %t", line, err, want)
 		}
 	}
@@ -68,7 +68,7 @@
 				"whole": strings.NewReader(tc.text), "byte by byte": iotest.OneByteReader(strings.NewReader(tc.text)), "with the end": iotest.DataErrReader(strings.NewReader(tc.text)),
 			} {
 				r := NewReader(in)
-				if err := r.ReadHead(testLimit); !errors.Is(err, tc.err) {
+				if _, err := r.ReadHead(testLimit); !errors.Is(err, tc.err) {
 					t.Errorf("%s: got error %v, want %v", kind, err, tc.err)
 				}
 				if tc.err != nil {
@@ -100,8 +100,8 @@
 
 func checkHead(t *testing.T, b []byte) {
 	r := NewReader(bytes.NewReader(b))
-	err := r.ReadHead(testLimit)
-	if slow := NewReader(iotest.OneByteReader(bytes.NewReader(b))).ReadHead(testLimit); (slow == nil) != (err == nil) {
+	_, err := r.ReadHead(testLimit)
+	if _, slow := NewReader(iotest.OneByteReader(bytes.NewReader(b))).ReadHead(testLimit); (slow == nil) != (err == nil) {
 		t.Errorf("got error %v byte by byte, otherwise %v", slow, err)
 	}
 	if err != nil {
--- a/internal/gooseresponse/reader.go
+++ b/internal/gooseresponse/reader.go
@@ -31,18 +31,18 @@
 // ReadHead waits until the head of a final response has arrived and returns an error if it is
 // invalid. Interim responses before it are skipped. Read then returns the head and what follows
 // it. limit bounds the heads in total.
-func (r *Reader) ReadHead(limit int) error {
+func (r *Reader) ReadHead(limit int) (Head, error) {
 	for {
 		length, err := r.receiveHead(limit)
 		if err != nil {
-			return err
+			return Head{}, err
 		}
 		h, err := parseHead(r.buf[:length])
 		if err != nil {
-			return err
+			return Head{}, err
 		}
-		if h.status >= http.StatusOK {
-			return nil
+		if h.Status >= http.StatusOK {
+			return h, nil
 		}
 		r.buf = r.buf[length:]
 		limit -= length
