gooseforward: a response to HEAD keeps the replica's length

Callers saw: Content-Length: 0 on each response to HEAD. Cause: the length was that of the body, which a response to HEAD never has. Change: the replica's length is passed on, and none if it states none.

--- a/internal/gooseforward/response.go
+++ b/internal/gooseforward/response.go
@@ -68,13 +68,25 @@
 // writeResponse writes a replica's complete response to the caller, unchanged.
 func (c *call) writeResponse(resp *response) {
 	c.copyHeader(resp.header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
+	c.setLength(resp)
 	c.committed = true
 	c.w.WriteHeader(resp.status)
 	// A write error means that the caller has disconnected and needs no response.
 	_, _ = c.w.Write(resp.body)
 }
 
+// setLength states the length of the body. A response to HEAD has none, and the replica's length
+// is that of the response to GET.
+func (c *call) setLength(resp *response) {
+	if c.r.Method != http.MethodHead {
+		c.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
+		return
+	}
+	if length, ok := resp.header["Content-Length"]; ok {
+		c.w.Header()["Content-Length"] = length
+	}
+}
+
 func (c *call) copyHeader(from http.Header) {
 	to := c.w.Header()
 	for name, values := range from {
--- a/internal/gooseforward/target_test.go
+++ b/internal/gooseforward/target_test.go
@@ -132,3 +132,25 @@
 		})
 	}
 }
+
+// Guards against a response to HEAD that states another length than the replica's.
+func TestHeadRequest(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct{ response, want string }{
+		"length":  {response: "Content-Length: 11\r\n\r\n", want: "11"},
+		"chunks":  {response: "Transfer-Encoding: chunked\r\n\r\n"},
+		"neither": {response: "\r\n"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, raw("HTTP/1.1 200 OK\r\nX-Stamp: s\r\nID\r\n"+tc.response))
+			r := h.request(t.Context(), "/look/x", "")
+			r.Method = http.MethodHead
+			got := h.send(r)
+			if got.status != http.StatusOK || got.cut || got.body != "" || got.header.Get("Content-Length") != tc.want {
+				t.Errorf("got status %d, body %q, length %q, want length %q", got.status, got.body, got.header.Get("Content-Length"), tc.want)
+			}
+		})
+	}
+}
