gooseforward: a line of a stream with a bare CR is no event

Callers saw: a line that they read as several, since CR ends a line of an event stream: its id and its data were not checked, and an event could end where forward saw none. Cause: lines were split at LF alone, and any number of CR before it was dropped from the check. Change: one CR before LF belongs to the end of the line; any other ends the stream as broken. Before: TestBareCRInStream fails in 5 of 7 cases, three runs of three. After: 50 runs pass beside two busy processes. Streams with lines that end in CRLF pass before and after.

--- a/internal/gooseforward/broken_test.go
+++ b/internal/gooseforward/broken_test.go
@@ -181,3 +181,38 @@
 		})
 	}
 }
+
+// Guards against a line of a stream that the caller reads as several: a bare CR ends a line for
+// it, so that it would see events that were not checked.
+func TestBareCRInStream(t *testing.T) {
+	t.Parallel()
+	const first = "id: 1\ndata: 1\n\n"
+	tests := map[string]struct {
+		stream string
+		want   string
+	}{
+		"CRLF":                 {stream: strings.ReplaceAll(first, "\n", "\r\n"), want: strings.ReplaceAll(first, "\n", "\r\n")},
+		"in a line":            {stream: first + "data: 2\rid: 9\n\n", want: first},
+		"two in a line":        {stream: first + "data: 2\r\rdata: 3\n\n", want: first},
+		"before CRLF":          {stream: first + "data: 2\r\r\ndata: 3\n\n", want: first},
+		"in a comment":         {stream: first + ": x\rdata: 2\n\n", want: first},
+		"alone at the line":    {stream: first + "\r\r\n" + first, want: first},
+		"lines that end in CR": {stream: "id: 1\rdata: 1\r\r", want: ""},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, respond(http.StatusOK, "text/event-stream", tc.stream))
+			got := h.post("/whole/x", "body")
+			complete := tc.stream == tc.want
+			switch {
+			case tc.want == "":
+				if got.status < http.StatusMultipleChoices {
+					t.Errorf("got status %d, body %q, want a failure", got.status, got.body)
+				}
+			case got.status != http.StatusOK || got.body != tc.want || got.cut == complete:
+				t.Errorf("got status %d, cut %t, body %q, want complete %t, %q", got.status, got.cut, got.body, complete, tc.want)
+			}
+		})
+	}
+}
--- a/internal/gooseforward/event.go
+++ b/internal/gooseforward/event.go
@@ -71,7 +71,7 @@
 		if err != nil {
 			return event{}, err
 		}
-		text := bytes.TrimRight(data[start:], "\r\n")
+		text := bytes.TrimSuffix(bytes.TrimSuffix(data[start:], []byte("\n")), []byte("\r"))
 		if len(text) == 0 {
 			if len(bytes.TrimSpace(ev.data)) == 0 {
 				ev.data = ev.data[:0]
@@ -92,8 +92,11 @@
 }
 
 // isFieldLine reports whether a line is a comment, or a field with a name of lower-case
-// letters, digits and hyphens.
+// letters, digits and hyphens. A line with a bare CR is none: callers read it as several lines.
 func isFieldLine(text []byte) bool {
+	if bytes.IndexByte(text, '\r') >= 0 {
+		return false
+	}
 	name, _, _ := bytes.Cut(text, []byte(":"))
 	for _, b := range name {
 		if (b < 'a' || b > 'z') && (b < '0' || b > '9') && b != '-' {
