gooseforward, gooseengine: a response that names two attempts belongs to none

Callers saw: a response that names their attempt and another one was passed on. Cause: only the first of several equal headers was compared. Change: every value has to name the attempt.

--- a/internal/gooseengine/exchange.go
+++ b/internal/gooseengine/exchange.go
@@ -290,10 +290,14 @@
 
 func (x *exchange) header(name string) string { return string(x.resp.Header.Peek(name)) }
 
-// namesOtherAttempt reports whether the response names another attempt than id.
+// namesOtherAttempt reports whether the response names another attempt than id, also beside id.
 func (x *exchange) namesOtherAttempt(id goose.AttemptID) bool {
-	got := x.header(headerRequestID)
-	return got != "" && got != string(id)
+	for _, got := range x.resp.Header.PeekAll(headerRequestID) {
+		if len(got) > 0 && string(got) != string(id) {
+			return true
+		}
+	}
+	return false
 }
 
 // close breaks the connection.
--- a/internal/gooseforward/head_test.go
+++ b/internal/gooseforward/head_test.go
@@ -57,6 +57,8 @@
 		"two codings":                    {response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\nX-Stamp: s\r\nID\r\n\r\n4\r\ndone\r\n0\r\n\r\n", want: http.StatusBadGateway},
 		"chunks in HTTP/1.0":             {response: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nX-Stamp: s\r\nID\r\n\r\n4\r\ndone\r\n0\r\n\r\n", want: http.StatusBadGateway},
 		"trailer":                        {response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-More\r\nX-Stamp: s\r\nID\r\n\r\n4\r\ndone\r\n0\r\nX-More: a\r\n\r\n", want: http.StatusOK},
+		"id twice":                       {response: "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n" + rest, want: http.StatusOK},
+		"another id after its own":       {response: "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Attempt-Id: a2\r\n" + rest, want: http.StatusBadGateway},
 		"malformed trailer":              {response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Stamp: s\r\nID\r\n\r\n4\r\ndone\r\n0\r\nno trailer\r\n\r\n", want: http.StatusBadGateway},
 		"trailer without an end":         {response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Stamp: s\r\nID\r\n\r\n4\r\ndone\r\n0\r\nX-More: a\r\n", want: http.StatusBadGateway},
 		"chunk without its end":          {response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Stamp: s\r\nID\r\n\r\n4\r\ndoneXX0\r\n\r\n", want: http.StatusBadGateway},
@@ -76,3 +78,42 @@
 		})
 	}
 }
+
+// Guards against chunks that are malformed or cut and count as a complete body.
+func TestChunks(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		chunks string
+		bad    bool
+	}{
+		"usual":                      {chunks: "2\r\nok\r\n0\r\n\r\n"},
+		"zeros before the size":      {chunks: "002\r\nok\r\n000\r\n\r\n"},
+		"extension":                  {chunks: "2;a=b\r\nok\r\n0\r\n\r\n"},
+		"trailer":                    {chunks: "2\r\nok\r\n0\r\nA: b\r\n\r\n"},
+		"bytes after the end":        {chunks: "2\r\nok\r\n0\r\n\r\n2\r\nko\r\n0\r\n\r\n"},
+		"bytes after a chunk":        {chunks: "2\r\nokXX0\r\n\r\n", bad: true},
+		"longer than its size":       {chunks: "1\r\nok\r\n0\r\n\r\n", bad: true},
+		"sign":                       {chunks: "+2\r\nok\r\n0\r\n\r\n", bad: true},
+		"negative":                   {chunks: "-2\r\nok\r\n0\r\n\r\n", bad: true},
+		"prefix":                     {chunks: "0x2\r\nok\r\n0\r\n\r\n", bad: true},
+		"no size":                    {chunks: "\r\nok\r\n0\r\n\r\n", bad: true},
+		"size above all":             {chunks: "ffffffffffffffff2\r\nok\r\n0\r\n\r\n", bad: true},
+		"cut before the end":         {chunks: "2\r\nok\r\n", bad: true},
+		"cut in the last chunk":      {chunks: "2\r\nok\r\n0", bad: true},
+		"cut after the last chunk":   {chunks: "2\r\nok\r\n0\r\n", bad: true},
+		"cut in the last line":       {chunks: "2\r\nok\r\n0\r\n\r", bad: true},
+		"trailer without an end":     {chunks: "2\r\nok\r\n0\r\nA: b\r\n", bad: true},
+		"trailer without a colon":    {chunks: "2\r\nok\r\n0\r\nno trailer\r\n\r\n", bad: true},
+		"trailer with control bytes": {chunks: "2\r\nok\r\n0\r\nA: \x00b\r\n\r\n", bad: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, raw("HTTP/1.1 200 OK\r\nX-Stamp: s\r\nID\r\nTransfer-Encoding: chunked\r\n\r\n"+tc.chunks))
+			got := h.post("/order/x", "body")
+			if complete := got.status == http.StatusOK && !got.cut; complete == tc.bad || complete && got.body != "ok" {
+				t.Errorf("got status %d, cut %t, body %q, want complete %t", got.status, got.cut, got.body, !tc.bad)
+			}
+		})
+	}
+}
