--- a/internal/gooseforward/event_test.go
+++ b/internal/gooseforward/event_test.go
@@ -91,10 +91,11 @@
 	}
 }
 
-// eventsTarget checks that decoding a stream neither panics, hangs nor adds bytes.
+// eventsTarget checks that decoding a stream neither panics, hangs nor adds bytes, and that no
+// event contains a bare CR, which callers read as the end of a line.
 var eventsTarget = goosefuzz.Target{
 	Runs:  200_000,
-	Seeds: [][]any{{[]byte("id: 1\ndata: a\n\n")}, {[]byte("\r\n\r\nid:\n\n")}, {[]byte("x: 1\nid: 2\n\nid: 3")}},
+	Seeds: [][]any{{[]byte("id: 1\ndata: a\n\n")}, {[]byte("\r\n\r\nid:\n\n")}, {[]byte("x: 1\nid: 2\n\nid: 3")}, {[]byte("id: 1\r\rdata: a\r\r\n\r\n")}},
 	Check: func(t *testing.T, stream []byte) {
 		r := newEventReader(bytes.NewReader(stream))
 		total := 0
@@ -104,6 +105,9 @@
 				break
 			}
 			total += len(ev.data)
+			if bytes.Contains(bytes.ReplaceAll(ev.data, []byte("\r\n"), nil), []byte("\r")) {
+				t.Errorf("got the event %q", ev.data)
+			}
 		}
 		if total > len(stream) {
 			t.Errorf("got %d bytes of events from %d", total, len(stream))
