gooseplatformtest: the store can be restored from a copy

Cause: the tests of a rollback need a store that loses acknowledged writes. Change: Copy and Restore with the header Store-Era, 410 for watches after the newest revision, revisions and lease ids that are assigned again, and responses that are held back. In goosehosttest each instance has a connection to the store of its own that can be cut.

--- a/internal/goosehosttest/fleet.go
+++ b/internal/goosehosttest/fleet.go
@@ -59,19 +59,13 @@
 type Fleet struct {
 	t *testing.T
 	// Store is a fake of the platform's store.
-	Store        *gooseplatformtest.Store
-	storeAddress string
+	Store *gooseplatformtest.Store
 }
 
 // New starts the fakes.
 func New(t *testing.T) *Fleet {
 	t.Helper()
-	f := &Fleet{t: t, Store: gooseplatformtest.NewStore()}
-	server := httptest.NewServer(f.Store)
-	t.Cleanup(server.Close)
-	t.Cleanup(server.CloseClientConnections)
-	f.storeAddress = strings.TrimPrefix(server.URL, "http://")
-	return f
+	return &Fleet{t: t, Store: gooseplatformtest.NewStore()}
 }
 
 // WriteRouting writes a routing version that routes /x/ to a service.
@@ -118,6 +112,46 @@
 	// Shutdown begins a graceful shutdown and waits until the instance has stopped.
 	Shutdown func()
 	done     chan error
+	// store gives the instance access to the store of the fleet.
+	store        *httptest.Server
+	disconnected atomic.Bool
+}
+
+// connectStore starts the instance's access to the store.
+func (i *Instance) connectStore(t *testing.T, store http.Handler) {
+	i.store = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if i.disconnected.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(i.store.Close)
+	t.Cleanup(i.store.CloseClientConnections)
+	i.settings.StoreAddress = strings.TrimPrefix(i.store.URL, "http://")
+}
+
+// SetStoreReachable connects the instance to the store or disconnects it.
+func (i *Instance) SetStoreReachable(reachable bool) {
+	i.disconnected.Store(!reachable)
+	if !reachable {
+		i.store.CloseClientConnections()
+	}
+}
+
+// Metric returns the line of a metric without labels, or an empty string if there is none.
+func (i *Instance) Metric(name string) string {
+	resp, err := http.Get("http://" + net.JoinHostPort(i.settings.Address, strconv.Itoa(metricsPort)) + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	for line := range strings.Lines(string(body)) {
+		if strings.HasPrefix(line, name+" ") {
+			return strings.TrimSpace(line)
+		}
+	}
+	return ""
 }
 
 // StartInstance runs an instance until the test ends; the instance logs to out.
@@ -128,10 +162,11 @@
 		Instance: goose.InstanceID(name), DataCentre: "leith", Address: address,
 		CallerAddress: net.JoinHostPort(address, strconv.Itoa(callerPort)),
 		ReadyAddress:  net.JoinHostPort(address, strconv.Itoa(readyPort)),
-		FirstPort:     internalPort, LastPort: internalPort, StoreAddress: f.storeAddress,
-		DataCentres: []goose.DataCentre{"leith"}, StopTimeout: 10 * time.Second,
+		FirstPort:     internalPort, LastPort: internalPort, ReregistrationGrace: 2 * time.Second,
+		DataCentres: []goose.DataCentre{"leith", "oban"}, StopTimeout: 10 * time.Second,
 		Retry: gooseplatform.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Burst: 100},
 	}}
+	e.connectStore(f.t, f.Store)
 	var ctx context.Context
 	ctx, e.BeginShutdown = context.WithCancel(context.Background())
 	go func() { e.done <- goosehost.Run(ctx, e.settings, metricsPort, out) }()
--- a/internal/gooseplatformtest/store.go
+++ b/internal/gooseplatformtest/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -24,6 +25,8 @@
 	FaultLoseResponse Fault = "lost"
 	// FaultResetConnection closes the connection and does not execute the call.
 	FaultResetConnection Fault = "reset"
+	// FaultHoldResponse executes the call and holds its response back until ReleaseHeld.
+	FaultHoldResponse Fault = "held"
 )
 
 // pageSize is the number of items in one page of a range. It is small, so that tests read
@@ -51,14 +54,18 @@
 	history           []item
 	leases            map[int64]time.Duration
 	lastLease         int64
-	fault             func(path string) Fault
-	calls             map[string]int
+	// era is how often the store was restored from a copy.
+	era int64
+	// release is closed when the responses that are held back may be sent.
+	release chan struct{}
+	fault   func(path string) Fault
+	calls   map[string]int
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
-		changed: make(chan struct{}), items: map[string]item{}, leases: map[int64]time.Duration{}, calls: map[string]int{},
+		changed: make(chan struct{}), release: make(chan struct{}), items: map[string]item{}, leases: map[int64]time.Duration{}, calls: map[string]int{},
 	}
 }
 
@@ -171,6 +178,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
+	era := s.era
 	fault := FaultNone
 	if s.fault != nil {
 		fault = s.fault(r.URL.Path)
@@ -178,34 +186,54 @@
 	s.mu.Unlock()
 	switch fault {
 	case FaultUnavailable:
+		setEra(w, era)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case FaultResetConnection:
 		panic(http.ErrAbortHandler)
 	}
-	status, body := s.handle(r)
-	if fault == FaultLoseResponse {
+	status, body, era := s.handle(r)
+	switch fault {
+	case FaultLoseResponse:
 		panic(http.ErrAbortHandler)
+	case FaultHoldResponse:
+		s.waitForRelease(r.Context())
 	}
 	w.Header().Set("Content-Type", "application/json")
+	setEra(w, era)
 	w.WriteHeader(status)
 	// The test may have closed the connection, so the error is ignored.
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-func (s *Store) handle(r *http.Request) (int, any) {
+// handle executes a call. It returns the status and the body of the response, and the era in which
+// the call was executed.
+func (s *Store) handle(r *http.Request) (status int, body any, era int64) {
+	if r.URL.Path == "/v1/kv-watch" {
+		return s.watch(r)
+	}
+	request, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status, body = s.execute(r, request)
+	return status, body, s.era
+}
+
+// execute executes a call that does not wait. The lock must be held.
+func (s *Store) execute(r *http.Request, request []byte) (int, any) {
 	id := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
 	switch {
 	case r.URL.Path == "/v1/kv-key":
 		return s.get(r.URL.Query().Get("key"))
 	case r.URL.Path == "/v1/kv-range":
 		return s.list(r.URL.Query().Get("prefix"), r.URL.Query().Get("after"))
-	case r.URL.Path == "/v1/kv-watch":
-		return s.watch(r)
 	case r.URL.Path == "/v1/kv-txn":
-		return s.txn(r)
+		return s.txn(request)
 	case r.URL.Path == "/v1/kv-lease":
-		return s.grant(r)
+		return s.grant(request)
 	case strings.HasPrefix(r.URL.Path, "/v1/kv-keep/"):
 		return s.keepAlive(id)
 	case strings.HasPrefix(r.URL.Path, "/v1/kv-lease-end/"):
@@ -215,8 +243,6 @@
 }
 
 func (s *Store) get(key string) (int, any) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	i, ok := s.items[key]
 	if !ok {
 		return http.StatusNotFound, nil
@@ -228,8 +254,6 @@
 }
 
 func (s *Store) list(prefix, after string) (int, any) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	var all []item
 	for k, i := range s.items {
 		if strings.HasPrefix(k, prefix) && k > after {
@@ -244,7 +268,16 @@
 	return http.StatusOK, map[string]any{"items": all, "more-pages": more, "current-rev": s.revision}
 }
 
-func (s *Store) watch(r *http.Request) (int, any) {
+// endsWatch reports whether the present fault of a path ends its waiting calls. The lock must be held.
+func (s *Store) endsWatch(path string) bool {
+	if s.fault == nil {
+		return false
+	}
+	fault := s.fault(path)
+	return fault != FaultNone && fault != FaultHoldResponse
+}
+
+func (s *Store) watch(r *http.Request) (status int, body any, era int64) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("wait-ms"))
@@ -252,9 +285,10 @@
 	defer limit.Stop()
 	for {
 		s.mu.Lock()
-		if after < s.compactedRevision {
+		era = s.era
+		if after < s.compactedRevision || after > s.revision {
 			s.mu.Unlock()
-			return http.StatusGone, nil
+			return http.StatusGone, nil, era
 		}
 		events := []item{}
 		for _, i := range s.history {
@@ -262,25 +296,25 @@
 				events = append(events, i)
 			}
 		}
-		revision, changed, faulty := s.revision, s.changed, s.fault != nil && s.fault(r.URL.Path) != FaultNone
+		revision, changed, faulty := s.revision, s.changed, s.endsWatch(r.URL.Path)
 		s.mu.Unlock()
 		if faulty {
 			panic(http.ErrAbortHandler)
 		}
 		if len(events) > 0 {
-			return http.StatusOK, map[string]any{"events": events, "current-rev": revision}
+			return http.StatusOK, map[string]any{"events": events, "current-rev": revision}, era
 		}
 		select {
 		case <-changed:
 		case <-r.Context().Done():
-			return http.StatusOK, nil
+			return http.StatusOK, nil, era
 		case <-limit.C:
-			return http.StatusOK, map[string]any{"events": events, "current-rev": revision}
+			return http.StatusOK, map[string]any{"events": events, "current-rev": revision}, era
 		}
 	}
 }
 
-func (s *Store) txn(r *http.Request) (int, any) {
+func (s *Store) txn(request []byte) (int, any) {
 	var t struct {
 		Expected []struct {
 			Key      string
@@ -293,11 +327,9 @@
 		}
 		Drop []string
 	}
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+	if err := json.Unmarshal(request, &t); err != nil {
 		return http.StatusBadRequest, err.Error()
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, e := range t.Expected {
 		if s.items[e.Key].Revision != e.Revision {
 			return http.StatusPreconditionFailed, map[string]any{"items": []item{}}
@@ -318,23 +350,24 @@
 	return http.StatusOK, map[string]any{"revision": s.revision}
 }
 
-func (s *Store) grant(r *http.Request) (int, any) {
+func (s *Store) grant(request []byte) (int, any) {
 	var q struct {
 		TTL int64 `json:"ttl-ms"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil || q.TTL <= 0 {
+	if err := json.Unmarshal(request, &q); err != nil || q.TTL <= 0 {
 		return http.StatusBadRequest, nil
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	return http.StatusOK, map[string]any{"lease": s.newLease(time.Duration(q.TTL) * time.Millisecond), "ttl-ms": q.TTL}
+}
+
+// newLease returns the id of a new lease. The lock must be held.
+func (s *Store) newLease(ttl time.Duration) int64 {
 	s.lastLease++
-	s.leases[s.lastLease] = time.Duration(q.TTL) * time.Millisecond
-	return http.StatusOK, map[string]any{"lease": s.lastLease, "ttl-ms": q.TTL}
+	s.leases[s.lastLease] = ttl
+	return s.lastLease
 }
 
 func (s *Store) keepAlive(id string) (int, any) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	n, _ := strconv.ParseInt(id, 10, 64)
 	ttl, ok := s.leases[n]
 	if !ok {
@@ -344,8 +377,6 @@
 }
 
 func (s *Store) revoke(id string) (int, any) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	n, _ := strconv.ParseInt(id, 10, 64)
 	if _, ok := s.leases[n]; !ok {
 		return http.StatusNotFound, nil
