--- a/internal/gooseevent/events_forward.go
+++ b/internal/gooseevent/events_forward.go
@@ -33,5 +33,7 @@
 	RegistrationLost     = define(723, slog.LevelWarn, "registration lost", "The instance's entry in the platform's store could not be renewed; it is written again.")
 	InputFailed          = define(732, slog.LevelError, "input failed", "A message of another instance or an entry of the store caused an internal error and was dropped; the fields input and error describe it. This is a bug.")
 	RoutineLinesLeftOut  = define(731, slog.LevelWarn, "routine log lines left out", "There were more lines about served requests than the limit per second; the field count is the number of lines left out since the last such line. Lines about failures are not left out.")
+	StoreEraRisen        = define(780, slog.LevelWarn, "store restored", "The platform's store was restored from an older copy: the field era is its new era, and source states whether the store or a peer has shown it. Leaving replicas and evacuations stay as they were known until the entries are written again; the registration and the crash records of this instance are written again.")
+	StoreEraDisproved    = define(781, slog.LevelWarn, "reported store era is wrong", "A peer has reported an era of the platform's store that the store does not have; reports of that era and of higher ones are ignored. The field reported is the wrong era.")
 	LogLinesDropped      = define(730, slog.LevelWarn, "log lines dropped", "Standard output did not accept the lines in time, or there were more lines than the limit; the field count is the number of lines dropped since the last such line.")
 )
