goosegossip: the registration is written again when the store was restored

Cause: a registration that was lost with a rollback was noticed with the next renewal only, after up to 3 s, or 6 s behind a relay. If the store had assigned the id of the lease again, the renewals kept the lease of another instance, and the instance stayed unregistered. Change: a lease belongs to an era of the store. When the era changes, the instance registers again within 0.3 s, and neither renews nor revokes the older lease. The delay is random so that a large fleet does not write at once.

--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -25,6 +25,7 @@
 	"github.com/gooseberryhold/gooseberryhold/internal/gooselog"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosedirectory"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseera"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosegossip"
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooseplacement"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosequarantine"
@@ -58,6 +59,7 @@
 	logHandler   *gooselog.Handler
 	clock        goose.Clock
 	store        goose.Store
+	era          *gooseera.Tracker
 	relay        *gooserelay.Relay
 	directory    *goosedirectory.Directory
 	follower     *goosedirectory.Follower
@@ -104,7 +106,7 @@
 
 // newHost builds the components in the order of their dependencies.
 func newHost(s gooseplatform.Settings, logWriter *gooselog.Writer, logHandler *gooselog.Handler, log *slog.Logger) (*host, error) {
-	h := &host{settings: s, log: log, logWriter: logWriter, logHandler: logHandler, clock: goose.SystemClock{}, metrics: metrics.NewSet()}
+	h := &host{settings: s, era: gooseera.New(log), log: log, logWriter: logWriter, logHandler: logHandler, clock: goose.SystemClock{}, metrics: metrics.NewSet()}
 	h.draining, h.beginDrain = context.WithCancel(context.Background())
 	h.stopping, h.endWork = context.WithCancel(context.Background())
 	store, err := gooseplatform.NewStore(s.StoreAddress)
@@ -112,7 +114,7 @@
 		return nil, errors.Wrap(err, "setting platform.addr")
 	}
 	watchPause := gooseplatform.WatchPause(s.ChangeBound)
-	store = store.WithWatchPause(watchPause).WithMaxPollWait(gooseplatform.MaxPollWait(s.ChangeBound)).WithObserver(func(path string, status int, d time.Duration) {
+	store = store.WithWatchPause(watchPause).WithMaxPollWait(gooseplatform.MaxPollWait(s.ChangeBound)).WithEraCheck(h.era.BeginCall).WithObserver(func(path string, status int, d time.Duration) {
 		h.metrics.GetOrCreateHistogram(fmt.Sprintf(`gooseberryhold_store_call_seconds{call=%q,status="%d"}`, path, status)).Update(d.Seconds())
 	})
 	if err := h.buildRelay(store, watchPause); err != nil {
@@ -218,7 +220,7 @@
 		Placer:    h.placer, StoreView: h.follower.View, OnPeerView: h.follower.ObservePeer, Quarantine: h.quarantine, Log: h.log, Clock: h.clock,
 	})
 	at := goose.RegisteredInstance{Address: address, DataCentre: h.settings.DataCentre}
-	h.registration = goosegossip.NewRegistration(h.store, h.settings.Instance, at, h.onRenewalFailure, h.followingRelay, h.log)
+	h.registration = goosegossip.NewRegistration(h.store, h.settings.Instance, at, h.onRenewalFailure, h.followingRelay, h.era, h.log)
 	return nil
 }
 
--- a/pkg/goosegossip/gossip_test.go
+++ b/pkg/goosegossip/gossip_test.go
@@ -17,6 +17,7 @@
 	"github.com/gooseberryhold/gooseberryhold/internal/goosestoretest"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosedirectory"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseera"
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooseplacement"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosequarantine"
 )
@@ -303,7 +304,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := goosestoretest.New()
 		var failures atomic.Int64
-		r := NewRegistration(store, "a", goose.RegisteredInstance{Address: "10.0.0.1:7"}, func(error) { failures.Add(1) }, func() bool { return false }, slog.New(slog.DiscardHandler))
+		r := NewRegistration(store, "a", goose.RegisteredInstance{Address: "10.0.0.1:7"}, func(error) { failures.Add(1) }, func() bool { return false }, gooseera.New(slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
 		store.SetDown(true)
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan struct{})
--- a/pkg/goosegossip/instance.go
+++ b/pkg/goosegossip/instance.go
@@ -31,8 +31,15 @@
 	followerRenewInterval = 4 * time.Second
 	// retryDelay is the pause after a failed registration.
 	retryDelay = time.Second
+	// maxRewriteDelay bounds the random delay before the registration is written again after a
+	// rollback of the store, so that the instances of a large fleet do not all write at once.
+	maxRewriteDelay = 300 * time.Millisecond
 )
 
+// errEraChanged means that the store was restored from an older copy: the lease may be gone, and
+// its id may be that of another instance's lease.
+var errEraChanged = errors.New("the store was restored from a copy")
+
 // StoreDecoder decodes the registrations of instances and leaves all other entries to the
 // platform's decoder that it embeds.
 type StoreDecoder struct{ goose.StoreDecoder }
@@ -76,20 +83,25 @@
 	value     string
 	onFailure func(error)
 	following func() bool
-	log       *slog.Logger
+	era       goose.EraTracker
+	// eraChanged gets a value after each change of the era.
+	eraChanged <-chan struct{}
+	log        *slog.Logger
 }
 
 // NewRegistration returns a registration; Run keeps it. onFailure is called with the error
 // of each renewal to which the store did not respond. following reports whether the changes
-// of the store come from a relay.
+// of the store come from a relay. era knows the era of the store.
 func NewRegistration(
-	store goose.Store, instance goose.InstanceID, at goose.RegisteredInstance, onFailure func(error), following func() bool, log *slog.Logger,
+	store goose.Store, instance goose.InstanceID, at goose.RegisteredInstance, onFailure func(error), following func() bool, era goose.EraTracker, log *slog.Logger,
 ) *Registration {
 	value := at.Address
 	if at.DataCentre != "" {
 		value += " " + string(at.DataCentre)
 	}
-	return &Registration{store: store, instance: instance, value: value, onFailure: onFailure, following: following, log: log}
+	return &Registration{
+		store: store, instance: instance, value: value, onFailure: onFailure, following: following, era: era, eraChanged: era.Subscribe(), log: log,
+	}
 }
 
 // renewPause returns the time until the next renewal. Instances that started together renew
@@ -106,18 +118,26 @@
 // lease.
 func (r *Registration) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		// A lease of an older era is of no use, and one of a newer era is only replaced.
+		era := r.era.Current()
 		lease, err := r.register(ctx)
 		if err != nil {
 			goose.Sleep(ctx, retryDelay)
 			continue
 		}
+		if r.era.Current() != era {
+			continue
+		}
 		gooseevent.InstanceRegistered.Log(r.log, slog.String("address", r.value), slog.Duration("ttl", leaseTTL))
-		err = r.renew(ctx, lease)
+		err = r.renew(ctx, lease, era)
 		if ctx.Err() != nil {
-			r.revoke(lease)
+			r.revoke(lease, era)
 			return
 		}
 		gooseevent.RegistrationLost.Log(r.log, slog.Any("error", err))
+		if errors.Is(err, errEraChanged) {
+			goose.Sleep(ctx, rand.N(maxRewriteDelay))
+		}
 	}
 }
 
@@ -131,11 +151,11 @@
 	return lease, err
 }
 
-// renew returns once the lease no longer exists or ctx ends. While the store is
+// renew returns once the lease no longer exists, its era has ended or ctx ends. While the store is
 // unavailable the expiry of the lease may be suspended, so it is renewed until the store
 // reports that it does not exist.
-func (r *Registration) renew(ctx context.Context, lease goose.LeaseID) error {
-	for goose.Sleep(ctx, r.renewPause()) {
+func (r *Registration) renew(ctx context.Context, lease goose.LeaseID, era goose.StoreEra) error {
+	for r.waitForRenewal(ctx, era) {
 		_, err := r.store.KeepAlive(ctx, lease)
 		switch {
 		case errors.Is(err, goose.ErrLeaseNotFound):
@@ -144,10 +164,33 @@
 			r.onFailure(err)
 		}
 	}
-	return ctx.Err()
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	return errEraChanged
 }
 
-func (r *Registration) revoke(lease goose.LeaseID) {
+// waitForRenewal waits until the lease is due for renewal. It returns false if ctx or the era of
+// the lease has ended.
+func (r *Registration) waitForRenewal(ctx context.Context, era goose.StoreEra) bool {
+	t := time.NewTimer(r.renewPause())
+	defer t.Stop()
+	for ctx.Err() == nil && r.era.Current() == era {
+		select {
+		case <-t.C:
+			return ctx.Err() == nil && r.era.Current() == era
+		case <-r.eraChanged:
+		case <-ctx.Done():
+		}
+	}
+	return false
+}
+
+// revoke ends the lease, unless its id may be that of another lease of a newer era.
+func (r *Registration) revoke(lease goose.LeaseID, era goose.StoreEra) {
+	if r.era.Current() != era {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), retryDelay)
 	defer cancel()
 	if err := r.store.Revoke(ctx, lease); err != nil {
