gooserelay: messages and state belong to an era of the store

Cause: after the store was restored, a relay that had not noticed vouched for a revision that no longer exists, followers kept the largest revision they had heard, updates of one era followed revisions of another, and a difference could be applied to another value of the same key and revision. Change: messages carry the era; without it, as from older builds, it is 0. A message of an older era is dropped, a higher one is learned. Revisions, confirmations, bases and the source are dropped with their era, and a watch ends with it.

--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -162,7 +162,8 @@
 	h.relay = gooserelay.New(gooserelay.Options{
 		Instance: h.settings.Instance, Store: store, Conn: conn, Neighbours: h.neighbourRelays,
 		Instances:   func(now time.Time) int { return h.placer.Instances(now) },
-		ChangeBound: h.settings.ChangeBound, WatchPause: watchPause, MaxPollWait: gooseplatform.MaxPollWait(h.settings.ChangeBound), Log: h.log, Clock: h.clock,
+		ChangeBound: h.settings.ChangeBound, WatchPause: watchPause, MaxPollWait: gooseplatform.MaxPollWait(h.settings.ChangeBound),
+		Era: h.era, Log: h.log, Clock: h.clock,
 	})
 	h.store = h.relay
 	return nil
@@ -192,7 +193,8 @@
 	if h.relay == nil {
 		return 0, false
 	}
-	return h.relay.Relayed(now)
+	r, ok := h.relay.Relayed(now)
+	return r.Revision, ok
 }
 
 // followingRelay reports whether the changes of the store come from another instance.
--- a/pkg/gooserelay/delta.go
+++ b/pkg/gooserelay/delta.go
@@ -173,26 +173,34 @@
 
 // List implements goose.Store. It keeps the long values for the differences that follow.
 func (r *Relay) List(ctx context.Context, prefix string, limit int) ([]goose.Entry, int64, error) {
+	era := r.o.Era.Current()
 	entries, revision, err := r.Store.List(ctx, prefix, limit)
 	events := make([]goose.WatchEvent, 0, len(entries))
 	for _, e := range entries {
 		events = append(events, goose.WatchEvent{Entry: e})
 	}
-	r.keepBases(events)
+	r.keepBases(events, era)
 	return entries, revision, err
 }
 
-// keepBases keeps the long values of changes that were delivered.
-func (r *Relay) keepBases(events []goose.WatchEvent) {
+// keepBases keeps the long values of changes of an era that were delivered.
+func (r *Relay) keepBases(events []goose.WatchEvent, era goose.StoreEra) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.dropOlderEra(); era != r.era {
+		return
+	}
 	r.bases = r.bases.with(events)
 }
 
 // expand adds the changes of an update that are known by their differences.
 func (r *Relay) expand(u update) (update, error) {
 	r.mu.Lock()
+	r.dropOlderEra()
 	known := r.bases
+	if u.era != r.era {
+		known = nil
+	}
 	r.mu.Unlock()
 	for _, d := range u.deltas {
 		e, err := known.expand(d)
--- a/pkg/gooserelay/delta_test.go
+++ b/pkg/gooserelay/delta_test.go
@@ -93,7 +93,7 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			r := &Relay{bases: bases{}.with(tc.known)}
+			r := &Relay{o: Options{Era: newTracker()}, bases: bases{}.with(tc.known)}
 			got, err := r.expand(update{after: 5, until: 7, events: whole, deltas: deltas})
 			if (err == nil) != tc.want {
 				t.Fatalf("got error %v, want a value: %t", err, tc.want)
@@ -132,7 +132,7 @@
 func TestOlderInstanceFindsNoUpdate(t *testing.T) {
 	t.Parallel()
 	relay := bases{}.with([]goose.WatchEvent{{Entry: goose.Entry{Key: "op/config", Value: []byte(configuration(3)), ModRevision: 3}}})
-	r := &Relay{bases: relay}
+	r := &Relay{o: Options{Era: newTracker()}, bases: relay}
 	u := newUpdate(3, 4, []goose.WatchEvent{{Entry: goose.Entry{Key: "op/config", Value: []byte(configuration(4)), ModRevision: 4}}})
 	parts, err := r.encode(&u)
 	if err != nil || len(u.deltas) != 1 || len(parts) != 1 {
--- a/pkg/gooserelay/message.go
+++ b/pkg/gooserelay/message.go
@@ -43,6 +43,8 @@
 	// differences to earlier values. Instances that do not know DeltaData find no update.
 	Data      []byte `cbor:"8,keyasint,omitempty"`
 	DeltaData []byte `cbor:"9,keyasint,omitempty"`
+	// Era is the era of all revisions. Instances that do not know eras send none, which is era 0.
+	Era goose.StoreEra `cbor:"10,keyasint,omitempty"`
 }
 
 // data returns the part of the update in the message.
@@ -58,8 +60,8 @@
 	switch {
 	case m.From == "":
 		return errors.New("no sender")
-	case m.Revision < 0 || m.Age < 0:
-		return errors.Errorf("revision %d, age %s", m.Revision, m.Age)
+	case m.Era < 0 || m.Revision < 0 || m.Age < 0:
+		return errors.Errorf("era %d, revision %d, age %s", m.Era, m.Revision, m.Age)
 	case m.Parts < 0 || m.Parts > maxParts || m.Part < 0 || m.Parts > 0 && m.Part >= m.Parts:
 		return errors.Errorf("part %d of %d", m.Part, m.Parts)
 	case m.After < 0 || m.Until < m.After || m.Until == math.MaxInt64:
@@ -73,7 +75,9 @@
 	// after and until are revisions: the update has all changes after the first one up to the
 	// second one, of each key the last.
 	after, until int64
-	events       []goose.WatchEvent
+	// era is the era of the revisions.
+	era    goose.StoreEra
+	events []goose.WatchEvent
 	// deltas are the events of which only differences are known.
 	deltas []deltaEvent
 }
--- a/pkg/gooserelay/message_test.go
+++ b/pkg/gooserelay/message_test.go
@@ -66,7 +66,7 @@
 		if err != nil {
 			panic(err)
 		}
-		r := &Relay{bases: fuzzBases}
+		r := &Relay{o: Options{Era: newTracker()}, bases: fuzzBases}
 		u := newUpdate(3, 4, []goose.WatchEvent{{Entry: goose.Entry{Key: "op/config", Value: []byte(configuration(4)), ModRevision: 4}}})
 		differences, err := r.encode(&u)
 		if err != nil {
@@ -89,7 +89,7 @@
 	Check: func(t *testing.T, datagram []byte) {
 		r := New(Options{
 			Instance: "a", Instances: func(time.Time) int { return 20 }, ChangeBound: changeBound,
-			Log: slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
+			Era: newTracker(), Log: slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
 		})
 		r.bases = fuzzBases
 		r.handleDatagram(datagram)
--- a/pkg/gooserelay/relay.go
+++ b/pkg/gooserelay/relay.go
@@ -74,8 +74,10 @@
 	// MaxPollWait bounds how long the store may delay the response to a poll in a small fleet. A
 	// connection that goes silent is noticed only when the poll on it ends.
 	MaxPollWait time.Duration
-	Log         *slog.Logger
-	Clock       goose.Clock
+	// Era knows the era of the store; the store's responses have passed it.
+	Era   goose.EraTracker
+	Log   *slog.Logger
+	Clock goose.Clock
 }
 
 // Relay is a store whose watches of all keys are fed by the relay of the data centre, or by
@@ -95,6 +97,8 @@
 	leadFrom time.Time
 
 	mu sync.Mutex
+	// era is the era of the state below, which is dropped when another one begins.
+	era goose.StoreEra
 	// leading is set while this instance is a relay.
 	leading bool
 	// revision is the revision up to which this instance knows all changes, and confirmedAt
@@ -149,6 +153,7 @@
 func (r *Relay) Leading() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.dropOlderEra()
 	return r.leading
 }
 
@@ -160,9 +165,11 @@
 
 // Relayed returns the revision up to which the relay that is followed delivers the changes of
 // the store, or false if there is none.
-func (r *Relay) Relayed(now time.Time) (int64, bool) {
-	s, ok := r.currentSource(now)
-	return s.revision, ok
+func (r *Relay) Relayed(now time.Time) (goose.StoreRevision, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dropOlderEra()
+	return goose.StoreRevision{Era: r.era, Revision: r.source.revision}, r.sourceValid(now)
 }
 
 // currentSource returns the relay that is followed, or false if there is none that vouches
@@ -170,6 +177,7 @@
 func (r *Relay) currentSource(now time.Time) (source, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.dropOlderEra()
 	return r.source, r.sourceValid(now)
 }
 
@@ -185,6 +193,9 @@
 func (r *Relay) recordPoll(u update, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.dropOlderEra(); u.era != r.era {
+		return
+	}
 	r.revision, r.confirmedAt = u.until, now
 	if !r.leading && !r.sourceValid(now) && r.isLargeFleet(now) && !now.Before(r.leadFrom) {
 		r.leading = true
@@ -276,6 +287,7 @@
 func (r *Relay) dueMessages(now time.Time) []message {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.dropOlderEra()
 	age := now.Sub(r.confirmedAt)
 	if r.leading && !r.isLargeFleet(now) {
 		r.stopLeading("small fleet")
@@ -286,7 +298,7 @@
 	if !r.leading {
 		return nil
 	}
-	heartbeat := message{From: r.o.Instance, Revision: r.revision, Age: age}
+	heartbeat := message{From: r.o.Instance, Era: r.era, Revision: r.revision, Age: age}
 	messages := []message{heartbeat}
 	waiting := r.outgoing[:0]
 	for _, o := range r.outgoing {
@@ -334,10 +346,14 @@
 	r.handle(m, r.o.Clock.Now())
 }
 
-// handle applies a message of another instance.
+// handle applies a message of another instance. The revisions of another era mean nothing here.
 func (r *Relay) handle(m message, now time.Time) {
+	r.o.Era.ObservePeer(m.Era)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.dropOlderEra(); m.Era != r.era {
+		return
+	}
 	validFor := min(r.o.ChangeBound/vouchDivisor-m.Age, heartbeatsMissed*r.o.ChangeBound/heartbeatDivisor)
 	if validFor <= 0 || !r.follows(m.From, now) {
 		return
@@ -382,6 +398,7 @@
 		// An update that cannot be read is missing, and is read from the store.
 		return
 	}
+	u.era = m.Era
 	select {
 	case r.received <- u:
 	default:
--- a/pkg/gooserelay/relay_test.go
+++ b/pkg/gooserelay/relay_test.go
@@ -123,7 +123,7 @@
 		},
 		Instances:   func(time.Time) int { return len(f.instances) },
 		ChangeBound: changeBound, WatchPause: 1600 * time.Millisecond, MaxPollWait: maxPollWait,
-		Log: slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
+		Era: newTracker(), Log: slog.New(slog.DiscardHandler), Clock: goose.SystemClock{},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
--- a/pkg/gooserelay/watch.go
+++ b/pkg/gooserelay/watch.go
@@ -31,8 +31,9 @@
 	events chan goose.WatchEvent
 	ctx    context.Context
 	stop   context.CancelFunc
-	// revision is the revision up to which all changes were delivered.
+	// revision is the revision up to which all changes were delivered, and era its era.
 	revision int64
+	era      goose.StoreEra
 	// polledAt is when the store was last polled, and pollWait how long it may delay the
 	// response to the next poll in a small fleet.
 	polledAt time.Time
@@ -45,12 +46,13 @@
 }
 
 // Watch implements goose.Store. Only watches of all keys are relayed, and only one of them
-// may run at a time.
+// may run at a time. A watch belongs to the era that is known when it begins: the caller ends it
+// when another one begins.
 func (r *Relay) Watch(ctx context.Context, prefix string, fromRevision int64) (goose.Watcher, error) {
 	if prefix != "" {
 		return r.Store.Watch(ctx, prefix, fromRevision)
 	}
-	w := &watcher{relay: r, events: make(chan goose.WatchEvent), revision: fromRevision - 1, pollWait: firstPollWait}
+	w := &watcher{relay: r, events: make(chan goose.WatchEvent), revision: fromRevision - 1, era: r.o.Era.Current(), pollWait: firstPollWait}
 	w.ctx, w.stop = context.WithCancel(ctx)
 	go w.run()
 	return w, nil
@@ -135,13 +137,18 @@
 	after := w.revision
 	events, until, err := w.relay.o.Store.Poll(w.ctx, "", after, w.nextPollWait())
 	w.polledAt = w.relay.o.Clock.Now()
+	if err == nil && w.relay.o.Era.Current() != w.era {
+		err = errors.Wrap(goose.ErrCompacted, "another era of the store")
+	}
 	if err != nil {
 		w.failures++
 		return err
 	}
 	w.failures = 0
-	w.relay.recordPoll(newUpdate(after, until, events), w.polledAt)
-	w.relay.keepBases(events)
+	u := newUpdate(after, until, events)
+	u.era = w.era
+	w.relay.recordPoll(u, w.polledAt)
+	w.relay.keepBases(events, w.era)
 	if err := w.deliver(events); err != nil {
 		return err
 	}
@@ -249,7 +256,7 @@
 // apply delivers the changes of an update that are new. An update that does not follow what
 // was delivered is dropped, and read from the store later.
 func (w *watcher) apply(u update) error {
-	if u.after > w.revision || u.until <= w.revision {
+	if u.era != w.era || u.after > w.revision || u.until <= w.revision {
 		return nil
 	}
 	u, err := w.relay.expand(u)
@@ -257,7 +264,7 @@
 		// It is read from the store as one that is missing.
 		return nil
 	}
-	w.relay.keepBases(u.events)
+	w.relay.keepBases(u.events, u.era)
 	var fresh []goose.WatchEvent
 	for _, e := range u.events {
 		if e.Entry.ModRevision > w.revision {
