goosedirectory, goosequarantine: state is kept over a rollback of the store

Cause: after the store was restored from an older copy, the copy's contents replaced what had been acknowledged: replicas that had said they leave, or were removed, and evacuated data centres got requests again; crash records that the copy lacks counted as deleted by an operator, or as still stored and were not written again; a watch went on from a revision that the store had assigned again and missed all changes up to it. Change: the follower reads the store completely in each new era. For the grace time the list removes nothing and replaces nothing newer; born and seq order the entries of a replica. Then the store is read once more. An entry that is older than what an earlier era had stays without effect. Load reports carry the era, and revisions of peers are compared within an era. Crash records that the copy lacks stay in force and are written again, at once by their own instance. New gauge gooseberryhold_store_era. Conclusion: an instance that starts after the rollback still reads the copy as it is.

--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -124,12 +124,12 @@
 	h.registerGauges()
 	h.directory = goosedirectory.New()
 	h.quarantine = goosequarantine.New(log)
-	h.storeSync = goosequarantine.NewStoreSync(h.quarantine, h.store, log, h.clock)
+	h.storeSync = goosequarantine.NewStoreSync(h.quarantine, h.store, h.era, log, h.clock)
 	decoder := goosequarantine.NewStoreDecoder(goosegossip.NewStoreDecoder(gooseplatform.NewStoreDecoder(s.DataCentres)), h.clock)
 	h.follower = goosedirectory.NewFollower(goosedirectory.FollowOptions{
 		Store: h.store, StoreDecoder: decoder, Directory: h.directory, CrashRecords: h.storeSync,
 		ReregistrationGrace: s.ReregistrationGrace, WatchPause: watchPause, Log: log, Clock: h.clock,
-		Relayed:               h.relayedRevision,
+		Relayed: h.relayedRevision, Era: h.era,
 		PeerStoreReachableFor: func(now time.Time) time.Duration { return h.gossip.PeerStoreReachableFor(now) },
 	})
 	h.placer = gooseplacement.New(gooseplacement.Options{
@@ -189,12 +189,11 @@
 
 // relayedRevision returns the revision up to which another instance delivers the changes of the
 // store, or false if none does.
-func (h *host) relayedRevision(now time.Time) (int64, bool) {
+func (h *host) relayedRevision(now time.Time) (goose.StoreRevision, bool) {
 	if h.relay == nil {
-		return 0, false
+		return goose.StoreRevision{}, false
 	}
-	r, ok := h.relay.Relayed(now)
-	return r.Revision, ok
+	return h.relay.Relayed(now)
 }
 
 // followingRelay reports whether the changes of the store come from another instance.
--- a/internal/goosehost/metrics.go
+++ b/internal/goosehost/metrics.go
@@ -42,6 +42,7 @@
 	gauge("gooseberryhold_store_reach_seconds", func(*goosedirectory.Snapshot) float64 {
 		return h.follower.ReachableFor(h.clock.Now()).Seconds()
 	})
+	gauge("gooseberryhold_store_era", func(*goosedirectory.Snapshot) float64 { return float64(h.era.Current()) })
 	gauge("gooseberryhold_store_relay", func(*goosedirectory.Snapshot) float64 {
 		if h.relay != nil && h.relay.Leading() {
 			return 1
--- a/pkg/goose/routing.go
+++ b/pkg/goose/routing.go
@@ -146,6 +146,8 @@
 	// StartedUnixMS is the Unix time in milliseconds at which the replica's process started; a
 	// larger one means a later process with the same replica ID.
 	StartedUnixMS int64
+	// Sequence counts the descriptions that the process has written.
+	Sequence int64
 	// ColdFor is how long the replica stays cold, counted from this description.
 	ColdFor time.Duration
 }
--- a/pkg/goosedirectory/directory.go
+++ b/pkg/goosedirectory/directory.go
@@ -57,6 +57,8 @@
 // entry is one replica with its pending removal.
 type entry struct {
 	replica Replica
+	// era is the era of the store in which the entry was read.
+	era goose.StoreEra
 	// removeAt is when the replica is removed unless it is listed again before. It is zero
 	// while the replica is listed.
 	removeAt time.Time
@@ -74,12 +76,18 @@
 	// keepMissingUntil is until when missing replicas are kept, since their leases may have
 	// expired only because the store was unavailable.
 	keepMissingUntil time.Time
+	// era is the newest era of the store that was read. Until holdUntil its contents may be those
+	// of an older copy.
+	era       goose.StoreEra
+	holdUntil time.Time
+	// removed contains the replicas that were removed lately.
+	removed map[goose.ReplicaID]removal
 }
 
 // New returns an empty directory.
 func New() *Directory {
 	d := &Directory{
-		entries: map[goose.ReplicaID]*entry{}, evacuated: map[goose.DataCentre]bool{}, instances: map[goose.InstanceID]goose.RegisteredInstance{},
+		entries: map[goose.ReplicaID]*entry{}, removed: map[goose.ReplicaID]removal{}, evacuated: map[goose.DataCentre]bool{}, instances: map[goose.InstanceID]goose.RegisteredInstance{},
 	}
 	d.publish()
 	return d
@@ -118,13 +126,19 @@
 		case goose.ChangeReplica:
 			d.removeMissing(changes, now)
 		case goose.ChangeEvacuation:
-			d.evacuated = map[goose.DataCentre]bool{}
+			if !d.holds(now) {
+				d.endMissingEvacuations(changes)
+			}
 		case goose.ChangeInstance:
-			d.instances = map[goose.InstanceID]goose.RegisteredInstance{}
+			if !d.holds(now) {
+				d.instances = map[goose.InstanceID]goose.RegisteredInstance{}
+			}
 		}
 	}
 	for _, c := range changes {
-		d.apply(c, now)
+		if !d.isStale(c, now) {
+			d.apply(c, now)
+		}
 	}
 	d.publish()
 }
@@ -150,10 +164,11 @@
 	removed := false
 	for id, e := range d.entries {
 		if !e.removeAt.IsZero() && !now.Before(e.removeAt) {
-			delete(d.entries, id)
+			d.drop(id, now)
 			removed = true
 		}
 	}
+	d.forgetRemovals(now)
 	if removed {
 		d.publish()
 	}
@@ -169,11 +184,9 @@
 		}
 		return d.applyReplica(c.Replica, now)
 	case goose.ChangeEvacuation:
-		if d.evacuated[c.DataCentre] == !c.Removed {
-			return false
-		}
+		before := d.evacuated[c.DataCentre]
 		d.evacuated[c.DataCentre] = !c.Removed
-		return true
+		return before == c.Removed
 	case goose.ChangeInstance:
 		registered := goose.RegisteredInstance{Address: c.Address, DataCentre: c.DataCentre}
 		if d.instances[c.Instance] == registered {
@@ -212,7 +225,8 @@
 	if ok && r.StartedUnixMS < old.replica.StartedUnixMS {
 		return false
 	}
-	d.entries[r.ID] = &entry{replica: Replica{Replica: r, ColdUntil: now.Add(r.ColdFor)}}
+	delete(d.removed, r.ID)
+	d.entries[r.ID] = &entry{era: d.era, replica: Replica{Replica: r, ColdUntil: now.Add(r.ColdFor)}}
 	return true
 }
 
@@ -227,7 +241,7 @@
 		}
 		return false
 	}
-	delete(d.entries, id)
+	d.drop(id, now)
 	return true
 }
 
--- a/pkg/goosedirectory/follow.go
+++ b/pkg/goosedirectory/follow.go
@@ -43,7 +43,9 @@
 	PeerStoreReachableFor func(now time.Time) time.Duration
 	// Relayed returns the newest revision of the store that another instance delivers changes
 	// up to, or false if this instance follows none. The store's watches use its changes.
-	Relayed      func(now time.Time) (revision int64, ok bool)
+	Relayed func(now time.Time) (revision goose.StoreRevision, ok bool)
+	// Era knows the era of the store; the store's responses have passed it.
+	Era          goose.EraTracker
 	CrashRecords CrashRecords
 	Log          *slog.Logger
 	Clock        goose.Clock
@@ -54,7 +56,7 @@
 	// ApplyChange is called with each change. Changes of other kinds are ignored.
 	ApplyChange(c goose.StoreChange)
 	// ReplaceAll is called with the complete contents of the store, read at a revision.
-	ReplaceAll(all []goose.StoreChange, revision int64)
+	ReplaceAll(all []goose.StoreChange, revision goose.StoreRevision)
 }
 
 // Follower keeps a directory up to date with the store.
@@ -77,12 +79,15 @@
 	cancelWatch map[string]context.CancelCauseFunc
 	// revision is the newest revision that was read, and lastProgress when a watch last
 	// started or the store last returned a revision.
-	revision     int64
+	revision     goose.StoreRevision
 	lastProgress time.Time
 	// peerRevision is the newest revision that a peer has read. behindSince is since when it
 	// has been newer than revision without any progress here, or zero if it is not newer.
-	peerRevision int64
+	peerRevision goose.StoreRevision
 	behindSince  time.Time
+	// holdUntil is when the contents of the store count that may be those of an older copy; zero
+	// if they count already.
+	holdUntil time.Time
 	// lastRestart is when the watches were last restarted because of a peer.
 	lastRestart time.Time
 }
@@ -135,18 +140,18 @@
 // follow reads the prefix and applies its changes. After each failure it reads the complete
 // prefix again, or goes on with the changes that another instance delivers.
 func (f *Follower) follow(ctx context.Context, prefix string) {
-	pause := minRetryPause
+	pause, changed := minRetryPause, f.o.Era.Subscribe()
 	// revision is that up to which the prefix was read, also while reading it fails.
-	for revision := int64(0); ctx.Err() == nil; {
+	for revision := (goose.StoreRevision{}); ctx.Err() == nil; {
 		var err error
-		if !f.mayResume(prefix) {
-			var read int64
+		if !f.mayResume(prefix, revision) {
+			var read goose.StoreRevision
 			if read, err = f.read(ctx, prefix); err == nil {
 				revision, pause = read, minRetryPause
 			}
 		}
 		for err == nil {
-			revision, err = f.watch(ctx, prefix, revision)
+			revision, err = f.watch(ctx, prefix, revision, changed)
 			if errors.Is(err, errRestart) {
 				err = nil
 			}
@@ -154,7 +159,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, goose.ErrCompacted) {
+		if errors.Is(err, goose.ErrCompacted) || errors.Is(err, errEraChanged) || errors.Is(err, errHoldEnded) {
 			f.forget(prefix)
 			continue
 		}
@@ -167,13 +172,13 @@
 // mayResume reports whether a prefix that was read can be kept up to date without the store,
 // because another instance delivers the changes. After an outage of the store itself the
 // prefix has to be read, since leases have expired.
-func (f *Follower) mayResume(prefix string) bool {
+func (f *Follower) mayResume(prefix string, revision goose.StoreRevision) bool {
 	now := f.o.Clock.Now()
-	_, relayed := f.o.Relayed(now)
+	newest, relayed := f.o.Relayed(now)
 	peerReachableFor := f.o.PeerStoreReachableFor(now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return relayed && f.resumable[prefix] && peerReachableFor > now.Sub(f.stateSince)
+	return relayed && newest.Era == revision.Era && f.resumable[prefix] && peerReachableFor > now.Sub(f.stateSince)
 }
 
 // forget makes the follower read the complete prefix again.
@@ -185,14 +190,14 @@
 
 // recordRelayed ends the failure of a prefix once another instance has delivered all changes
 // of the store up to the given revision.
-func (f *Follower) recordRelayed(prefix string, revision int64) {
+func (f *Follower) recordRelayed(prefix string, revision goose.StoreRevision) {
 	f.mu.Lock()
 	failing := f.failing[prefix]
 	f.mu.Unlock()
 	if !failing {
 		return
 	}
-	if newest, ok := f.o.Relayed(f.o.Clock.Now()); ok && newest <= revision {
+	if newest, ok := f.o.Relayed(f.o.Clock.Now()); ok && newest.Era == revision.Era && !newest.After(revision) {
 		f.recordResult(prefix, nil)
 	}
 }
@@ -228,12 +233,18 @@
 }
 
 // read reads a complete prefix and replaces its contents in the directory.
-func (f *Follower) read(ctx context.Context, prefix string) (int64, error) {
-	entries, revision, err := f.o.Store.List(ctx, prefix, 0)
+func (f *Follower) read(ctx context.Context, prefix string) (goose.StoreRevision, error) {
+	era := f.o.Era.Current()
+	entries, number, err := f.o.Store.List(ctx, prefix, 0)
 	if err != nil {
-		return 0, err
+		return goose.StoreRevision{}, err
 	}
+	if f.o.Era.Current() != era {
+		return goose.StoreRevision{}, errEraChanged
+	}
+	revision := goose.StoreRevision{Era: era, Revision: number}
 	f.recordResult(prefix, nil)
+	f.beginEra(era)
 	changes := make([]goose.StoreChange, 0, len(entries))
 	for _, e := range entries {
 		changes = append(changes, f.decode(e, false))
@@ -252,10 +263,13 @@
 }
 
 // recordRevision records that the store has returned a revision.
-func (f *Follower) recordRevision(revision int64) {
+func (f *Follower) recordRevision(revision goose.StoreRevision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision, f.lastProgress, f.behindSince = max(f.revision, revision), f.o.Clock.Now(), time.Time{}
+	if revision.After(f.revision) {
+		f.revision = revision
+	}
+	f.lastProgress, f.behindSince = f.o.Clock.Now(), time.Time{}
 }
 
 // kindsOfPrefix returns the kinds of changes whose entries are all below the prefix.
@@ -269,39 +283,48 @@
 	return kinds
 }
 
-// watch applies the changes after a revision until the watch ends. It returns the revision
-// of the last change.
-func (f *Follower) watch(ctx context.Context, prefix string, revision int64) (int64, error) {
+// watch applies the changes after a revision until the watch or the era of the revision ends. It
+// returns the revision of the last change.
+func (f *Follower) watch(ctx context.Context, prefix string, revision goose.StoreRevision, changed <-chan struct{}) (goose.StoreRevision, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.mu.Lock()
 	f.cancelWatch[prefix], f.lastProgress = cancel, f.o.Clock.Now()
 	f.mu.Unlock()
-	w, err := f.o.Store.Watch(ctx, prefix, revision+1)
+	w, err := f.o.Store.Watch(ctx, prefix, revision.Revision+1)
 	if err != nil {
 		return revision, err
 	}
 	defer w.Close()
 	ticker := time.NewTicker(f.o.WatchPause)
 	defer ticker.Stop()
-	for {
+	holdEnd, stop := f.holdEnd()
+	defer stop()
+	for f.o.Era.Current() == revision.Era {
 		select {
+		case <-changed:
+		case <-holdEnd:
+			return revision, errHoldEnded
 		case <-ticker.C:
 			f.recordRelayed(prefix, revision)
 		case e, ok := <-w.Events():
+			if f.o.Era.Current() != revision.Era {
+				return revision, errEraChanged
+			}
 			if !ok && ctx.Err() == nil {
 				return revision, w.Err()
 			}
 			if !ok {
 				return revision, context.Cause(ctx)
 			}
-			revision = max(revision, e.Entry.ModRevision)
+			revision.Revision = max(revision.Revision, e.Entry.ModRevision)
 			f.recordRevision(revision)
 			f.apply(e)
 		case <-ctx.Done():
 			return revision, context.Cause(ctx)
 		}
 	}
+	return revision, errEraChanged
 }
 
 func (f *Follower) apply(e goose.WatchEvent) {
--- a/pkg/goosedirectory/follow_test.go
+++ b/pkg/goosedirectory/follow_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/gooseberryhold/gooseberryhold/internal/goosestoretest"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseera"
 )
 
 // testDecoder decodes the keys "r/<id>" as replicas. The value "bad" is unreadable.
@@ -38,8 +39,8 @@
 // noCrashRecords ignores all crash records.
 type noCrashRecords struct{}
 
-func (noCrashRecords) ApplyChange(goose.StoreChange)         {}
-func (noCrashRecords) ReplaceAll([]goose.StoreChange, int64) {}
+func (noCrashRecords) ApplyChange(goose.StoreChange)                       {}
+func (noCrashRecords) ReplaceAll([]goose.StoreChange, goose.StoreRevision) {}
 
 const testWatchPause = 800 * time.Millisecond
 
@@ -56,7 +57,7 @@
 	store := goosestoretest.New()
 	d, f := runFollower(t, FollowOptions{
 		Store: store, PeerStoreReachableFor: func(time.Time) time.Duration { return peerReachableFor },
-		Relayed: func(time.Time) (int64, bool) { return 0, false },
+		Relayed: func(time.Time) (goose.StoreRevision, bool) { return goose.StoreRevision{}, false },
 	})
 	return store, d, f
 }
@@ -66,6 +67,9 @@
 	t.Helper()
 	d := New()
 	o.StoreDecoder, o.Directory, o.ReregistrationGrace, o.WatchPause = testDecoder{}, d, 2*time.Second, testWatchPause
+	if o.Era == nil {
+		o.Era = gooseera.New(slog.New(slog.DiscardHandler))
+	}
 	o.CrashRecords, o.Log, o.Clock = noCrashRecords{}, slog.New(slog.DiscardHandler), goose.SystemClock{}
 	f := NewFollower(o)
 	ctx, stop := context.WithCancel(context.Background())
@@ -114,7 +118,9 @@
 		var relayed atomic.Int64
 		d, f := runFollower(t, FollowOptions{
 			Store: store, PeerStoreReachableFor: func(time.Time) time.Duration { return time.Hour },
-			Relayed: func(time.Time) (int64, bool) { return relayed.Load(), relayed.Load() > 0 },
+			Relayed: func(time.Time) (goose.StoreRevision, bool) {
+				return goose.StoreRevision{Revision: relayed.Load()}, relayed.Load() > 0
+			},
 		})
 		commit(t, store.Store, goose.Put("r/a", nil))
 		time.Sleep(settleTime)
@@ -171,7 +177,9 @@
 		var relayed atomic.Int64
 		d, _ := runFollower(t, FollowOptions{
 			Store: store, PeerStoreReachableFor: func(time.Time) time.Duration { return 500 * time.Millisecond },
-			Relayed: func(time.Time) (int64, bool) { return relayed.Load(), relayed.Load() > 0 },
+			Relayed: func(time.Time) (goose.StoreRevision, bool) {
+				return goose.StoreRevision{Revision: relayed.Load()}, relayed.Load() > 0
+			},
 		})
 		commit(t, store.Store, goose.Put("r/a", nil))
 		time.Sleep(settleTime)
--- a/pkg/goosedirectory/view.go
+++ b/pkg/goosedirectory/view.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
 const (
@@ -30,13 +31,19 @@
 	RecoveredFor time.Duration `cbor:"2,keyasint,omitempty"`
 	// Revision is the newest revision that was read.
 	Revision int64 `cbor:"3,keyasint,omitempty"`
+	// Era is the newest era of the store that is known, and that of the revision. Instances that
+	// do not know eras send none, which is era 0.
+	Era goose.StoreEra `cbor:"4,keyasint,omitempty"`
 }
 
 // View returns this instance's view of the store.
 func (f *Follower) View(now time.Time) StoreView {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := StoreView{Revision: f.revision, ReachableFor: f.reachableFor(now)}
+	v := StoreView{Era: f.o.Era.Current(), ReachableFor: f.reachableFor(now)}
+	if f.revision.Era == v.Era {
+		v.Revision = f.revision.Revision
+	}
 	if f.recovered {
 		v.RecoveredFor = v.ReachableFor
 	}
@@ -56,11 +63,12 @@
 // peers have had a newer revision for some time, or if the peer detected a failure of the
 // store and recover while the watches were waiting.
 func (f *Follower) ObservePeer(peer StoreView) {
+	f.o.Era.ObservePeer(peer.Era)
 	now := f.o.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peerRevision = max(f.peerRevision, peer.Revision)
-	if f.peerRevision > f.revision && f.behindSince.IsZero() {
+	f.recordPeerRevision(goose.StoreRevision{Era: peer.Era, Revision: peer.Revision})
+	if f.peerRevision.After(f.revision) && f.behindSince.IsZero() {
 		f.behindSince = now
 	}
 	behind := !f.behindSince.IsZero() && now.Sub(f.behindSince) > f.o.WatchPause+behindMargin
@@ -69,7 +77,15 @@
 		f.lastRestart, f.behindSince = now, time.Time{}
 		f.cancelWatches(errRestart)
 		gooseevent.WatchRenewed.Log(f.o.Log, slog.Bool("behind", behind), slog.Bool("outage", outage),
-			slog.Int64("revision", f.revision), slog.Int64("peer-revision", f.peerRevision), slog.Duration("peer-found", peer.RecoveredFor))
+			slog.Int64("revision", f.revision.Revision), slog.Int64("peer-revision", f.peerRevision.Revision), slog.Duration("peer-found", peer.RecoveredFor))
+	}
+}
+
+// recordPeerRevision keeps the newest revision of the peers in the era of this instance. A peer
+// that has noticed a rollback earlier or later has revisions that say nothing about this watch.
+func (f *Follower) recordPeerRevision(peer goose.StoreRevision) {
+	if peer.Era == f.revision.Era && peer.After(f.peerRevision) {
+		f.peerRevision = peer
 	}
 }
 
--- a/pkg/goosegossip/message.go
+++ b/pkg/goosegossip/message.go
@@ -97,7 +97,7 @@
 		return errors.Errorf("part %d of %d", m.Part, m.Parts)
 	case m.Sum && m.DataCentre == "":
 		return errors.New("sum without a data centre")
-	case m.Store.ReachableFor < 0 || m.Store.RecoveredFor < 0:
+	case m.Store.ReachableFor < 0 || m.Store.RecoveredFor < 0 || m.Store.Era < 0:
 		return errors.Errorf("view of the store: %+v", m.Store)
 	}
 	return nil
--- a/pkg/goosequarantine/report.go
+++ b/pkg/goosequarantine/report.go
@@ -153,3 +153,16 @@
 		e.saveAt = until
 	}
 }
+
+// requeueSaves makes all records due for saving again: those of this instance at once, the others
+// after the time in which their own instances have saved them.
+func (t *Table) requeueSaves(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		e.saveAt = now
+		if e.source != SourceOwn {
+			e.saveAt = now.Add(t.saveDelay(e.record, e.source, now))
+		}
+	}
+}
--- a/pkg/goosequarantine/store.go
+++ b/pkg/goosequarantine/store.go
@@ -94,18 +94,20 @@
 type StoreSync struct {
 	table *Table
 	store goose.Store
+	era   goose.EraTracker
 	log   *slog.Logger
 	clock goose.Clock
 
 	mu     sync.Mutex
 	stored map[goose.Fingerprint]storedState
-	// synced is set once the store has been read.
-	synced bool
+	// synced is set once the store has been read, and storedEra is the era in which it was read.
+	synced    bool
+	storedEra goose.StoreEra
 }
 
 // NewStoreSync returns a StoreSync. It does not write to the store until Run is called.
-func NewStoreSync(table *Table, store goose.Store, log *slog.Logger, clock goose.Clock) *StoreSync {
-	return &StoreSync{table: table, store: store, log: log, clock: clock, stored: map[goose.Fingerprint]storedState{}}
+func NewStoreSync(table *Table, store goose.Store, era goose.EraTracker, log *slog.Logger, clock goose.Clock) *StoreSync {
+	return &StoreSync{table: table, store: store, era: era, log: log, clock: clock, stored: map[goose.Fingerprint]storedState{}}
 }
 
 // ApplyChange applies a change of the store.
@@ -134,11 +136,17 @@
 }
 
 // ReplaceAll applies a complete list of the store, read at a revision. Changes that were
-// written while the pages of the list were read may be newer than the list.
-func (s *StoreSync) ReplaceAll(all []goose.StoreChange, revision int64) {
+// written while the pages of the list were read may be newer than the list. Records that are
+// missing in the first list of an era were lost with the older contents of the store: they are
+// written again.
+func (s *StoreSync) ReplaceAll(all []goose.StoreChange, revision goose.StoreRevision) {
 	s.mu.Lock()
 	before := s.stored
-	s.stored, s.synced = map[goose.Fingerprint]storedState{}, true
+	if s.synced && revision.Era != s.storedEra {
+		before = nil
+		s.table.requeueSaves(s.clock.Now())
+	}
+	s.stored, s.synced, s.storedEra = map[goose.Fingerprint]storedState{}, true, revision.Era
 	var listed []goose.CrashRecord
 	for _, c := range all {
 		if c.Kind == goose.ChangeCrash {
@@ -149,7 +157,7 @@
 	var deleted []storedState
 	for f, old := range before {
 		switch listedRevision := s.stored[f].revision; {
-		case old.revision > max(revision, listedRevision):
+		case old.revision > max(revision.Revision, listedRevision):
 			// The record was written after the list was read.
 			s.stored[f] = old
 		case listedRevision == 0:
@@ -194,16 +202,19 @@
 
 // save writes the records that the store lacks and deletes those that have expired. If
 // another instance has changed a record in the meantime, the write has no effect and the
-// watch delivers the change.
+// watch delivers the change. A write during which an era begins may be lost.
 func (s *StoreSync) save(ctx context.Context) error {
-	now := s.clock.Now()
-	for _, w := range s.dueWrites(now) {
+	now, era := s.clock.Now(), s.era.Current()
+	for _, w := range s.dueWrites(now, era) {
 		result, err := s.store.Commit(ctx, w.txn(now))
 		if err != nil {
 			return err
 		}
+		if s.era.Current() != era {
+			return nil
+		}
 		if result.Succeeded {
-			s.recordWrite(w, result.Revision)
+			s.recordWrite(w, goose.StoreRevision{Era: era, Revision: result.Revision})
 		}
 	}
 	return nil
@@ -240,10 +251,10 @@
 // dueWrites returns the calls that are due now, at most maxSavesPerRound. Each call becomes
 // due again after a while unless it succeeds or the watch delivers another change of the
 // record.
-func (s *StoreSync) dueWrites(now time.Time) []storeWrite {
+func (s *StoreSync) dueWrites(now time.Time, era goose.StoreEra) []storeWrite {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.synced {
+	if !s.synced || s.storedEra != era {
 		return nil
 	}
 	var writes []storeWrite
@@ -274,11 +285,11 @@
 }
 
 // recordWrite records a call that has succeeded, before the watch delivers the change.
-func (s *StoreSync) recordWrite(w storeWrite, revision int64) {
+func (s *StoreSync) recordWrite(w storeWrite, revision goose.StoreRevision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := w.entry.record.Fingerprint
-	if s.stored[f].revision >= revision {
+	if s.storedEra != revision.Era || s.stored[f].revision >= revision.Revision {
 		return
 	}
 	if w.remove {
@@ -286,5 +297,5 @@
 		return
 	}
 	record := w.entry.recordAt(s.clock.Now())
-	s.recordStored(goose.StoreChange{Crash: record, Revision: revision})
+	s.recordStored(goose.StoreChange{Crash: record, Revision: revision.Revision})
 }
--- a/pkg/goosequarantine/store_test.go
+++ b/pkg/goosequarantine/store_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/gooseberryhold/gooseberryhold/internal/goosestoretest"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseera"
 )
 
 // emptyDecoder decodes no entries.
@@ -31,18 +32,20 @@
 	store *goosestoretest.Store
 	clock *fakeClock
 	table *Table
+	era   *gooseera.Tracker
 	*StoreSync
 }
 
 func newInstance(t *testing.T, store *goosestoretest.Store, now time.Time) *instance {
 	i := &instance{t: t, store: store, clock: &fakeClock{now: now}, table: New(slog.New(slog.DiscardHandler))}
-	i.StoreSync = NewStoreSync(i.table, store, slog.New(slog.DiscardHandler), i.clock)
+	i.era = gooseera.New(slog.New(slog.DiscardHandler))
+	i.StoreSync = NewStoreSync(i.table, store, i.era, slog.New(slog.DiscardHandler), i.clock)
 	i.relist()
 	return i
 }
 
 // list returns the content of the store and its revision.
-func (i *instance) list() ([]goose.StoreChange, int64) {
+func (i *instance) list() ([]goose.StoreChange, goose.StoreRevision) {
 	i.t.Helper()
 	entries, revision, err := i.store.List(context.Background(), "", 0)
 	if err != nil {
@@ -56,7 +59,7 @@
 		}
 		changes = append(changes, c)
 	}
-	return changes, revision
+	return changes, goose.StoreRevision{Era: i.era.Current(), Revision: revision}
 }
 
 // relist passes the content of the store to the instance.
@@ -315,3 +318,47 @@
 		t.Errorf("got %d calls, want 1 to %d", got, maxSaves)
 	}
 }
+
+// Guards against a request that runs again because its record is missing in an older copy of the
+// store, and against a record that is not written again after it.
+func TestRecordsAfterRollback(t *testing.T) {
+	t.Parallel()
+	store, start := goosestoretest.New(), time.Now()
+	a, b := newInstance(t, store, start), newInstance(t, store, start)
+	a.crash(1)
+	a.mustSave()
+	a.crash(2)
+	a.mustSave()
+	a.relist()
+	b.relist()
+	// This evidence is due for saving when the store is restored.
+	a.crash(3)
+	restored := goosestoretest.New()
+	const otherWrites = 9
+	for range otherWrites {
+		if _, err := restored.Commit(context.Background(), goose.Txn{Then: []goose.Op{goose.Put("other", nil)}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	writes := func() int { return restored.CallCount("commit") - otherWrites }
+	for _, i := range []*instance{a, b} {
+		i.store, i.StoreSync.store = restored, restored
+		i.era.ObservePeer(1)
+		i.mustSave()
+		if got := writes(); got != 0 {
+			t.Errorf("got %d writes before the store of the new era was read, want none", got)
+		}
+		i.relist()
+		if !i.quarantinesCulprit() {
+			t.Error("got the request out of quarantine after a rollback")
+		}
+	}
+	b.mustSave()
+	if got := writes(); got != 0 {
+		t.Errorf("got %d writes by an instance that has only read the record, want none at once", got)
+	}
+	a.mustSave()
+	if !newInstance(t, restored, a.clock.now).quarantinesCulprit() {
+		t.Error("got no record in the restored store")
+	}
+}
