goosesoak: the store is restored from an older copy

Cause: the soak did not combine a rollback of the store with other faults. Drawn apart, so that the plans of fixed seeds keep their other faults. Replicas count their writes in seq, as those of the platform do.

--- a/internal/gooseplatformtest/restore.go
+++ b/internal/gooseplatformtest/restore.go
@@ -63,6 +63,28 @@
 	s.notifyWatches()
 }
 
+// WriteAgain writes what operators and replicas had written before the store was restored, unless
+// they have written it since: before is a copy of the store at its restoration from restored.
+func (s *Store) WriteAgain(before, restored Copy, own func(key string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	written := map[string]bool{}
+	for _, i := range s.history {
+		written[i.Key] = written[i.Key] || i.Revision > restored.revision
+	}
+	for key, i := range before.items {
+		if own(key) && !written[key] {
+			s.put(key, i.Value, 0)
+		}
+	}
+	for key := range restored.items {
+		if _, kept := before.items[key]; own(key) && !kept && !written[key] {
+			s.remove(key)
+		}
+	}
+	s.notifyWatches()
+}
+
 // ReleaseHeld sends the responses that FaultHoldResponse holds back.
 func (s *Store) ReleaseHeld() {
 	s.mu.Lock()
--- a/internal/goosesoak/inject_test.go
+++ b/internal/goosesoak/inject_test.go
@@ -49,6 +49,8 @@
 		f.injectUnreachablePeers(i, ft)
 	case faultInvalidEntry:
 		injectFor(ft, func() { f.store.Put("servers/rubbish", "\x00{") }, func() { f.store.Delete("servers/rubbish") })
+	case faultStoreRestored:
+		f.injectRestore(ft)
 	case faultForeignEntry:
 		f.injectForeignEntry(e, ft)
 	}
@@ -64,6 +66,20 @@
 	injectFor(ft, func() { f.store.SetFault(func(string) gooseplatformtest.Fault { return fault }) }, func() { f.store.SetFault(nil) })
 }
 
+// injectRestore restores the store from a copy as old as the fault is long. Operators and replicas
+// write their entries again afterwards.
+func (f *fleet) injectRestore(ft fault) {
+	restored := f.store.Copy()
+	time.Sleep(ft.duration)
+	before := f.store.Copy()
+	f.store.Restore(restored)
+	time.Sleep(rewriteDelay)
+	f.store.WriteAgain(before, restored, func(key string) bool { return !strings.HasPrefix(key, "gooseberryhold/") })
+}
+
+// rewriteDelay is the time after which operators and replicas write their entries again.
+const rewriteDelay = time.Second
+
 // injectForeignEntry replaces a replica's entry by one of another writer, which names another
 // service and lacks a field, has one of another type or one twice.
 func (f *fleet) injectForeignEntry(e *endpoint, ft fault) {
@@ -73,7 +89,7 @@
 	good := r.storeEntry(e.proxy.address(), "ready")
 	other := f.endpoints[(ft.target+3)%len(f.endpoints)].service
 	foreign := spoilEntry(strings.Replace(good, fmt.Sprintf("%q", r.service), fmt.Sprintf("%q", other), 1), ft.target)
-	injectFor(ft, func() { f.store.Put("servers/"+r.id, foreign) }, func() { f.store.Put("servers/"+r.id, good) })
+	injectFor(ft, func() { f.store.Put("servers/"+r.id, foreign) }, func() { f.store.Put("servers/"+r.id, r.storeEntry(e.proxy.address(), "ready")) })
 }
 
 // spoilEntry returns an entry with one field left out, of another type or twice.
--- a/internal/goosesoak/plan_test.go
+++ b/internal/goosesoak/plan_test.go
@@ -32,6 +32,8 @@
 	faultNewVersion          faultKind = "new-version"
 	faultEvacuate            faultKind = "evacuate"
 	faultInvalidEntry        faultKind = "unreadable-entry"
+	// faultStoreRestored restores the store from an older copy.
+	faultStoreRestored faultKind = "store-restored"
 	// faultForeignEntry replaces the entry of a replica by one of another writer.
 	faultForeignEntry faultKind = "entry-of-another-writer"
 	// faultPeersUnreachable replaces the peer addresses in the store, so that load reports
@@ -98,6 +100,15 @@
 	return all
 }
 
+// planRestore draws the fault of kind faultStoreRestored, which like faultPeersUnreachable was
+// added after seeds had been fixed.
+func planRestore(random *rand.Rand, within time.Duration) []fault {
+	return []fault{{
+		kind: faultStoreRestored, start: time.Duration(random.Int64N(int64(within))),
+		duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration))),
+	}}
+}
+
 // meanUnreachableInterval is the mean time between two faultPeersUnreachable.
 const meanUnreachableInterval = 4 * time.Second
 
--- a/internal/goosesoak/replica_test.go
+++ b/internal/goosesoak/replica_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -54,6 +55,8 @@
 	journal                 *journal
 	server                  *httptest.Server
 	startedMS               int64
+	// writes counts the entries that the replica has written.
+	writes atomic.Int64
 	// onCrash is called when a poison request has crashed the replica.
 	onCrash func()
 
@@ -99,8 +102,8 @@
 
 // storeEntry returns the replica's entry in the store; address is the address of its proxy.
 func (r *replica) storeEntry(address, state string) string {
-	return fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"slots":16,"state":%q,"version":"1","cold-left-ms":0,"seq":1,"born":%d}`,
-		r.service, address, r.dataCentre, state, r.startedMS)
+	return fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"slots":16,"state":%q,"version":"1","cold-left-ms":0,"seq":%d,"born":%d}`,
+		r.service, address, r.dataCentre, state, r.writes.Add(1), r.startedMS)
 }
 
 // reserved returns the number of reservations that have not expired.
--- a/internal/goosesoak/soak_test.go
+++ b/internal/goosesoak/soak_test.go
@@ -59,6 +59,7 @@
 	f := newFleet(t, gooseprogramtest.LinkPrograms(t, gooseprogramtest.InstanceProgram), *instanceCount)
 	plan := planFaults(rand.New(rand.NewPCG(seed, 1)), *faultTime)
 	added := append(planUnreachablePeers(rand.New(rand.NewPCG(seed, 2)), *faultTime), planForeignEntries(rand.New(rand.NewPCG(seed, 4)), *faultTime)...)
+	added = append(added, planRestore(rand.New(rand.NewPCG(seed, 5)), *faultTime)...)
 	for _, ft := range added {
 		at, _ := slices.BinarySearchFunc(plan, ft, func(a, b fault) int { return cmp.Compare(a.start, b.start) })
 		plan = slices.Insert(plan, at, ft)
