goosehost: TestRollbackInLargeFleet

Cause: the relays, the follower and the load reports were tested one by one with eras. Run: on, in a scratch copy: 'got response "i-b" from instance 10 after the rollback, want that of i-a', and 'got 0 instances that know the replica of the restored store, want all'.

--- a/internal/goosehost/rollback_test.go
+++ b/internal/goosehost/rollback_test.go
@@ -239,3 +239,81 @@
 		within(t, convergence, "service b responds", func() bool { _, body := e.Get("k1"); return body == "i-b" })
 	}
 }
+
+// Guards against instances of a large fleet that go on with a relay of the older era, or that use
+// a leaving replica again, when half of them reach the store later than the others.
+func TestRollbackInLargeFleet(t *testing.T) {
+	t.Parallel()
+	tests := map[string][]gooseplatformtest.Write{
+		"store has older revisions": nil,
+		"store passes the revision": otherWrites(),
+	}
+	for name, writes := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			rollBackLargeFleet(t, writes)
+		})
+	}
+}
+
+func rollBackLargeFleet(t *testing.T, writes []gooseplatformtest.Write) {
+	t.Helper()
+	const instances = 12
+	const key = "servers/i-b"
+	f := goosehosttest.New(t)
+	f.Relays = true
+	f.WriteRouting(1, "a")
+	f.AddReplica("i-a", "a")
+	f.AddReplica("i-b", "a")
+	var entries []*goosehosttest.Instance
+	for n := range instances {
+		entries = append(entries, f.StartInstance(fmt.Sprint("edge-", n), io.Discard))
+	}
+	count := func(line string) (n int) {
+		name, _, _ := strings.Cut(line, " ")
+		for _, e := range entries {
+			if e.Metric(name) == line {
+				n++
+			}
+		}
+		return n
+	}
+	relayed := func() bool {
+		return count("gooseberryhold_store_relay 1") == 1 && count("gooseberryhold_store_relay_followed 1") == instances-1
+	}
+	goosehosttest.Eventually(t, "one relay reads the store for the others", relayed)
+	restored := f.Store.Copy()
+	f.Store.Put(key, edited(f, key, `"ready"`, `"draining"`, `"seq":1`, `"seq":2`))
+	f.WriteRouting(2, "a")
+	goosehosttest.Eventually(t, "the changes are in force", func() bool { return count("gooseberryhold_routing_version 2") == instances })
+	for _, e := range entries[:instances/2] {
+		e.SetStoreReachable(false)
+	}
+	writes = append([]gooseplatformtest.Write{gooseplatformtest.PutEntry("servers/i-c", edited(f, "servers/i-a", `"a"`, `"b"`))}, writes...)
+	f.Store.Restore(restored, writes...)
+	for start, connected := time.Now(), false; time.Since(start) < convergence; time.Sleep(20 * time.Millisecond) {
+		if !connected && time.Since(start) > rewriteDelay {
+			for _, e := range entries {
+				e.SetStoreReachable(true)
+			}
+			connected = true
+		}
+		for n, e := range entries {
+			if _, body := e.Get("k1"); body != "i-a" {
+				t.Fatalf("got response %q from instance %d after the rollback, want that of i-a", body, n)
+			}
+		}
+	}
+	if got := count("gooseberryhold_store_era 1"); got != instances {
+		t.Errorf("got %d instances that know the era, want all", got)
+	}
+	within(t, convergence, "one relay reads the store for the others again", relayed)
+	if got := count("gooseberryhold_replicas 3"); got != instances {
+		t.Errorf("got %d instances that know the replica of the restored store, want all", got)
+	}
+	f.WriteRouting(3, "a")
+	within(t, convergence, "the next version is in force", func() bool { return count("gooseberryhold_routing_version 3") == instances })
+	for _, e := range entries {
+		e.BeginShutdown()
+	}
+}
--- a/internal/goosehosttest/fleet.go
+++ b/internal/goosehosttest/fleet.go
@@ -60,6 +60,8 @@
 	t *testing.T
 	// Store is a fake of the platform's store.
 	Store *gooseplatformtest.Store
+	// Relays lets instances that are started read the changes of the store from each other.
+	Relays bool
 }
 
 // New starts the fakes.
@@ -166,6 +168,9 @@
 		DataCentres: []goose.DataCentre{"leith", "oban"}, StopTimeout: 10 * time.Second,
 		Retry: gooseplatform.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Burst: 100},
 	}}
+	if f.Relays {
+		e.settings.LastPort, e.settings.ChangeBound = internalPort+1, 3*time.Second
+	}
 	e.connectStore(f.t, f.Store)
 	var ctx context.Context
 	ctx, e.BeginShutdown = context.WithCancel(context.Background())
