--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -25,6 +25,7 @@
 	"github.com/gooseberryhold/gooseberryhold/internal/gooselog"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosedirectory"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseera"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosegossip"
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooseplacement"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosequarantine"
@@ -58,6 +59,7 @@
 	logHandler   *gooselog.Handler
 	clock        goose.Clock
 	store        goose.Store
+	era          *gooseera.Tracker
 	relay        *gooserelay.Relay
 	directory    *goosedirectory.Directory
 	follower     *goosedirectory.Follower
@@ -104,7 +106,7 @@
 
 // newHost builds the components in the order of their dependencies.
 func newHost(s gooseplatform.Settings, logWriter *gooselog.Writer, logHandler *gooselog.Handler, log *slog.Logger) (*host, error) {
-	h := &host{settings: s, log: log, logWriter: logWriter, logHandler: logHandler, clock: goose.SystemClock{}, metrics: metrics.NewSet()}
+	h := &host{settings: s, era: gooseera.New(log), log: log, logWriter: logWriter, logHandler: logHandler, clock: goose.SystemClock{}, metrics: metrics.NewSet()}
 	h.draining, h.beginDrain = context.WithCancel(context.Background())
 	h.stopping, h.endWork = context.WithCancel(context.Background())
 	store, err := gooseplatform.NewStore(s.StoreAddress)
@@ -112,7 +114,7 @@
 		return nil, errors.Wrap(err, "setting platform.addr")
 	}
 	watchPause := gooseplatform.WatchPause(s.ChangeBound)
-	store = store.WithWatchPause(watchPause).WithMaxPollWait(gooseplatform.MaxPollWait(s.ChangeBound)).WithObserver(func(path string, status int, d time.Duration) {
+	store = store.WithWatchPause(watchPause).WithMaxPollWait(gooseplatform.MaxPollWait(s.ChangeBound)).WithEraCheck(h.era.BeginCall).WithObserver(func(path string, status int, d time.Duration) {
 		h.metrics.GetOrCreateHistogram(fmt.Sprintf(`gooseberryhold_store_call_seconds{call=%q,status="%d"}`, path, status)).Update(d.Seconds())
 	})
 	if err := h.buildRelay(store, watchPause); err != nil {
@@ -122,12 +124,12 @@
 	h.registerGauges()
 	h.directory = goosedirectory.New()
 	h.quarantine = goosequarantine.New(log)
-	h.storeSync = goosequarantine.NewStoreSync(h.quarantine, h.store, log, h.clock)
+	h.storeSync = goosequarantine.NewStoreSync(h.quarantine, h.store, h.era, log, h.clock)
 	decoder := goosequarantine.NewStoreDecoder(goosegossip.NewStoreDecoder(gooseplatform.NewStoreDecoder(s.DataCentres)), h.clock)
 	h.follower = goosedirectory.NewFollower(goosedirectory.FollowOptions{
 		Store: h.store, StoreDecoder: decoder, Directory: h.directory, CrashRecords: h.storeSync,
 		ReregistrationGrace: s.ReregistrationGrace, WatchPause: watchPause, Log: log, Clock: h.clock,
-		Relayed:               h.relayedRevision,
+		Relayed: h.relayedRevision, Era: h.era,
 		PeerStoreReachableFor: func(now time.Time) time.Duration { return h.gossip.PeerStoreReachableFor(now) },
 	})
 	h.placer = gooseplacement.New(gooseplacement.Options{
@@ -160,7 +162,8 @@
 	h.relay = gooserelay.New(gooserelay.Options{
 		Instance: h.settings.Instance, Store: store, Conn: conn, Neighbours: h.neighbourRelays,
 		Instances:   func(now time.Time) int { return h.placer.Instances(now) },
-		ChangeBound: h.settings.ChangeBound, WatchPause: watchPause, MaxPollWait: gooseplatform.MaxPollWait(h.settings.ChangeBound), Log: h.log, Clock: h.clock,
+		ChangeBound: h.settings.ChangeBound, WatchPause: watchPause, MaxPollWait: gooseplatform.MaxPollWait(h.settings.ChangeBound),
+		Era: h.era, Log: h.log, Clock: h.clock,
 	})
 	h.store = h.relay
 	return nil
@@ -186,9 +189,9 @@
 
 // relayedRevision returns the revision up to which another instance delivers the changes of the
 // store, or false if none does.
-func (h *host) relayedRevision(now time.Time) (int64, bool) {
+func (h *host) relayedRevision(now time.Time) (goose.StoreRevision, bool) {
 	if h.relay == nil {
-		return 0, false
+		return goose.StoreRevision{}, false
 	}
 	return h.relay.Relayed(now)
 }
@@ -218,7 +221,7 @@
 		Placer:    h.placer, StoreView: h.follower.View, OnPeerView: h.follower.ObservePeer, Quarantine: h.quarantine, Log: h.log, Clock: h.clock,
 	})
 	at := goose.RegisteredInstance{Address: address, DataCentre: h.settings.DataCentre}
-	h.registration = goosegossip.NewRegistration(h.store, h.settings.Instance, at, h.onRenewalFailure, h.followingRelay, h.log)
+	h.registration = goosegossip.NewRegistration(h.store, h.settings.Instance, at, h.onRenewalFailure, h.followingRelay, h.era, h.log)
 	return nil
 }
 
