--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -389,11 +389,7 @@
 	if obstacle != ObstacleNone {
 		return placement{}, obstacle
 	}
-	share := prefill / time.Duration(len(p.replicas))
-	for _, c := range p.replicas {
-		wait := c.load.Prefill + share + passDuration(e, c.load)
-		p.expected = max(p.expected, time.Duration(float64(wait)*c.state.health.slownessAt(now)))
-	}
+	p.expected = p.timeToFirst(e, prefill, now)
 	if d.TimeLeft > 0 && p.expected > d.TimeLeft {
 		return placement{}, ObstacleLate
 	}
@@ -403,6 +399,18 @@
 	return p, ObstacleNone
 }
 
+// timeToFirst returns the estimated time to the first event: that of the slowest part of the
+// prefill.
+func (p placement) timeToFirst(e goose.EngineProfile, prefill time.Duration, now time.Time) time.Duration {
+	share := prefill / time.Duration(len(p.replicas))
+	slowest := time.Duration(0)
+	for _, c := range p.replicas {
+		wait := c.load.Prefill + share + passDuration(e, c.load)
+		slowest = max(slowest, time.Duration(float64(wait)*c.state.health.slownessAt(now)))
+	}
+	return slowest
+}
+
 // maxQueued is the number of requests that may queue for a slot of a replica. A slot
 // becomes free several times within the objective of a short request.
 const maxQueued = 1
