--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -48,7 +48,9 @@
 	// faultAt names the helper replica at fault; it is empty if the serving replica itself
 	// is at fault.
 	faultAt string
-	err     error
+	// draining is set if a replica that declined the request is being drained or has ended.
+	draining bool
+	err      error
 	// timeToFirst is the time to the first event, or zero if none arrived.
 	timeToFirst time.Duration
 	// process is the state of the replica's process, probed if the response was lost.
@@ -56,20 +58,15 @@
 }
 
 // placementRetryInterval is the interval between two attempts to place a request.
-// A request waits for memory or for a cold replica during the objective divided by
-// placementWaitDivisor.
+// A request waits for a cold replica during the objective divided by placementWaitDivisor.
 const (
 	placementRetryInterval = 40 * time.Millisecond
 	placementWaitDivisor   = 8
 )
 
-// maxDeclines bounds the number of replicas that may decline one request.
-const maxDeclines = 3
-
 // run tries replicas until the caller has its final response.
 func (c *call) run() {
 	var last result
-	declined := 0
 	for {
 		if !c.beginAttempt(last) {
 			return
@@ -88,39 +85,20 @@
 		case outcomeDone, outcomeCallerDisconnected:
 			c.finish(last)
 			return
-		case outcomeNotRun, outcomeNoMemory:
-			declined++
 		case outcomeFailed, outcomeLost, outcomeSilent:
 			c.runs++
 		}
-		if !c.mayRetry(last, declined) {
+		if !c.mayRetry(last) {
 			c.writeFailure(last, gooseplacement.ObstacleNone)
 			return
 		}
 	}
 }
 
-// chooseReplica asks the placer for a replica. It waits for a limited time if the only
-// obstacle is memory or a cold replica.
-func (c *call) chooseReplica() (gooseplacement.Choice, gooseplacement.Obstacle) {
-	waitUntil := c.arrived.Add(c.route.Objective / placementWaitDivisor)
-	for {
-		now := c.o.Clock.Now()
-		snapshot := c.o.Directory.Current()
-		choice, obstacle := c.o.Placer.Choose(c.demand(now), snapshot.Replicas(c.service.Name), now)
-		if obstacle != gooseplacement.ObstacleCold && obstacle != gooseplacement.ObstacleMemory {
-			return choice, obstacle
-		}
-		if now.After(waitUntil) || !goose.Sleep(c.ctx, placementRetryInterval) {
-			return choice, obstacle
-		}
-	}
-}
-
 func (c *call) demand(now time.Time) gooseplacement.Demand {
 	d := gooseplacement.Demand{
 		Service: c.service, PromptTokens: c.header.PromptTokens, OutputTokens: c.expectedOutputTokens(),
-		LongestPause: c.route.MaxPause, Objective: c.route.Objective, TimeLeft: c.deadline.Sub(now), Avoid: c.tried,
+		LongestPause: c.route.MaxPause, Objective: c.route.Objective, TimeLeft: c.deadline.Sub(now), Avoid: c.avoided(now),
 	}
 	if c.committed || c.runs > 0 {
 		// The caller has already waited, or has a part of the response, so that a late rest
@@ -142,7 +120,7 @@
 }
 
 // mayRetry reports whether the request may be sent to another replica after the result.
-func (c *call) mayRetry(last result, declined int) bool {
+func (c *call) mayRetry(last result) bool {
 	now := c.o.Clock.Now()
 	if c.ctx.Err() != nil || !now.Before(c.deadline) {
 		return false
@@ -151,9 +129,9 @@
 	case outcomeNotSent:
 		return true
 	case outcomeNoMemory:
-		return declined < maxDeclines
+		return c.mayTryOthers(now)
 	case outcomeNotRun:
-		return declined < maxDeclines && c.o.Budget.TakeRetry(c.service.Name, now)
+		return c.mayTryOthers(now) && c.o.Budget.TakeRetry(c.service.Name, c.o.Clock.Now())
 	case outcomeSilent:
 		// The silence timer has already taken the retry from the budget.
 		return c.route.Retryable()
@@ -170,14 +148,14 @@
 	c.attemptStart = c.o.Clock.Now()
 	c.tried[choice.Replica.ID] = true
 	c.timeToFirst = 0
-	r := c.runAttempt(choice)
+	r := c.runAttempt(&choice)
 	r.timeToFirst = c.timeToFirst
 	weight := c.recordCrashEvidence(choice, &r)
 	c.o.Quarantine.EndAttempt(c.suspicion)
-	c.avoidFullHelpers(choice, r)
+	helperAtFault := c.recordDecline(choice, r)
 	now := c.o.Clock.Now()
 	failed := r.outcome == outcomeNotSent || r.outcome == outcomeLost || r.outcome == outcomeSilent || r.outcome == outcomeFailed ||
-		r.outcome == outcomeNotRun
+		r.outcome == outcomeNotRun && !helperAtFault
 	suspension := c.o.Placer.RecordEnd(choice.AttemptID, failed, r.outcome == outcomeNotSent, now)
 	a := gooseevent.Attempt{
 		Replica: choice.Replica.ID, Outcome: string(r.outcome), Status: r.status, Helpers: helperIDs(choice),
@@ -205,33 +183,23 @@
 	return r
 }
 
-// avoidFullHelpers excludes the helpers without free memory from later attempts. The
-// serving replica was sent nothing, so it may be chosen again.
-func (c *call) avoidFullHelpers(choice gooseplacement.Choice, r result) {
-	var full *reservationError
-	if !errors.As(r.err, &full) {
-		return
-	}
-	delete(c.tried, choice.Replica.ID)
-	for _, id := range full.replicas {
-		c.tried[id] = true
-	}
-}
+func helperIDs(choice gooseplacement.Choice) []goose.ReplicaID { return replicaIDs(choice.Helpers) }
 
-func helperIDs(choice gooseplacement.Choice) []goose.ReplicaID {
+func replicaIDs(helpers []gooseplacement.Helper) []goose.ReplicaID {
 	var ids []goose.ReplicaID
-	for _, h := range choice.Helpers {
+	for _, h := range helpers {
 		ids = append(ids, h.Replica.ID)
 	}
 	return ids
 }
 
 // runAttempt reserves the memory of the helpers, sends the request and forwards the
-// response.
-func (c *call) runAttempt(choice gooseplacement.Choice) result {
+// response. It changes the helpers in placed if some of them were replaced.
+func (c *call) runAttempt(placed *gooseplacement.Choice) result {
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
-	release, err := c.reserve(ctx, choice)
+	choice, release, err := c.reserve(ctx, *placed)
+	*placed = choice
 	if err != nil {
 		return result{outcome: outcomeNoMemory, err: err}
 	}
@@ -244,7 +212,7 @@
 	}
 	defer u.close()
 	header := c.o.HeaderCodec.ParseResponse(u.resp.StatusCode, u.resp.Header)
-	c.recordWishes(choice.Replica, header)
+	c.recordWishes(choice.Replica, header, c.header.Attempt)
 	if header.Attempt != "" && c.header.Attempt != "" && header.Attempt != c.header.Attempt {
 		return result{outcome: outcomeLost, err: errors.Errorf("response belongs to attempt %q", header.Attempt)}
 	}
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -62,7 +62,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{
 		Forwarder: f, w: w, r: r, arrived: f.o.Clock.Now(),
-		tried: map[goose.ReplicaID]bool{}, snapshot: f.o.Directory.Current(),
+		tried: map[goose.ReplicaID]bool{}, declines: newDeclines(), snapshot: f.o.Directory.Current(),
 	}
 	if !f.o.StopAt().IsZero() {
 		w.Header().Set("Connection", "close")
@@ -117,7 +117,12 @@
 	urgency   int
 
 	// tried are the replicas that were sent the request, or that could not be reached.
-	tried map[goose.ReplicaID]bool
+	tried    map[goose.ReplicaID]bool
+	declines declines
+	// setWait bounds the wait for a set of replicas, and forecast is its latest estimate;
+	// zero if there is none.
+	setWait  gooseplacement.SetWait
+	forecast gooseplacement.Forecast
 	// runs counts the attempts that may have run.
 	runs     int
 	attempts []gooseevent.Attempt
--- a/internal/gooseforward/metrics.go
+++ b/internal/gooseforward/metrics.go
@@ -35,3 +35,20 @@
 func (m *Metrics) observeTimeToFirst(service goose.ServiceName, class goose.LengthClass, d time.Duration) {
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`gooseberryhold_first_answer_seconds{service=%q,class=%q}`, service, class)).Update(d.Seconds())
 }
+
+// reservationResult is what became of a reservation of memory.
+type reservationResult string
+
+// Results of reservations. Those that are released unused are counted as made, too, and those
+// that are replaced as refused.
+const (
+	reservationMade     reservationResult = "made"
+	reservationRefused  reservationResult = "refused"
+	reservationReplaced reservationResult = "replaced"
+	reservationUnused   reservationResult = "released-unused"
+)
+
+// countReservations counts n reservations.
+func (m *Metrics) countReservations(service goose.ServiceName, r reservationResult, n int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gooseberryhold_reservations_total{service=%q,result=%q}`, service, r)).Add(n)
+}
--- a/internal/gooseforward/refuse.go
+++ b/internal/gooseforward/refuse.go
@@ -133,13 +133,13 @@
 			WithReason(string(obstacle)).WithRetryAfter(wait + rand.N(max(wait/2, otherRetryAfter)))
 	case obstacle == gooseplacement.ObstacleHuge:
 		return goose.NotRunRefusal(goose.CodeOverloaded, "too few backend servers are idle for a prompt of this length").
-			WithReason(string(obstacle)).WithRetryAfter(hugeRetryAfter + rand.N(hugeRetryAfter))
+			WithReason(string(obstacle)).WithRetryAfter(c.setRetryAfter(hugeRetryAfter + rand.N(hugeRetryAfter)))
 	case obstacle == gooseplacement.ObstacleFull:
 		return goose.NotRunRefusal(goose.CodeOverloaded, "all backend servers are full").
 			WithReason(string(obstacle)).WithRetryAfter(fullRetryAfter + rand.N(fullRetryAfter))
 	case obstacle == gooseplacement.ObstacleMemory || obstacle == gooseplacement.ObstacleLate:
 		return goose.NotRunRefusal(goose.CodeOverloaded, "no backend server can take the request in time").
-			WithReason(string(obstacle)).WithRetryAfter(memoryRetryAfter)
+			WithReason(string(obstacle)).WithRetryAfter(c.setRetryAfter(memoryRetryAfter))
 	}
 	return goose.NotRunRefusal(goose.CodeNotReady, "no backend server took the request").WithReason(string(obstacle)).WithRetryAfter(otherRetryAfter)
 }
--- a/internal/gooseforward/reserve_test.go
+++ b/internal/gooseforward/reserve_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -16,12 +17,17 @@
 	mu      sync.Mutex
 	tokens  map[string]int
 	renewed map[string]int
-	// refuse is the id of a replica without free memory.
+	// refuse is the id of a replica without free memory. answer is its response, 409 if nil.
 	refuse string
+	answer http.HandlerFunc
+	// released counts the releases at each replica. The first failReleases of all get no
+	// response.
+	released     map[string]int
+	failReleases int
 }
 
 func newReservations() *reservations {
-	return &reservations{tokens: map[string]int{}, renewed: map[string]int{}}
+	return &reservations{tokens: map[string]int{}, renewed: map[string]int{}, released: map[string]int{}}
 }
 
 // serve serves a reservation or a release at a replica. It returns false for other
@@ -43,7 +49,14 @@
 	key := id + "/" + o.ID
 	switch {
 	case o.Op == "release":
+		m.released[id]++
+		if m.failReleases > 0 {
+			m.failReleases--
+			panic(http.ErrAbortHandler)
+		}
 		delete(m.tokens, key)
+	case id == m.refuse && m.answer != nil:
+		m.answer(w, r)
 	case id == m.refuse:
 		w.WriteHeader(http.StatusConflict)
 	default:
@@ -53,6 +66,13 @@
 	return true
 }
 
+// releases returns the number of releases at a replica.
+func (m *reservations) releases(id string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.released[id]
+}
+
 // held returns the number of tickets that are held, and how often the least renewed of
 // them was reserved.
 func (m *reservations) held() (tickets, least int) {
@@ -69,6 +89,12 @@
 // newEngineHarness starts a harness with three replicas that have memory for 1,000 tokens each;
 // handle serves their streams.
 func newEngineHarness(t *testing.T, m *reservations, handle http.HandlerFunc) *harness {
+	t.Helper()
+	return newEngineHarnessOf(t, 3, m, handle)
+}
+
+// newEngineHarnessOf is newEngineHarness for n replicas.
+func newEngineHarnessOf(t *testing.T, n int, m *reservations, handle http.HandlerFunc) *harness {
 	t.Helper()
 	service := goose.RoutedService{Name: "desk", Engine: &goose.EngineProfile{
 		Slots: 16, MemoryTokens: 1000, StepsPerPass: 1, StepTime: time.Microsecond, PrefillTokensPerSecond: 177_000,
@@ -84,10 +110,33 @@
 			}
 		}
 	}
-	h = newServiceHarness(t, service, handler("i-0"), handler("i-1"), handler("i-2"))
+	var handlers []http.HandlerFunc
+	for i := range n {
+		handlers = append(handlers, handler("i-"+strconv.Itoa(i)))
+	}
+	h = newServiceHarness(t, service, handlers...)
 	return h
 }
 
+// newSlowEngineHarness starts a harness with n replicas, each of which has memory for 1,000
+// tokens and prefills one token per millisecond.
+func newSlowEngineHarness(t *testing.T, n int, handle http.HandlerFunc) *harness {
+	t.Helper()
+	handlers := make([]http.HandlerFunc, n)
+	for i := range handlers {
+		handlers[i] = handle
+	}
+	return newServiceHarness(t, goose.RoutedService{Name: "desk", Engine: &goose.EngineProfile{
+		Slots: 16, MemoryTokens: 1000, StepsPerPass: 1, StepTime: time.Microsecond, PrefillTokensPerSecond: 1000,
+	}}, handlers...)
+}
+
+// address returns the address of a replica.
+func (h *harness) address(id goose.ReplicaID) string {
+	r, _ := h.directory.Current().Lookup(id)
+	return r.Address
+}
+
 // Guards against reservations of a prompt over several replicas that expire while the
 // prompt runs, or that stay after it has ended.
 func TestReservationIsRenewedAndReleased(t *testing.T) {
--- a/internal/gooseforward/response.go
+++ b/internal/gooseforward/response.go
@@ -35,7 +35,7 @@
 	c.responseBytes += held
 	silence.Stop()
 	if h.NotRun {
-		r := result{outcome: outcomeNotRun, status: u.resp.StatusCode, faultAt: h.FaultyHelper}
+		r := result{outcome: outcomeNotRun, status: u.resp.StatusCode, faultAt: h.FaultyHelper, draining: h.Wish.Leaving || h.ProcessChanged}
 		if err == nil && !h.ProcessChanged {
 			r.response = &response{status: u.resp.StatusCode, header: u.resp.Header, body: body}
 		}
--- a/internal/gooseforward/silence.go
+++ b/internal/gooseforward/silence.go
@@ -63,7 +63,7 @@
 func (c *call) startSilenceTimer(choice gooseplacement.Choice, cancel context.CancelCauseFunc) *silenceTimer {
 	w := &silenceTimer{c: c, cancel: cancel, demand: c.demand(c.attemptStart)}
 	// The map is cloned because the call may change c.tried while the timer still runs.
-	w.demand.Avoid = maps.Clone(c.tried)
+	w.demand.Avoid = maps.Clone(w.demand.Avoid)
 	w.lastAttempt = !c.route.Retryable() || c.runs+1 >= c.route.MaxAttempts
 	w.mu.Lock()
 	defer w.mu.Unlock()
