gooseplacement, goosegossip: marks of full and slow replicas and those without memory

Change: a mark with an age for each process; a replica with one is ranked last, until some of its slots or a part of its memory have become free (100 ms to 1 s; slow: 2 s), for a time with a random part, so that instances do not return together. The cost is the same for all marked replicas, so that the load decides if all have one. Load reports contain up to 24 (CBOR key 5), which count without the other datagrams of the report; a new mark is reported at once; sums contain those of the data centre. Kinds of later versions are left out; invalid marks drop the datagram, as with leaving processes. Nothing in gooseforward calls RecordMark yet. Run: go test -race of both packages passes. Without one of these, tests fail: marks in reports, marks in sums, the report that is due at once, the reception, the cost (mutations in a copy).

--- a/pkg/goosegossip/gossip.go
+++ b/pkg/goosegossip/gossip.go
@@ -38,8 +38,8 @@
 	unchangedInterval = 600 * time.Millisecond
 	// maxDatagramBytes bounds a datagram; larger reports are split.
 	maxDatagramBytes = 1200
-	// entriesPerDatagram limits the loads of replicas and the processes that leave in one
-	// datagram, so that it stays below maxDatagramBytes.
+	// entriesPerDatagram limits the loads of replicas, the processes that leave and the marks in
+	// one datagram, so that it stays below maxDatagramBytes.
 	entriesPerDatagram = 28
 	// unregisteredTTL is how long reports are sent to an instance that is no longer
 	// registered, counted from the last report that it sent.
@@ -121,7 +121,7 @@
 		now := g.o.Clock.Now()
 		g.markSilentPeers(now)
 		report := g.o.Placer.Report(now)
-		summary, err := cbor.Marshal([]any{report.Replicas, report.Leaving})
+		summary, err := cbor.Marshal([]any{report.Replicas, report.Leaving, observedMarks(report.Marks, now)})
 		if err != nil {
 			panic(err)
 		}
@@ -223,6 +223,10 @@
 		part := next()
 		part.Leaving = append(part.Leaving, wireProcess{Replica: p.Replica, StartedUnixMS: p.StartedUnixMS})
 	}
+	for _, m := range r.Marks {
+		part := next()
+		part.Marks = append(part.Marks, encodeMark(m))
+	}
 	if len(parts) == 0 {
 		next()
 	}
@@ -265,6 +269,7 @@
 	}
 	now := g.o.Clock.Now()
 	g.recordLeaving(m, received.Leaving, now)
+	g.recordMarks(m, received.Marks, now)
 	report, complete := g.collect(m, received, from, now)
 	if !complete {
 		return
--- a/pkg/goosegossip/gossip_test.go
+++ b/pkg/goosegossip/gossip_test.go
@@ -285,6 +285,10 @@
 		id := goose.ReplicaID(fmt.Sprintf("i-%s%02d", strings.Repeat("f", 8), i))
 		r.Leaving = append(r.Leaving, gooseplacement.Process{Replica: id, StartedUnixMS: leavingAt})
 	}
+	for i := range gooseplacement.MaxReportedMarks {
+		id := goose.ReplicaID(fmt.Sprintf("i-%s%02d", strings.Repeat("f", 8), i))
+		r.Marks = append(r.Marks, gooseplacement.Mark{Process: gooseplacement.Process{Replica: id, StartedUnixMS: leavingAt}, Kind: gooseplacement.MarkSlow, Age: time.Second})
+	}
 	g := New(Options{Instance: "edge-musselburgh-1", StoreView: func(time.Time) goosedirectory.StoreView { return goosedirectory.StoreView{ReachableFor: time.Hour} }})
 	datagrams := g.encodeReport(r, false, 1, time.Now())
 	if len(datagrams) < 2 {
--- a/pkg/goosegossip/malformed_test.go
+++ b/pkg/goosegossip/malformed_test.go
@@ -92,6 +92,7 @@
 		for _, m := range []message{
 			{From: "b", Parts: 1, Report: wireReport{Replicas: map[goose.ReplicaID]wireLoad{"i-1": {Requests: 1, PrefillMS: 1000}}}},
 			{From: "b", Parts: 2, Sum: true, DataCentre: "dalkeith", Report: wireReport{Instances: 5}},
+			{From: "b", Parts: 1, Report: wireReport{Marks: []wireMark{{Replica: "i-1", StartedUnixMS: 1, Kind: 1, AgeMS: 5}}}},
 			{From: "b", Crashes: []goose.CrashRecord{{Fingerprint: 7}}},
 		} {
 			b, err := cbor.Marshal(m)
--- a/pkg/goosegossip/message.go
+++ b/pkg/goosegossip/message.go
@@ -38,6 +38,7 @@
 	OfferedLoad map[goose.ServiceName]gooseplacement.OfferedLoad `cbor:"2,keyasint,omitempty"`
 	Instances   int                                              `cbor:"3,keyasint,omitempty"`
 	Leaving     []wireProcess                                    `cbor:"4,keyasint,omitempty"`
+	Marks       []wireMark                                       `cbor:"5,keyasint,omitempty"`
 }
 
 // wireProcess is the encoding of a process that leaves.
@@ -82,6 +83,7 @@
 	for _, p := range r.Leaving {
 		report.Leaving = append(report.Leaving, gooseplacement.Process{Replica: p.Replica, StartedUnixMS: p.StartedUnixMS})
 	}
+	report.Marks = decodeMarks(r.Marks)
 	return report, report.Validate()
 }
 
--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -110,6 +110,8 @@
 	state *replicaState
 	// inLongPool is set if the replica belongs to the pool for long prompts.
 	inLongPool bool
+	// markCost is the cost of the replica's marks.
+	markCost time.Duration
 	// cost ranks the replica. It is the estimated time to the first event plus penalties;
 	// without an engine, the utilisation of the slots takes the place of the estimate.
 	cost time.Duration
@@ -175,6 +177,9 @@
 
 // freeSlots returns the number of free slots of the first replica.
 func (p placement) freeSlots(d Demand) int {
+	if p.replicas[0].markCost >= fullPenalty {
+		return 0
+	}
 	slots := p.replicas[0].Slots
 	if d.Service.Engine != nil {
 		slots = d.Service.Engine.Slots
@@ -234,6 +239,7 @@
 			continue
 		}
 		c := candidate{Replica: r, load: pl.load(r.ID, now), state: s, inLongPool: long[r.ID]}
+		c.markCost = pl.markCost(r.Replica, c.load, d, now)
 		if now.Before(s.health.suspendedUntil) {
 			suspended = append(suspended, c)
 			continue
@@ -321,7 +327,7 @@
 		c := &all[i]
 		utilisation := float64(c.load.Requests+1) / float64(max(c.Slots, 1))
 		c.cost = time.Duration(utilisation*c.state.health.slownessAt(now)*float64(fullSlotsCost)) +
-			time.Duration(c.state.health.failureRate*float64(failurePenalty)) + pl.distance(c.DataCentre)
+			time.Duration(c.state.health.failureRate*float64(failurePenalty)) + pl.distance(c.DataCentre) + c.markCost
 	}
 	return placement{replicas: []candidate{all[pl.anyOfCheapest(all, plainCostSpread)]}}
 }
@@ -370,6 +376,7 @@
 	short := isShort(prefill)
 	for i := range all {
 		pl.setCost(&all[i], e, short, d.PromptTokens+d.OutputTokens, now)
+		all[i].cost += all[i].markCost
 		if !short {
 			if prefill > mediumPartPrefill*maxParts {
 				all[i].cost += time.Duration(all[i].load.MediumPauseStreams) * delayedStreamPenalty
--- a/pkg/gooseplacement/freeing.go
+++ b/pkg/gooseplacement/freeing.go
@@ -80,10 +80,7 @@
 
 // loadAfter returns what is left of a load after the given time if no request arrives.
 func loadAfter(l Load, e goose.EngineProfile, output int, after time.Duration) Load {
-	if e.MeanOutputTokens > 0 {
-		output = e.MeanOutputTokens
-	}
-	stream := passDuration(e, l) / time.Duration(max(e.StepsPerPass, 1)) * time.Duration(max(output, 1))
+	stream := streamDuration(e, l, output)
 	decoded := max(after-l.Prefill, 0)
 	left := max(1-float64(decoded)/float64(max(stream, 1)), 0)
 	l.Prefill = max(l.Prefill-after, 0)
@@ -96,6 +93,15 @@
 	return l
 }
 
+// streamDuration returns the mean duration of a stream after its first event. output is the
+// number of tokens to assume if the service has no mean.
+func streamDuration(e goose.EngineProfile, l Load, output int) time.Duration {
+	if e.MeanOutputTokens > 0 {
+		output = e.MeanOutputTokens
+	}
+	return passDuration(e, l) / time.Duration(max(e.StepsPerPass, 1)) * time.Duration(max(output, 1))
+}
+
 // SetWait decides how long a request waits for a set of replicas.
 type SetWait struct {
 	Arrived   time.Time
--- a/pkg/gooseplacement/leave.go
+++ b/pkg/gooseplacement/leave.go
@@ -41,11 +41,12 @@
 	return nil
 }
 
-// LeavingSource is from whom this instance knows that a process leaves.
+// LeavingSource is from whom this instance knows that a process leaves, or its mark.
 type LeavingSource string
 
 const (
-	// LeavingFromReplica means that the replica has said so to this instance.
+	// LeavingFromReplica means that the replica has said so to this instance, or that this
+	// instance has observed it.
 	LeavingFromReplica LeavingSource = "replica"
 	// LeavingFromPeer means that a peer has reported it.
 	LeavingFromPeer LeavingSource = "peer"
--- a/pkg/gooseplacement/load.go
+++ b/pkg/gooseplacement/load.go
@@ -64,6 +64,8 @@
 	Instances int `cbor:"3,keyasint,omitempty"`
 	// Leaving are processes that have said that they leave.
 	Leaving []Process `cbor:"4,keyasint,omitempty"`
+	// Marks are temporary statuses of processes.
+	Marks []Mark `cbor:"5,keyasint,omitempty"`
 }
 
 // Bounds on what one report may contain. They are far above any real load, so a report that
@@ -91,6 +93,14 @@
 			return err
 		}
 	}
+	if len(r.Marks) > MaxReportedMarks {
+		return errors.Errorf("%d marks", len(r.Marks))
+	}
+	for _, m := range r.Marks {
+		if err := m.validate(); err != nil {
+			return err
+		}
+	}
 	for id, l := range r.Replicas {
 		for _, n := range []int{l.Requests, l.Waiting, l.ShortPauseStreams, l.MediumPauseStreams} {
 			if n < 0 || n > maxReportedRequests {
--- a/pkg/gooseplacement/peers.go
+++ b/pkg/gooseplacement/peers.go
@@ -173,6 +173,7 @@
 	pl.table.removeStale(now)
 	own.Instances = 1
 	own.Leaving = pl.reportedLeaving(LeavingFromReplica, LeavingFromPeer)
+	own.Marks = pl.reportedMarks(now, LeavingFromReplica, LeavingFromPeer)
 	for _, p := range pl.table.peers {
 		own.Instances += p.instances()
 		for id, l := range p.report.Replicas {
--- a/pkg/gooseplacement/placer.go
+++ b/pkg/gooseplacement/placer.go
@@ -35,11 +35,13 @@
 	replicas map[goose.ReplicaID]*replicaState
 	// leaving are the processes that have said that they leave.
 	leaving map[Process]leavingMark
-	table   peerTable
+	// marks are the temporary statuses of processes.
+	marks map[markKey]markState
+	table peerTable
 	// offered measures the offered load of each service at this instance.
 	offered map[goose.ServiceName]*loadMeter
 	// reportDue holds a value while a report to the peers is due at once because of a new
-	// attempt or a replica that leaves.
+	// attempt, a replica that leaves or a mark.
 	reportDue chan struct{}
 }
 
@@ -76,7 +78,7 @@
 		o.Rand = rand.IntN
 	}
 	return &Placer{
-		opts: o, attempts: map[uint64]*attempt{}, replicas: map[goose.ReplicaID]*replicaState{}, leaving: map[Process]leavingMark{},
+		opts: o, attempts: map[uint64]*attempt{}, replicas: map[goose.ReplicaID]*replicaState{}, leaving: map[Process]leavingMark{}, marks: map[markKey]markState{},
 		table: newPeerTable(), offered: map[goose.ServiceName]*loadMeter{},
 		reportDue: make(chan struct{}, 1),
 	}
@@ -84,7 +86,7 @@
 
 // ReportDue delivers a value when a report should be sent to the peers at once because a long
 // prompt was placed, or any request in a large fleet, whose other reports are rare, or a
-// replica leaves. Until they know of it, peers may place their requests on the same replicas.
+// replica leaves or is marked. Until they know of it, peers may place their requests on the same replicas.
 func (pl *Placer) ReportDue() <-chan struct{} { return pl.reportDue }
 
 func (pl *Placer) requestReport() {
@@ -108,6 +110,7 @@
 		r.OfferedLoad[name] = m.rate(now)
 	}
 	r.Leaving = pl.reportedLeaving(LeavingFromReplica)
+	r.Marks = pl.reportedMarks(now, LeavingFromReplica)
 	return r
 }
 
@@ -149,6 +152,7 @@
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	pl.forgetLeaving(now)
+	pl.forgetMarks(now)
 	for id, s := range pl.replicas {
 		if len(s.parts) == 0 && !now.Before(s.pausedUntil) && !known(id) {
 			delete(pl.replicas, id)
@@ -191,7 +195,11 @@
 	if a.expected > 0 {
 		ratio = float64(now.Sub(a.placedAt)) / float64(a.expected+estimateSlack)
 	}
-	pl.replicas[a.parts[0].replica].health.recordSuccess(now, ratio)
+	first := pl.replicas[a.parts[0].replica]
+	first.health.recordSuccess(now, ratio)
+	if first.health.slowness >= slowMarkFrom {
+		pl.mark(Process{Replica: a.parts[0].replica, StartedUnixMS: first.startedUnixMS}, MarkSlow, now)
+	}
 }
 
 // estimateSlack keeps small absolute errors of an estimate from counting as slowness.
--- a/pkg/gooseplacement/replace.go
+++ b/pkg/gooseplacement/replace.go
@@ -68,6 +68,7 @@
 			continue
 		}
 		pl.setCost(&r, *d.Service.Engine, false, 0, now)
+		r.cost += r.markCost
 		spare = append(spare, r)
 	}
 	sort.SliceStable(spare, func(i, j int) bool { return spare[i].cost < spare[j].cost })
