gooseforward: a test of reservations that arrive after their release

Cause: a reservation without a response is released, and the replica may make it after that. Conclusion: no change of the product.

--- a/internal/gooseforward/replace_test.go
+++ b/internal/gooseforward/replace_test.go
@@ -14,8 +14,8 @@
 )
 
 // giant sends a prompt that needs the memory of three replicas of a harness.
-func (h *harness) giant(path string) callerResponse {
-	r := h.request(h.t.Context(), path, "")
+func (h *harness) giant() callerResponse {
+	r := h.request(h.t.Context(), "/stream/x", "")
 	r.Header.Set("X-Tokens", "2300,10")
 	return h.send(r)
 }
@@ -67,7 +67,7 @@
 				served <- r.Header.Get("X-Helpers")
 				events(1, 2, false)(w, r)
 			})
-			if got := h.giant("/stream/x"); got.status != http.StatusOK || got.body != eventText(2) {
+			if got := h.giant(); got.status != http.StatusOK || got.body != eventText(2) {
 				t.Fatalf("got status %d, body %q", got.status, got.body)
 			}
 			if got := <-served; strings.Count(got, "/a1-") != 2 || strings.Contains(got, h.address("i-2")) {
@@ -92,12 +92,29 @@
 	m := newReservations()
 	m.failReleases = 2
 	h := newEngineHarnessOf(t, 3, m, events(1, 2, false))
-	if got := h.giant("/stream/x"); got.status != http.StatusOK {
+	if got := h.giant(); got.status != http.StatusOK {
 		t.Fatalf("got status %d", got.status)
 	}
 	waitUntil(t, "the release", func() bool { tickets, _ := m.held(); return tickets == 0 })
 }
 
+// Guards against memory that stays reserved because a reservation arrives after its release.
+func TestLateReservationIsReleased(t *testing.T) {
+	t.Parallel()
+	m := newReservations()
+	m.refuse, m.delay = "i-2", reservationTimeout+100*time.Millisecond
+	h := newEngineHarnessOf(t, 5, m, events(1, 2, false))
+	if got := h.giant(); got.status != http.StatusOK {
+		t.Fatalf("got status %d", got.status)
+	}
+	waitUntil(t, "the release of the late reservation", func() bool {
+		tickets, _ := m.held()
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.late > 0 && tickets == 0
+	})
+}
+
 // Guards against a first replica that is given up, and a helper that is used again, after the
 // first replica has named the helper as the one at fault.
 func TestHelperAtFaultIsExcluded(t *testing.T) {
--- a/internal/gooseforward/reserve_test.go
+++ b/internal/gooseforward/reserve_test.go
@@ -20,10 +20,14 @@
 	// refuse is the id of a replica without free memory. answer is its response, 409 if nil.
 	refuse string
 	answer http.HandlerFunc
+	// delay is the time after which the replica reserves instead of refusing.
+	delay time.Duration
 	// released counts the releases at each replica. The first failReleases of all get no
 	// response.
 	released     map[string]int
 	failReleases int
+	// late counts the reservations made after the delay.
+	late int
 }
 
 func newReservations() *reservations {
@@ -55,6 +59,12 @@
 			panic(http.ErrAbortHandler)
 		}
 		delete(m.tokens, key)
+	case id == m.refuse && m.delay > 0:
+		m.mu.Unlock()
+		time.Sleep(m.delay)
+		m.mu.Lock()
+		m.tokens[key] = o.Tokens
+		m.late++
 	case id == m.refuse && m.answer != nil:
 		m.answer(w, r)
 	case id == m.refuse:
