gooseforward: replicas that decline as full, or refuse a reservation, are marked

Slow replicas are marked by the placer. Run: TestDecliningReplicaIsMarked and TestHelperAtFaultIsMarked fail in a copy without the calls and pass with them; go test -race of gooseforward, gooseevent and goosecommand passes. goosehost failed once, at a load of 33 on 7 cores: TestGracefulShutdownUnderNewConnections, eight dials timed out after 1 s at 3.03 s after SIGTERM; its stop tests passed in a run alone (4 s).

--- a/internal/gooseforward/decline.go
+++ b/internal/gooseforward/decline.go
@@ -55,6 +55,7 @@
 		delete(c.tried, choice.Replica.ID)
 		c.tried[atFault] = true
 	}
+	c.markDeclined(choice, atFault, r)
 	if r.draining && !c.declines.replicas[atFault] {
 		c.declines.draining++
 	}
@@ -64,11 +65,12 @@
 }
 
 // excludeHelpers excludes the helpers that have not reserved memory: those without free memory
-// for a while, the others for the rest of the request.
-func (c *call) excludeHelpers(e *reservationError) {
+// for a while, of which the peers are told, too, the others for the rest of the request.
+func (c *call) excludeHelpers(choice gooseplacement.Choice, e *reservationError) {
 	for _, id := range e.replicas {
 		if slices.Contains(e.full, id) {
 			c.declines.memoryRefusedAt[id] = c.o.Clock.Now()
+			c.markReplica(replicaOf(choice, id), gooseplacement.MarkNoMemory)
 			continue
 		}
 		c.tried[id] = true
--- a/internal/gooseforward/reserve.go
+++ b/internal/gooseforward/reserve.go
@@ -51,7 +51,7 @@
 		if failure == nil {
 			return choice, c.keepReserved(ctx, held, r), nil
 		}
-		c.excludeHelpers(failure)
+		c.excludeHelpers(choice, failure)
 		now = c.o.Clock.Now()
 		next, added, ok := c.replaceHelpers(ctx, choice, failure.replicas, limit, round+1, now)
 		if !ok {
--- a/internal/goosehost/metrics.go
+++ b/internal/goosehost/metrics.go
@@ -1,12 +1,14 @@
 package goosehost
 
 import (
+	"fmt"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosedirectory"
+	"github.com/gooseberryhold/gooseberryhold/pkg/gooseplacement"
 )
 
 func (h *host) metricsHandler() http.Handler {
@@ -38,6 +40,11 @@
 		return float64(h.quarantine.QuarantinedCount(goose.SubjectPart, h.clock.Now()))
 	})
 	gauge("gooseberryhold_replicas_leaving", func(*goosedirectory.Snapshot) float64 { return float64(h.placer.LeavingCount()) })
+	for _, kind := range []gooseplacement.MarkKind{gooseplacement.MarkFull, gooseplacement.MarkNoMemory, gooseplacement.MarkSlow} {
+		gauge(fmt.Sprintf("gooseberryhold_replicas_marked{mark=%q}", kind), func(*goosedirectory.Snapshot) float64 {
+			return float64(h.placer.MarkCount(kind, h.clock.Now()))
+		})
+	}
 	gauge("gooseberryhold_replicas_paused", func(*goosedirectory.Snapshot) float64 { return float64(h.placer.PausedCount(h.clock.Now())) })
 	gauge("gooseberryhold_store_reach_seconds", func(*goosedirectory.Snapshot) float64 {
 		return h.follower.ReachableFor(h.clock.Now()).Seconds()
