gooseforward: tests read the counters of reservations

Cause: gooseberryhold_reservations_total had no test. Change: TestRefusingHelperIsReplaced and TestReservationAllOrNothing check the counters.

--- a/internal/gooseforward/replace_test.go
+++ b/internal/gooseforward/replace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,6 +21,12 @@
 	return h.send(r)
 }
 
+// reservations returns the counter of reservations with the result.
+func (h *harness) reservations(result reservationResult) int {
+	m := h.forwarder.o.Metrics
+	return int(m.set.GetOrCreateCounter(fmt.Sprintf("gooseberryhold_reservations_total{service=%q,result=%q}", "desk", result)).Get())
+}
+
 // waitUntil waits until the condition holds.
 func waitUntil(t *testing.T, what string, condition func() bool) {
 	t.Helper()
@@ -79,6 +86,11 @@
 			if tc.released {
 				waitUntil(t, "the release of the reservation without a result", func() bool { return m.releases("i-2") > 0 })
 			}
+			for result, want := range map[reservationResult]int{reservationMade: 2, reservationRefused: 1, reservationReplaced: 1, reservationUnused: 0} {
+				if got := h.reservations(result); got != want {
+					t.Errorf("got %d reservations counted as %s, want %d", got, result, want)
+				}
+			}
 			if !h.log.Has(`"event":750`) || len(h.placer.Report(time.Now()).Replicas) != 0 {
 				t.Errorf("got load %v and log %s, want none and a line about the replacement", h.placer.Report(time.Now()).Replicas, h.log.String())
 			}
--- a/internal/gooseforward/reserve_test.go
+++ b/internal/gooseforward/reserve_test.go
@@ -196,4 +196,7 @@
 	if tickets, _ := m.held(); tickets != 0 {
 		t.Errorf("got %d tickets after the refusal, want none", tickets)
 	}
+	if got := s.reservations(reservationUnused); got != 1 {
+		t.Errorf("got %d reservations counted as released unused, want 1", got)
+	}
 }
