gooseplacement: the last slots of a replica have a cost, and reports count as old as they are

Callers saw: with 91 instances the busiest replica had 2.7 times the mean load, and short responses were late while other replicas had free slots. Cause: an instance took the age of a peer's report for the time in which the peer had placed requests that are not known, although reports about new requests are sent immediately, so that the choice was almost random. The cost of a replica had no term for slots until all were in use. Seen: TestLastSlotsAreLeft/large_fleet fails without the change.

--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -453,6 +453,9 @@
 	case !short:
 		cost += time.Duration(c.load.ShortPauseStreams) * delayedStreamPenalty
 	}
+	if pl.table.split() {
+		cost += scarcity(e, c.load)
+	}
 	if c.load.Requests >= e.Slots || short && c.load.Tokens+tokens > e.MemoryTokens {
 		cost += fullPenalty
 	}
--- a/pkg/gooseplacement/peers.go
+++ b/pkg/gooseplacement/peers.go
@@ -116,6 +116,10 @@
 func (t *peerTable) unreported(s goose.ServiceName, far bool, now time.Time) time.Duration {
 	var sum time.Duration
 	for _, p := range t.peers {
+		if t.split() {
+			sum += min(p.unreported(s, now), p.offered(s, maxUnreportedAge))
+			continue
+		}
 		sum += p.unreported(s, now)
 	}
 	if !far {
@@ -127,9 +131,18 @@
 	return sum
 }
 
+// maxUnreportedAge is the time after which an instance of the data centre has reported a request
+// in a large fleet, in which each new request is reported immediately.
+const maxUnreportedAge = 40 * time.Millisecond
+
+// unreported returns the prefill time that the peer has probably placed since its last report.
 func (p peerReport) unreported(s goose.ServiceName, now time.Time) time.Duration {
-	age := max(now.Sub(p.receivedAt), 0)
-	return time.Duration(p.report.OfferedLoad[s].Short * float64(age))
+	return p.offered(s, max(now.Sub(p.receivedAt), 0))
+}
+
+// offered returns the prefill time of the short requests that the peer places in the given time.
+func (p peerReport) offered(s goose.ServiceName, in time.Duration) time.Duration {
+	return time.Duration(p.report.OfferedLoad[s].Short * float64(in))
 }
 
 // instances returns the number of instances with this one: those of the data centre, and all.
