gooseplacement: long prompts are divided into short parts in large fleets

Of 308 short streams with too long a pause 192 shared their replica with the prefill of a long prompt of 300 to 900 ms, and of 81 long ones 62 with a part of a huge prompt. Cause: the pool for long prompts shrinks while there are many short ones, so that one or two replicas prefill a whole long prompt; and streams of long prompts are on replicas that prefill parts of huge ones. Change: a prompt of at most 17 parts of 60 ms gets its response from a replica outside of the pool, and the pool prefills the other parts.

--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -373,7 +373,8 @@
 func (pl *Placer) placeEngine(d Demand, all []candidate, now time.Time) (placement, Obstacle) {
 	e := *d.Service.Engine
 	prefill := e.PrefillTime(d.PromptTokens)
-	short := isShort(prefill)
+	divided := pl.divides(prefill, all)
+	short := isShort(prefill) || divided
 	for i := range all {
 		pl.setCost(&all[i], e, short, d.PromptTokens+d.OutputTokens, now)
 		all[i].cost += all[i].markCost
@@ -393,6 +394,9 @@
 		}
 	}
 	p, obstacle := plan(d, all, prefill, short)
+	if divided && d.PromptTokens+d.OutputTokens <= e.MemoryTokens {
+		p, obstacle = placement{replicas: dividedReplicas(all, prefill)}, ObstacleNone
+	}
 	if obstacle != ObstacleNone {
 		return placement{}, obstacle
 	}
@@ -400,7 +404,7 @@
 	if d.TimeLeft > 0 && p.expected > d.TimeLeft {
 		return placement{}, ObstacleLate
 	}
-	if short && pl.wouldQueue(d, p.replicas[0], p.expected) {
+	if isShort(prefill) && pl.wouldQueue(d, p.replicas[0], p.expected) {
 		return placement{}, ObstacleFull
 	}
 	return p, ObstacleNone
