gooseplacement, gooseretry: full data centres are left alone, and callers are not refused twice

Replicas with 12 slots had 12.3 requests on average, instances knew of 11. Cause: instances of a full data centre sent to the last slots of the others, which they know from sums 400 ms old, and one request more than slots was accepted on each replica. A caller that came back was refused by the same rule. Change, in large fleets only: a data centre with fewer than 1.5 free slots on each replica gets no requests of others; a first request needs a known free slot; the retry of a caller, known by the time that it has left, may queue behind a third of the slots, with a lower urgency.

--- a/internal/gooseforward/attempt.go
+++ b/internal/gooseforward/attempt.go
@@ -98,7 +98,7 @@
 func (c *call) demand(now time.Time) gooseplacement.Demand {
 	d := gooseplacement.Demand{
 		Service: c.service, PromptTokens: c.header.PromptTokens, OutputTokens: c.expectedOutputTokens(),
-		LongestPause: c.route.MaxPause, Objective: c.route.Objective, TimeLeft: c.deadline.Sub(now), Avoid: c.avoided(now),
+		LongestPause: c.route.MaxPause, Objective: c.route.Objective, TimeLeft: c.deadline.Sub(now), CallerRetry: c.callerRetry, Avoid: c.avoided(now),
 	}
 	if c.committed || c.runs > 0 {
 		// The caller has already waited, or has a part of the response, so that a late rest
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -47,11 +47,12 @@
 	o              Options
 	responseMemory *responseMemory
 	bodyMemory     *bodyMemory
+	callers        *gooseretry.Callers
 }
 
 // New returns a forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{o: o, responseMemory: newResponseMemory(), bodyMemory: newBodyMemory(o.MemoryBytes)}
+	return &Forwarder{o: o, responseMemory: newResponseMemory(), bodyMemory: newBodyMemory(o.MemoryBytes), callers: gooseretry.NewCallers()}
 }
 
 // notReadyRetryAfter is the Retry-After while the instance has no routing or the route
@@ -115,6 +116,8 @@
 	// current attempt began.
 	suspicion goosequarantine.Attempt
 	urgency   int
+	// callerRetry is set if the caller was refused before, in a large fleet.
+	callerRetry bool
 
 	// tried are the replicas that were sent the request, or that could not be reached.
 	tried    map[goose.ReplicaID]bool
@@ -174,6 +177,7 @@
 	}
 	c.service = service
 	c.deadline = c.arrived.Add(c.timeLimit())
+	c.callerRetry = c.isCallerRetry()
 	c.urgency = c.requestUrgency()
 	return goose.Refusal{}, true
 }
@@ -197,8 +201,21 @@
 const (
 	maxUrgency         = 9
 	urgencyPerPriority = 2
+	// callerRetryUrgency ranks the retry of a caller, which is late in any case, behind first
+	// requests of the same priority and of the next one.
+	callerRetryUrgency = 3
 )
 
+// isCallerRetry reports whether the caller was refused before. It is recognised for services with
+// an engine in large fleets, in which it returns to another instance.
+func (c *call) isCallerRetry() bool {
+	if c.service.Engine == nil || !c.o.Placer.SplitReports() || !c.callers.IsRetry(c.route.Name, c.header.TimeLeft, c.route.Timeout, c.arrived) {
+		return false
+	}
+	c.o.Metrics.countCallerRetry(c.service.Name)
+	return true
+}
+
 func (c *call) requestUrgency() int {
 	priority := c.route.Priority
 	if c.workspace.HasPriority {
@@ -208,6 +225,9 @@
 	if goose.Classify(c.header.PromptTokens, longPromptTokens) != goose.ClassShort {
 		u++
 	}
+	if c.callerRetry {
+		u += callerRetryUrgency
+	}
 	return min(u, maxUrgency)
 }
 
--- a/internal/gooseforward/metrics.go
+++ b/internal/gooseforward/metrics.go
@@ -30,6 +30,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gooseberryhold_attempts_total{service=%q,outcome=%q}`, service, o)).Inc()
 }
 
+// countCallerRetry counts a request whose caller was refused before.
+func (m *Metrics) countCallerRetry(service goose.ServiceName) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gooseberryhold_caller_retries_total{service=%q}`, service)).Inc()
+}
+
 // observeTimeToFirst records the time to the first event of a stream or to the complete
 // response.
 func (m *Metrics) observeTimeToFirst(service goose.ServiceName, class goose.LengthClass, d time.Duration) {
--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -22,6 +22,9 @@
 	Objective time.Duration
 	// TimeLeft is the time until the deadline.
 	TimeLeft time.Duration
+	// CallerRetry is set if the caller was refused before. Its response is late in any case, and
+	// a second refusal is final.
+	CallerRetry bool
 	// Avoid is the set of replicas that were already tried.
 	Avoid map[goose.ReplicaID]bool
 }
@@ -161,6 +164,9 @@
 	if obstacle == ObstacleNone && near.inGoodTime(d) {
 		return near, ObstacleNone
 	}
+	if d.Service.Engine != nil {
+		all = pl.withoutFullDataCentres(*d.Service.Engine, all)
+	}
 	far, farObstacle := pl.placeAmong(d, all, now)
 	if farObstacle != ObstacleNone || obstacle == ObstacleNone && far.freeSlots(d) <= near.freeSlots(d) && near.expected <= far.expected {
 		return near, obstacle
@@ -422,10 +428,6 @@
 	return slowest
 }
 
-// maxQueued is the number of requests that may queue for a slot of a replica. A slot
-// becomes free several times within the objective of a short request.
-const maxQueued = 1
-
 // lateFactor is the tolerance for estimates that are too high.
 const lateFactor = 1.5
 
@@ -437,7 +439,8 @@
 	if d.Objective <= 0 {
 		return false
 	}
-	return best.load.Requests >= d.Service.Engine.Slots+maxQueued || float64(expected) > lateFactor*float64(d.Objective)
+	slots := d.Service.Engine.Slots
+	return best.load.Requests >= slots+pl.maxQueued(d.CallerRetry, slots) || float64(expected) > lateFactor*float64(d.Objective)
 }
 
 // setCost sets the cost of a replica for a request.
