gooseplacement: marks do not count for short prompts

Cause: a mark reaches all instances at once, and all of them leave the replica for some 100 ms, so that the others are overrun. Short prompts, of which a replica gets many in that time, lose by it. Change: marks rank a replica last for long prompts and plain services only. TestMarkedReplicaIsLast loses its cases of short prompts; TestMarksLeaveShortPrompts takes their place and that of TestMemoryMarkLeavesShortPrompts, for all kinds of marks.

--- a/pkg/gooseplacement/mark.go
+++ b/pkg/gooseplacement/mark.go
@@ -174,17 +174,18 @@
 // decides among them when all have one.
 var markPenalties = map[MarkKind]time.Duration{MarkFull: fullPenalty, MarkNoMemory: fullPenalty, MarkSlow: slowPenalty}
 
-// markCost returns the cost of the marks of a replica for a demand, which ranks the replica
-// last. Memory that is refused to a reservation may suffice for a short prompt. The lock must
-// be held.
+// markCost returns the cost of the marks of a replica for a long prompt, which ranks the replica
+// last. Marks do not count for short prompts: many of them use a replica in the time of a mark,
+// its load is known better, and all instances would avoid the replica at the same time. The lock
+// must be held.
 func (pl *Placer) markCost(r goose.Replica, l Load, d Demand, now time.Time) time.Duration {
-	if len(pl.marks) == 0 {
+	if len(pl.marks) == 0 || d.Service.Engine != nil && d.isShort() {
 		return 0
 	}
 	cost := time.Duration(0)
 	for kind, penalty := range markPenalties {
 		m, ok := pl.marks[markKey{process: processOf(r), kind: kind}]
-		if !ok || kind == MarkNoMemory && d.isShort() {
+		if !ok {
 			continue
 		}
 		if m.counts(markTTL(kind, d.Service.Engine, l), now) {
