--- a/internal/goosecommand/local.go
+++ b/internal/goosecommand/local.go
@@ -14,7 +14,6 @@
 
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseyaml"
-	"github.com/gooseberryhold/gooseberryhold/pkg/gooseconfig"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosesettings"
 
 	"github.com/pkg/errors"
@@ -71,91 +70,6 @@
 	return ctx, cancel
 }
 
-// checkResult describes one valid file.
-type checkResult struct {
-	File           string `json:"file"`
-	Kind           string `json:"kind"`
-	Services       int    `json:"services,omitempty"`
-	Workspaces     int    `json:"workspaces,omitempty"`
-	DataCentres    int    `json:"data-centres,omitempty"`
-	BackendServers int    `json:"backend-servers,omitempty"`
-	Selectors      int    `json:"selectors,omitempty"`
-}
-
-func checkCommand() command {
-	return command{
-		name: "check", usage: "[file...] [--settings file]", short: "check files without an instance",
-		long:     "Checks configuration files, and a settings file with the overrides of the environment,\nand lists everything that is wrong in them. A file '-' is read from standard input.",
-		examples: []string{"check fleet.yaml", "check --settings leith-entry-1.yaml"},
-		flags: func(f *flag.FlagSet) runFunc {
-			settings := f.String("settings", "", "settings `file` to check")
-			output := outputFlag(f)
-			return func(_ context.Context, a *App, args []string) error {
-				if len(args) == 0 && *settings == "" {
-					return usagef("give a configuration file or --settings")
-				}
-				return a.check(args, *settings, *output)
-			}
-		},
-	}
-}
-
-func (a *App) check(files []string, settings, output string) error {
-	var valid []checkResult
-	var problems gooseyaml.InvalidError
-	add := func(c checkResult, err error) error {
-		var invalid *gooseyaml.InvalidError
-		switch {
-		case errors.As(err, &invalid):
-			problems.Problems = append(problems.Problems, invalid.Problems...)
-			return nil
-		case err == nil:
-			valid = append(valid, c)
-		}
-		return err
-	}
-	if settings != "" {
-		_, err := goosesettings.Load(settings, a.Environ)
-		if err := add(checkResult{File: settings, Kind: "settings"}, err); err != nil {
-			return err
-		}
-	}
-	for _, f := range files {
-		c, err := a.checkConfiguration(f)
-		if err := add(c, err); err != nil {
-			return err
-		}
-	}
-	if len(problems.Problems) > 0 {
-		return &problems
-	}
-	return a.print(output, valid, func(w io.Writer) {
-		for _, c := range valid {
-			if c.Kind == "settings" {
-				fmt.Fprintf(w, "%s: valid settings\n", c.File)
-				continue
-			}
-			fmt.Fprintf(w, "%s: valid; services %d, workspaces %d, data centres %d, backend servers %d, selectors %d\n",
-				c.File, c.Services, c.Workspaces, c.DataCentres, c.BackendServers, c.Selectors)
-		}
-	})
-}
-
-func (a *App) checkConfiguration(file string) (checkResult, error) {
-	data, err := a.readInput(file)
-	if err != nil {
-		return checkResult{}, err
-	}
-	c, err := gooseconfig.Parse(file, data)
-	if err != nil {
-		return checkResult{}, err
-	}
-	return checkResult{
-		File: file, Kind: "configuration", Services: len(c.Services), Workspaces: len(c.Workspaces),
-		DataCentres: len(c.DataCentres), BackendServers: len(c.BackendServers), Selectors: len(c.Selectors),
-	}, nil
-}
-
 // readInput reads a file, or standard input if file is "-".
 func (a *App) readInput(file string) ([]byte, error) {
 	if file == "-" {
