goosedial, gooseengine: a request is written beside the read of its response on both paths

Callers saw: a plain service that sends a long response before it reads a long request, and its instance, both only wrote; the request ended at its deadline. Cause: gooseengine wrote the whole request before it read. forward already wrote beside the read. Change: the write of forward moves to goosedial.RequestWrite, and gooseengine uses it, too. A request counts as not sent if its first write, which never waits, sent nothing. An exchange is closed only after its write has ended, so that the body is not read any more then.

--- a/internal/gooseengine/exchange.go
+++ b/internal/gooseengine/exchange.go
@@ -70,8 +70,9 @@
 	// reader is kept after a response, since a verified connection carries two responses.
 	reader *bufio.Reader
 	resp   *fasthttp.Response
-	// writeErr is the error of a request that was not written completely, but got a response.
-	writeErr error
+	// write is nil before the request is sent. The request for a load report is short and is
+	// written before its response is read.
+	write *goosedial.RequestWrite
 	// stopContextWatch prevents the end of the context from breaking the connection.
 	stopContextWatch func() bool
 	ctx              context.Context
@@ -192,35 +193,39 @@
 
 func (x *exchange) send(address string, check func() error, fill func(*fasthttp.Request)) error {
 	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
 	fill(req)
 	req.Header.SetHost(address)
 	req.Header.SetConnectionClose()
 	x.resp.SkipBody = req.Header.IsHead()
-	if err := x.ctx.Err(); err != nil {
-		return notSent(x.causeOf(err))
-	}
-	if check != nil {
-		if err := check(); err != nil {
-			return notSent(err)
-		}
+	if err := x.mayWrite(check); err != nil {
+		fasthttp.ReleaseRequest(req)
+		return notSent(err)
 	}
-	countingConn := &goosedial.CountingConn{Conn: x.conn}
-	x.writeErr = writeRequest(countingConn, req)
-	if x.writeErr != nil && countingConn.Written == 0 {
-		return notSent(x.causeOf(x.writeErr))
+	// A backend server may respond, and even close, before it has read the whole body.
+	x.write = goosedial.BeginWrite(x.conn, func(w io.Writer) error {
+		defer fasthttp.ReleaseRequest(req)
+		return writeRequest(w, req)
+	})
+	if x.write.NothingSent() {
+		return notSent(x.causeOf(x.write.End()))
 	}
-	// A backend server may respond and close before it has read the whole body,
-	// so the response is read even after a failed write.
 	if err := x.readResponse(x.resp, 0); err != nil {
-		if x.writeErr != nil {
-			err = x.writeErr
-		}
 		return disconnected(x.causeOf(err))
 	}
 	return nil
 }
 
+// mayWrite returns an error if the request must not be sent.
+func (x *exchange) mayWrite(check func() error) error {
+	if err := x.ctx.Err(); err != nil {
+		return x.causeOf(err)
+	}
+	if check == nil {
+		return nil
+	}
+	return check()
+}
+
 func writeRequest(w io.Writer, req *fasthttp.Request) error {
 	bw := bufio.NewWriterSize(w, 4<<10)
 	if err := req.Write(bw); err != nil {
@@ -258,8 +263,10 @@
 		return nil, disconnected(errors.Errorf("response exceeds %d bytes", limit))
 	case length >= 0 && len(b) < length:
 		return nil, disconnected(io.ErrUnexpectedEOF)
-	case length < 0 && !x.isChunked() && x.writeErr != nil:
-		return nil, disconnected(x.causeOf(x.writeErr))
+	case length < 0 && !x.isChunked():
+		if err := x.write.End(); err != nil {
+			return nil, disconnected(x.causeOf(err))
+		}
 	}
 	return b, nil
 }
@@ -300,10 +307,13 @@
 	return false
 }
 
-// close breaks the connection.
+// close breaks the connection, and waits until the body of the request is not read any more.
 func (x *exchange) close() {
 	x.stopContextWatch()
 	_ = x.conn.Close()
+	if x.write != nil {
+		x.write.Wait()
+	}
 }
 
 // controlCall runs a small call and returns the body of the response. Statuses outside 200
--- a/internal/gooseengine/truncated_test.go
+++ b/internal/gooseengine/truncated_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -105,3 +107,22 @@
 		t.Errorf("got %q, error %v, want %v", text, err, goose.ErrDisconnected)
 	}
 }
+
+// Guards against an exchange in which both sides only write: the backend server responds before
+// it reads a long request, and its response is longer than the socket buffers.
+func TestLongResponseBeforeRequestIsRead(t *testing.T) {
+	t.Parallel()
+	address := serveRaw(t, func(conn *net.TCPConn, head *http.Request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 201 Created\r\nContent-Length: %d\r\n\r\n", longBodyBytes)
+		_, _ = conn.Write(make([]byte, longBodyBytes))
+		_, _ = io.Copy(io.Discard, head.Body)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	a := attemptAt(address)
+	a.Body = make([]byte, longBodyBytes)
+	got, err := Plain{}.Call(ctx, a)
+	if err != nil || len(got.Body) != longBodyBytes {
+		t.Errorf("got %d bytes, error %v, want %d", len(got.Body), err, longBodyBytes)
+	}
+}
--- a/internal/gooseforward/upstream.go
+++ b/internal/gooseforward/upstream.go
@@ -47,7 +47,7 @@
 	// reader bounds what is read from conn.
 	reader           *boundedReader
 	resp             *http.Response
-	write            *requestWrite
+	write            *goosedial.RequestWrite
 	stopContextWatch func() bool
 }
 
@@ -71,7 +71,13 @@
 // roundTrip writes the request while it reads the head of the response, since a replica
 // may respond before it has read a long body.
 func (u *upstream) roundTrip(f outgoingRequest) error {
-	u.write = beginWrite(u.conn, f)
+	u.write = goosedial.BeginWrite(u.conn, func(w io.Writer) error {
+		b := bufio.NewWriterSize(w, readBufferBytes)
+		if err := f.write(b); err != nil {
+			return err
+		}
+		return errors.WithStack(b.Flush())
+	})
 	err := u.readHead(f.method)
 	if err == nil {
 		if !isFramed(u.resp) {
@@ -80,7 +86,7 @@
 		return nil
 	}
 	_ = u.conn.Close()
-	if u.write.written() == 0 {
+	if u.write.NothingSent() {
 		return errors.Wrap(goose.ErrNotSent, err.Error())
 	}
 	return errors.Wrap(goose.ErrDisconnected, err.Error())
