gooseplacement: a free slot of a full replica is reported immediately in large fleets

Callers saw: first requests were refused although slots were free. Cause: the end of an attempt is reported with the progress of others, after up to 450 ms. Change: a report is due when an attempt ends on a replica whose slots were all in use, at most every 20 ms as after a placement. Seen: TestFreeSlotOfFullReplicaIsReported fails without the call.

--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -488,6 +488,9 @@
 	a := &attempt{
 		tokens: d.PromptTokens + d.OutputTokens, maxPause: d.LongestPause, placedAt: now, expected: expected,
 	}
+	if d.Service.Engine != nil {
+		a.slots = d.Service.Engine.Slots
+	}
 	c := Choice{Replica: replicas[0].Replica.Replica, Expected: expected, Load: replicas[0].load}
 	for i, r := range replicas {
 		p := part{replica: r.ID, prefill: prefill / time.Duration(len(replicas))}
--- a/pkg/gooseplacement/load.go
+++ b/pkg/gooseplacement/load.go
@@ -129,6 +129,8 @@
 	// maxPause is the longest pause between events with which the stream is on time; zero if
 	// there is no limit.
 	maxPause time.Duration
+	// slots is the number of slots of the first replica; zero if the service has no engine.
+	slots int
 	// hasFirstEvent is set by the first event.
 	hasFirstEvent bool
 	// placedAt is the time at which the attempt was placed.
--- a/pkg/gooseplacement/placer.go
+++ b/pkg/gooseplacement/placer.go
@@ -219,6 +219,7 @@
 	for _, p := range a.parts {
 		delete(pl.replicas[p.replica].parts, id)
 	}
+	pl.reportFreeSlot(a, now)
 	if !failed {
 		return 0
 	}
--- a/pkg/gooseplacement/scarcity.go
+++ b/pkg/gooseplacement/scarcity.go
@@ -21,3 +21,12 @@
 	scarce := max(l.Requests-(e.Slots-scarceSlots), 0)
 	return time.Duration(scarce*scarce) * scarceSlotPenalty
 }
+
+// reportFreeSlot makes a report due after the end of an attempt on a replica whose slots were
+// all in use. In large fleets the ends of attempts are otherwise reported so late that peers
+// refuse requests while slots are free. The lock must be held.
+func (pl *Placer) reportFreeSlot(a *attempt, now time.Time) {
+	if a.slots > 0 && pl.table.split() && pl.load(a.parts[0].replica, now).Requests+1 >= a.slots {
+		pl.requestReport()
+	}
+}
--- a/pkg/gooseplacement/scarcity_test.go
+++ b/pkg/gooseplacement/scarcity_test.go
@@ -42,3 +42,47 @@
 		})
 	}
 }
+
+// Guards against peers that refuse requests although a slot has become free, since they learn
+// of it too late, and against a report for each end of an attempt while slots are free anyway.
+func TestFreeSlotOfFullReplicaIsReported(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		running int
+		sum     bool
+		want    bool
+	}{
+		"all slots were in use":             {running: 15, sum: true, want: true},
+		"other slots were free":             {running: 10, sum: true, want: false},
+		"small fleet, reports are frequent": {running: 15, sum: false, want: false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			pl, all := newPlacer(), replicas("desk", 1)
+			pl.SetPeerReport("edge-2", Report{Replicas: map[goose.ReplicaID]Load{all[0].ID: {Requests: tc.running}}}, start)
+			if tc.sum {
+				pl.SetDataCentreReport("ayr", Report{Instances: 30}, start)
+			}
+			c, o := pl.Choose(shortDemand(), all, start)
+			if o != ObstacleNone {
+				t.Fatalf("got obstacle %q", o)
+			}
+			reportIsDue(pl)
+			pl.RecordEnd(c.AttemptID, false, false, start)
+			if got := reportIsDue(pl); got != tc.want {
+				t.Errorf("got a report due: %t, want %t", got, tc.want)
+			}
+		})
+	}
+}
+
+// reportIsDue reports whether a report is due, and takes the value.
+func reportIsDue(pl *Placer) bool {
+	select {
+	case <-pl.ReportDue():
+		return true
+	default:
+		return false
+	}
+}
