--- a/internal/goosesoak/instance_test.go
+++ b/internal/goosesoak/instance_test.go
@@ -1,6 +1,7 @@
 package goosesoak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"os"
@@ -33,9 +34,11 @@
 
 // instance is an entry instance, which runs one process after the other.
 type instance struct {
-	t            testing.TB
-	name         string
-	dir          string
+	t    testing.TB
+	name string
+	dir  string
+	// limits are those of the process, as the platform sets them; zero means the usual ones.
+	limits       processLimits
 	settingsFile string
 	readyAddress string
 	address      string
@@ -94,9 +97,13 @@
 	memoryLimitMB  = 256
 )
 
+// processLimits are the limits of a process.
+type processLimits struct{ descriptors, memoryMB int }
+
 // configure writes the instance's settings file.
 func (i *instance) configure(dataCentre string) {
 	i.t.Helper()
+	i.limits = cmp.Or(i.limits, processLimits{descriptors: maxDescriptors, memoryMB: memoryLimitMB})
 	address := goosehosttest.UniqueLoopbackAddress()
 	i.address = address
 	i.readyAddress = fmt.Sprintf("%s:%d", address, readyPort)
@@ -129,7 +136,7 @@
 [platform]
 addr = %q
 form = "kv"
-`, i.name, dataCentre, address, internalPort, internalPort+1, address, callerPort, i.readyAddress, int(stopTimeout.Seconds()), maxDescriptors, memoryLimitMB, i.storeProxy.address())
+`, i.name, dataCentre, address, internalPort, internalPort+1, address, callerPort, i.readyAddress, int(stopTimeout.Seconds()), i.limits.descriptors, i.limits.memoryMB, i.storeProxy.address())
 	if err := os.WriteFile(i.settingsFile, []byte(text), 0o600); err != nil {
 		i.t.Fatal(err)
 	}
