gooseforward: slow bodies give way to others that need their memory

Cause: a body that stops short of its end held its memory until the deadline of its request, and ordinary bodies got 503 meanwhile. Change: pkg/goosetransfer measures each body over windows of a second. A request that waits for memory cuts the slowest body below 4 KiB/s that holds memory of the same kind: that one gets 408 as not run and its connection closes. Without a request that waits, no body is cut. 64 KiB take 16 s at this rate, longer than requests have. Seen: TestUntrustedClients (go test -race), before: "long bodies that stop short", "in pieces", "large chunks", "short bodies" and "one-byte chunks that stop short" fail, their ordinary requests get 503 for 15 s; after: they pass. Conclusion: memory of bodies no longer stays with clients that stop.

--- a/internal/gooseforward/body.go
+++ b/internal/gooseforward/body.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
 const (
@@ -43,17 +44,20 @@
 type bodyMemory struct {
 	longBytes   int64
 	long, small *semaphore.Weighted
+	transfers   *goosetransfer.Table
 }
 
 // heldBody is the memory that one body holds.
 type heldBody struct{ long, small int64 }
 
-func newBodyMemory(machineBytes int64) *bodyMemory {
+func newBodyMemory(machineBytes int64, transfers *goosetransfer.Table) *bodyMemory {
 	if machineBytes <= 0 {
 		machineBytes = defaultMemoryBytes
 	}
 	long := machineBytes / longBodyShare
-	return &bodyMemory{longBytes: long, long: semaphore.NewWeighted(long), small: semaphore.NewWeighted(machineBytes / smallBodyShare)}
+	return &bodyMemory{
+		longBytes: long, long: semaphore.NewWeighted(long), small: semaphore.NewWeighted(machineBytes / smallBodyShare), transfers: transfers,
+	}
 }
 
 func (m *bodyMemory) release(h heldBody) {
@@ -66,15 +70,25 @@
 
 // read reads a body of at most limit bytes into one buffer. length is its length, or negative if
 // it is unknown. The memory that is held has to be released, also with an error. A body that is
-// longer than limit is returned with a length above limit.
-func (m *bodyMemory) read(ctx context.Context, r io.Reader, length, limit int64) ([]byte, heldBody, error) {
+// longer than limit is returned with a length above limit. Function cut has to make r return an
+// error; it is called if the body arrives too slowly and others need its memory.
+func (m *bodyMemory) read(ctx context.Context, r io.Reader, length, limit int64, cut func()) ([]byte, heldBody, error) {
+	transfer := m.transfers.Begin(time.Now(), cut)
+	buf, held, err := m.readTransfer(ctx, transferReader{Reader: r, transfer: transfer}, length, limit)
+	if transfer.End() && err != nil && !errors.Is(err, errNoBodyMemory) {
+		err = errSlowBody
+	}
+	return buf, held, err
+}
+
+func (m *bodyMemory) readTransfer(ctx context.Context, r transferReader, length, limit int64) ([]byte, heldBody, error) {
 	var (
 		held  heldBody
 		buf   []byte
 		ended bool
 	)
 	for _, size := range bufferSizes(length, limit) {
-		if err := m.grow(ctx, size, &held); err != nil {
+		if err := m.grow(ctx, size, &held, r.transfer); err != nil {
 			return nil, held, err
 		}
 		larger := make([]byte, len(buf), size)
@@ -109,13 +123,13 @@
 
 // grow waits for the memory of a larger buffer. No request waits for memory of a kind that it
 // holds: memory for small bodies is released before more of it is acquired, and otherwise after.
-func (m *bodyMemory) grow(ctx context.Context, size int64, held *heldBody) error {
+func (m *bodyMemory) grow(ctx context.Context, size int64, held *heldBody, transfer *goosetransfer.Transfer) error {
 	smaller := held.small
 	if size <= smallBodyBytes {
 		m.small.Release(smaller)
 		held.small, smaller = 0, 0
 	}
-	if err := m.acquire(ctx, size, held); err != nil {
+	if err := m.acquire(ctx, size, held, transfer); err != nil {
 		return err
 	}
 	m.small.Release(smaller)
@@ -136,20 +150,24 @@
 }
 
 // acquire waits for memory and records it in held.
-func (m *bodyMemory) acquire(ctx context.Context, n int64, held *heldBody) error {
+func (m *bodyMemory) acquire(ctx context.Context, n int64, held *heldBody, transfer *goosetransfer.Transfer) error {
+	// A transfer that waits for memory is not slow.
+	transfer.Hold("", time.Now())
 	if n <= smallBodyBytes {
-		if m.small.Acquire(ctx, n) != nil {
+		if !acquireMemory(ctx, m.small, n, m.transfers, kindSmallBody) {
 			return errNoBodyMemory
 		}
 		held.small = n
+		transfer.Hold(kindSmallBody, time.Now())
 		return nil
 	}
 	// A body that is longer than the memory for all bodies is read alone.
 	n = min(n, m.longBytes)
-	if m.long.Acquire(ctx, n) != nil {
+	if !acquireMemory(ctx, m.long, n, m.transfers, kindLongBody) {
 		return errNoBodyMemory
 	}
 	held.long = n
+	transfer.Hold(kindLongBody, time.Now())
 	return nil
 }
 
@@ -206,7 +224,9 @@
 	wait := min(maxMemoryWait, c.deadline.Sub(c.arrived)/memoryWaitDivisor)
 	ctx, cancel := context.WithTimeout(c.ctx, wait)
 	defer cancel()
-	body, held, err := c.bodyMemory.read(ctx, c.r.Body, c.r.ContentLength, limit)
+	body, held, err := c.bodyMemory.read(ctx, c.r.Body, c.r.ContentLength, limit, func() {
+		_ = http.NewResponseController(c.w).SetReadDeadline(time.Unix(1, 0))
+	})
 	c.heldBody = held
 	return body, err
 }
@@ -217,6 +237,9 @@
 	case errors.Is(err, errNoBodyMemory):
 		return goose.NotRunRefusal(goose.CodeNotReady, "the bodies of other requests take all memory").
 			WithReason("body-memory").WithRetryAfter(bodyRetryAfter + rand.N(bodyRetryAfter)), false
+	case errors.Is(err, errSlowBody):
+		return goose.NotRunRefusal(goose.CodeRequestTimeout, "the body arrives too slowly while others need its memory").
+			WithReason("slow-body").WithRetryAfter(bodyRetryAfter + rand.N(bodyRetryAfter)), false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return goose.NotRunRefusal(goose.CodeRequestTimeout, "the request's time was over before its body had arrived"), false
 	case err != nil:
--- a/internal/gooseforward/body_test.go
+++ b/internal/gooseforward/body_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sync/semaphore"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
 // bodyMemoryLeft returns the memory that is free for long and small bodies.
@@ -44,14 +46,14 @@
 		for _, known := range []bool{false, true} {
 			t.Run(name+map[bool]string{true: ", length known", false: ", length unknown"}[known], func(t *testing.T) {
 				t.Parallel()
-				m := newBodyMemory(4 << 20)
+				m := newBodyMemory(4<<20, goosetransfer.New())
 				wantLong, wantSmall := bodyMemoryLeft(m)
 				body := bytes.Repeat([]byte("0123456789abcde"), length/15+1)[:length]
 				announced := int64(-1)
 				if known {
 					announced = int64(length)
 				}
-				got, held, err := m.read(context.Background(), iotest.HalfReader(bytes.NewReader(body)), announced, limit)
+				got, held, err := m.read(context.Background(), iotest.HalfReader(bytes.NewReader(body)), announced, limit, func() {})
 				switch {
 				case err != nil:
 					t.Fatal(err)
@@ -79,7 +81,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			cut := io.MultiReader(strings.NewReader("abc"), iotest.ErrReader(io.ErrUnexpectedEOF))
-			if _, _, err := newBodyMemory(0).read(context.Background(), cut, length, 100); !errors.Is(err, io.ErrUnexpectedEOF) {
+			if _, _, err := newBodyMemory(0, goosetransfer.New()).read(context.Background(), cut, length, 100, func() {}); !errors.Is(err, io.ErrUnexpectedEOF) {
 				t.Errorf("got error %v, want %v", err, io.ErrUnexpectedEOF)
 			}
 		})
@@ -94,11 +96,11 @@
 	for name, announced := range map[string]int64{"length known": length, "length unknown": -1} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			m := newBodyMemory(machine)
+			m := newBodyMemory(machine, goosetransfer.New())
 			read := func(body string, announced int64) (heldBody, error) {
 				ctx, cancel := context.WithTimeout(context.Background(), wait)
 				defer cancel()
-				_, held, err := m.read(ctx, strings.NewReader(body), announced, length)
+				_, held, err := m.read(ctx, strings.NewReader(body), announced, length, func() {})
 				return held, err
 			}
 			long := strings.Repeat("x", length)
@@ -128,6 +130,53 @@
 	}
 }
 
+// Guards against bodies that stop short of their end and keep ordinary requests without memory: the
+// slow one is refused as not run, on a connection that closes, and the other one is served.
+func TestSlowBodyIsCut(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, succeed)
+	_, all := bodyMemoryLeft(h.forwarder.bodyMemory)
+	slowBody, w := io.Pipe()
+	defer func() { _ = w.Close() }()
+	slow := h.request(context.Background(), "/order/x", "")
+	slow.Body, slow.ContentLength = slowBody, -1
+	refused := make(chan struct{})
+	go func() {
+		defer close(refused)
+		resp, err := http.DefaultTransport.RoundTrip(slow)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		if resp.StatusCode != http.StatusRequestTimeout || !resp.Close || !strings.Contains(string(text), `"run":"not-run"`) {
+			t.Errorf("got status %d, closed %t, body %s for the slow body, want 408 as not run and a closed connection", resp.StatusCode, resp.Close, text)
+		}
+	}()
+	_, _ = io.WriteString(w, "a part")
+	for {
+		if _, left := bodyMemoryLeft(h.forwarder.bodyMemory); left < all {
+			all = left
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if !h.forwarder.bodyMemory.small.TryAcquire(all) {
+		t.Fatal("the memory is in use")
+	}
+	for started := time.Now(); ; {
+		got := h.post("/order/x", "body")
+		if got.status == http.StatusOK {
+			break
+		}
+		if time.Since(started) > testTimeout {
+			t.Fatalf("got status %d, body %s beside a body that stopped short, want 200", got.status, got.body)
+		}
+	}
+	<-refused
+}
+
 // Guards against callers that wait for their deadline, or are told too little, because there is
 // no memory for their bodies.
 func TestNoBodyMemoryIsRefused(t *testing.T) {
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -17,6 +17,7 @@
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosequarantine"
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooseretry"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosetable"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
 // Options are the dependencies of a Forwarder; all are required.
@@ -47,11 +48,14 @@
 	o              Options
 	responseMemory *responseMemory
 	bodyMemory     *bodyMemory
+	// transfers are the bodies that arrive.
+	transfers *goosetransfer.Table
 }
 
 // New returns a forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{o: o, responseMemory: newResponseMemory(), bodyMemory: newBodyMemory(o.MemoryBytes)}
+	transfers := goosetransfer.New()
+	return &Forwarder{o: o, transfers: transfers, responseMemory: newResponseMemory(), bodyMemory: newBodyMemory(o.MemoryBytes, transfers)}
 }
 
 // notReadyRetryAfter is the Retry-After while the instance has no routing or the route
