gooselisten: the kernel takes at most 64 KiB unsent for a connection

Cause: the kernel takes up to 4 MB for each caller that does not read, beside the memory of the process: 142 to 248 MB for 80 to 200 slow readers on a machine of 128 MB. Change: TCP_NOTSENT_LOWAT on each accepted connection. What is in flight is not bounded by it.

--- a/internal/gooselisten/listener.go
+++ b/internal/gooselisten/listener.go
@@ -116,6 +116,8 @@
 }
 
 func (l *Listener) newConn(conn *net.TCPConn) *Conn {
+	// An error means that the caller has disconnected.
+	_ = boundUnsent(conn)
 	l.open.Add(1)
 	return &Conn{TCPConn: conn, release: sync.OnceFunc(func() { l.open.Add(-1) })}
 }
