gooseforward: responses that are not read end, and give way to others

Cause: a caller that does not read its response kept a request, its body, its response and a connection for ever: a write had no deadline. Responses took up to 48 MB whatever the machine has, and further ones got 502 while they were held. Change: a write ends 2 s after the deadline of its request. Responses take a sixth of the machine's memory, at least 8 MB and at most 48 MB; a response that waits for memory, up to 1.5 s, cuts the slowest reader below 4 KiB/s, and so does a body that waits for the memory of a stream's body. A response of known length gets its memory at once, into one buffer. The body is released when the final response is written. Test changes: readAll takes a context and a length; TestResponseMemory passes a context that has ended, so that responses fail without a wait as before, and checks the same.

--- a/internal/gooseforward/bounded.go
+++ b/internal/gooseforward/bounded.go
@@ -1,16 +1,22 @@
 package gooseforward
 
 import (
+	"context"
 	"io"
 	"math"
-	"sync/atomic"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
 // errResponseTooLong reports that a replica sent a longer response than it may send.
 var errResponseTooLong = errors.New("response too long")
 
+// errNoResponseMemory reports that other responses hold the memory for all of them.
+var errNoResponseMemory = errors.Wrap(errResponseTooLong, "memory for responses is exhausted")
+
 // boundedReader reads at most remaining bytes and then returns an error. An
 // io.LimitedReader would return io.EOF, which looks like the end of the response.
 type boundedReader struct {
@@ -34,29 +40,49 @@
 const (
 	// maxResponseBytes bounds the response of a request that is no stream.
 	maxResponseBytes = 8 << 20
-	// maxResponseMemoryBytes bounds the memory that the responses of all requests hold in total;
-	// the first responseMemoryUnitBytes bytes of each response are not counted.
+	// responseMemoryShare is the inverse part of the machine's memory that the responses of all
+	// requests may take, and maxResponseMemoryBytes what they take at most. The first
+	// responseMemoryUnitBytes bytes of each response are not counted.
+	responseMemoryShare    = 6
 	maxResponseMemoryBytes = 48 << 20
 	// responseMemoryUnitBytes is the unit in which memory is counted. A response of at most this
 	// length is not counted.
 	responseMemoryUnitBytes = 64 << 10
+	// responseMemoryWait is how long a response waits for memory. Slow readers are cut meanwhile.
+	responseMemoryWait = goosetransfer.Window + goosetransfer.Window/2
 )
 
-// responseMemory counts the memory that remains for responses.
-type responseMemory struct{ remaining atomic.Int64 }
+// responseMemory bounds the memory that responses hold.
+type responseMemory struct {
+	bytes     int64
+	memory    *semaphore.Weighted
+	transfers *goosetransfer.Table
+}
 
-func newResponseMemory() *responseMemory {
-	b := &responseMemory{}
-	b.remaining.Store(maxResponseMemoryBytes)
-	return b
+func newResponseMemory(machineBytes int64, transfers *goosetransfer.Table) *responseMemory {
+	if machineBytes <= 0 {
+		machineBytes = defaultMemoryBytes
+	}
+	bytes := min(maxResponseMemoryBytes, max(machineBytes/responseMemoryShare, maxResponseBytes))
+	return &responseMemory{bytes: bytes, memory: semaphore.NewWeighted(bytes), transfers: transfers}
 }
 
 // release frees memory that readAll has acquired.
-func (m *responseMemory) release(held int64) { m.remaining.Add(held) }
+func (m *responseMemory) release(held int64) { m.memory.Release(held) }
 
-// readAll reads a complete response. It returns the memory that the caller has to
-// release, also with an error.
-func (m *responseMemory) readAll(r io.Reader) (body []byte, held int64, err error) {
+// readAll reads a complete response; length is its length, or negative if it is unknown. It
+// returns the memory that the caller has to release, also with an error.
+func (m *responseMemory) readAll(ctx context.Context, r io.Reader, length int64) (body []byte, held int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, responseMemoryWait)
+	defer cancel()
+	// Responses that hold parts of their memory and wait for that of each other could not go on.
+	if length > responseMemoryUnitBytes && length <= maxResponseBytes {
+		if !acquireMemory(ctx, m.memory, length, m.transfers, kindResponse) {
+			return nil, 0, errNoResponseMemory
+		}
+		held = length
+		body = make([]byte, 0, length+1)
+	}
 	for {
 		if len(body) == cap(body) {
 			// The runtime chooses the new capacity.
@@ -71,10 +97,10 @@
 			return body, held, err
 		}
 		for int64(len(body)) > responseMemoryUnitBytes+held {
-			held += responseMemoryUnitBytes
-			if m.remaining.Add(-responseMemoryUnitBytes) < 0 {
-				return body, held, errors.Wrap(errResponseTooLong, "memory for responses is exhausted")
+			if !acquireMemory(ctx, m.memory, responseMemoryUnitBytes, m.transfers, kindResponse) {
+				return body, held, errNoResponseMemory
 			}
+			held += responseMemoryUnitBytes
 		}
 	}
 }
--- a/internal/gooseforward/endless_test.go
+++ b/internal/gooseforward/endless_test.go
@@ -1,6 +1,7 @@
 package gooseforward
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -9,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/goosetest"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
 // endlessBoundBytes is far above the size of the buffers of a connection.
@@ -84,11 +86,14 @@
 // and against response memory that is not released.
 func TestResponseMemory(t *testing.T) {
 	t.Parallel()
-	b := newResponseMemory()
+	b := newResponseMemory(1<<30, goosetransfer.New())
+	// Responses do not wait for memory.
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
 	long := func() io.Reader { return &boundedReader{r: zeros{}, remaining: maxResponseBytes} }
 	total, held, failed := 0, int64(0), 0
 	for range 2 * maxResponseMemoryBytes / maxResponseBytes {
-		body, h, err := b.readAll(long())
+		body, h, err := b.readAll(ctx, long(), -1)
 		if !errors.Is(err, errResponseTooLong) {
 			t.Fatalf("got error %v, want errResponseTooLong", err)
 		}
@@ -100,11 +105,11 @@
 	if total > maxResponseMemoryBytes+2*maxResponseMemoryBytes/maxResponseBytes*(responseMemoryUnitBytes+maxResponseBytes/4) || failed == 0 {
 		t.Errorf("got %d bytes held, %d responses ended early, want at most %d bytes", total, failed, maxResponseMemoryBytes)
 	}
-	if _, _, err := b.readAll(strings.NewReader("done")); err != nil {
+	if _, _, err := b.readAll(ctx, strings.NewReader("done"), -1); err != nil {
 		t.Errorf("got error %v for a short response while long ones hold memory, want none", err)
 	}
 	b.release(held)
-	if got := b.remaining.Load(); got != maxResponseMemoryBytes {
+	if got := free(b.memory); got != maxResponseMemoryBytes {
 		t.Errorf("got %d bytes remaining after all responses, want %d", got, maxResponseMemoryBytes)
 	}
 }
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -48,14 +48,14 @@
 	o              Options
 	responseMemory *responseMemory
 	bodyMemory     *bodyMemory
-	// transfers are the bodies that arrive.
+	// transfers are the bodies that arrive and the responses that are written.
 	transfers *goosetransfer.Table
 }
 
 // New returns a forwarder.
 func New(o Options) *Forwarder {
 	transfers := goosetransfer.New()
-	return &Forwarder{o: o, transfers: transfers, responseMemory: newResponseMemory(), bodyMemory: newBodyMemory(o.MemoryBytes, transfers)}
+	return &Forwarder{o: o, transfers: transfers, responseMemory: newResponseMemory(o.MemoryBytes, transfers), bodyMemory: newBodyMemory(o.MemoryBytes, transfers)}
 }
 
 // notReadyRetryAfter is the Retry-After while the instance has no routing or the route
@@ -75,14 +75,16 @@
 	defer f.o.Metrics.inFlight.Dec()
 	defer func() { f.responseMemory.release(c.responseBytes) }()
 	if refusal, ok := c.admit(); !ok {
+		c.limitWriting(c.arrived.Add(discardTimeout))
 		c.refuseBeforeBody(refusal)
 		return
 	}
+	c.limitWriting(c.deadline)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	defer context.AfterFunc(f.o.Stopping, cancel)()
 	c.ctx = ctx
-	defer func() { f.bodyMemory.release(c.heldBody) }()
+	defer c.releaseBody()
 	if refusal, ok := c.readBody(); !ok {
 		if !c.committed {
 			c.refuseBeforeBody(refusal)
--- a/internal/gooseforward/response.go
+++ b/internal/gooseforward/response.go
@@ -9,6 +9,7 @@
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooseplacement"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
 // response is a complete response of a replica.
@@ -31,7 +32,7 @@
 // response is a failed attempt.
 func (c *call) forwardResponse(ctx context.Context, u *upstream, h goose.ResponseHeader, choice gooseplacement.Choice, silence *silenceTimer) result {
 	u.reader.remaining = maxResponseBytes
-	body, held, err := c.responseMemory.readAll(u.resp.Body)
+	body, held, err := c.responseMemory.readAll(ctx, u.resp.Body, u.resp.ContentLength)
 	c.responseBytes += held
 	silence.Stop()
 	if h.NotRun {
@@ -67,12 +68,17 @@
 
 // writeResponse writes a replica's complete response to the caller, unchanged.
 func (c *call) writeResponse(resp *response) {
+	c.releaseBody()
+	kind := goosetransfer.Kind("")
+	if c.responseBytes > 0 {
+		kind = kindResponse
+	}
 	c.copyHeader(resp.header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
 	c.committed = true
 	c.w.WriteHeader(resp.status)
 	// A write error means that the caller has disconnected and needs no response.
-	_, _ = c.w.Write(resp.body)
+	_ = c.writeTransfer(resp.body, kind, false)
 }
 
 func (c *call) copyHeader(from http.Header) {
--- a/internal/gooseforward/stream.go
+++ b/internal/gooseforward/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"mime"
-	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -114,10 +113,7 @@
 }
 
 func (s *streamAttempt) writeBytes(data []byte) error {
-	if _, err := s.w.Write(data); err != nil {
-		return err
-	}
-	return http.NewResponseController(s.w).Flush()
+	return s.writeTransfer(data, s.heldBody.kind(), true)
 }
 
 // end returns the result of a stream that has ended without an error. A stream without new
--- a/internal/gooseforward/transfer.go
+++ b/internal/gooseforward/transfer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +17,15 @@
 const (
 	kindSmallBody goosetransfer.Kind = "small-body"
 	kindLongBody  goosetransfer.Kind = "long-body"
+	kindResponse  goosetransfer.Kind = "response"
+)
+
+const (
+	// writePieceBytes is the size of the writes of a long response, whose progress is measured.
+	writePieceBytes = 16 << 10
+	// writeGrace is how long after its request's deadline a response may still be written. Its
+	// caller no longer waits for it.
+	writeGrace = 2 * time.Second
 )
 
 // cutInterval is the interval at which a request that waits for memory cuts a slow transfer. It
@@ -58,3 +69,46 @@
 	}()
 	return memory.Acquire(ctx, n) == nil
 }
+
+// writeTransfer writes to the caller. If the caller reads too slowly while others need memory of
+// this kind, the connection breaks.
+func (c *call) writeTransfer(data []byte, kind goosetransfer.Kind, flush bool) error {
+	control := http.NewResponseController(c.w)
+	transfer := c.transfers.Begin(time.Now(), func() { _ = control.SetWriteDeadline(time.Unix(1, 0)) })
+	defer transfer.End()
+	transfer.Hold(kind, time.Now())
+	for piece := range slices.Chunk(data, writePieceBytes) {
+		n, err := c.w.Write(piece)
+		if err != nil {
+			return err
+		}
+		transfer.Progress(n, time.Now())
+	}
+	if flush {
+		return control.Flush()
+	}
+	return nil
+}
+
+// releaseBody releases the memory of a body that is not sent again.
+func (c *call) releaseBody() {
+	c.bodyMemory.release(c.heldBody)
+	c.body, c.heldBody = nil, heldBody{}
+}
+
+// kind returns the kind of memory that a body holds.
+func (h heldBody) kind() goosetransfer.Kind {
+	switch {
+	case h.long > 0:
+		return kindLongBody
+	case h.small > 0:
+		return kindSmallBody
+	}
+	return ""
+}
+
+// limitWriting ends the writing of a response after the request's deadline. The deadline stays
+// in force for what net/http writes after the handler, and the next request sets its own.
+func (c *call) limitWriting(deadline time.Time) {
+	_ = http.NewResponseController(c.w).SetWriteDeadline(deadline.Add(writeGrace))
+}
