goosehost: heads share memory, and many small pieces are gathered

Causes: (1) a field of a head takes some 100 bytes beside its text, so that 350 heads of 30 KB took 192 MB and of 15 KB 114 MB, complete or not. (2) Each chunk of one byte costs a wake-up, a system call and a pass through the chunked reader. Change: (1) what a head takes beyond 16 KiB (4 KiB of text with 64 fields) comes from an eighth of the machine's memory, from its first byte to the response; a connection without it is closed, which the counter gooseberryhold_caller_heads_cut_total shows. One head within the limits always gets it. (2) After 16 reads of less than 1 KiB the connection pauses before each read, longer with each one, up to 200 ms. Large reads shorten the pause. Reads that watch for the caller's end never wait.

--- a/internal/goosehost/conns.go
+++ b/internal/goosehost/conns.go
@@ -9,6 +9,9 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/semaphore"
+
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
 	"github.com/gooseberryhold/gooseberryhold/internal/gooselisten"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
@@ -45,41 +48,69 @@
 // a byte of a request has been read, close fails, and once close has succeeded, no byte is read.
 type callerConn struct {
 	*gooselisten.Conn
+	limits *callerLimits
 
 	mu    sync.Mutex
 	state connState
 	// since is when the state began.
 	since time.Time
+	// head is the memory of the current request's head, and pacer paces its reads.
+	head  headCost
+	pacer readPacer
 }
 
 // callerListener is a listener whose connections are callerConns.
-type callerListener struct{ *gooselisten.Listener }
+type callerListener struct {
+	*gooselisten.Listener
+	limits *callerLimits
+}
+
+// callerLimits are what all connections of callers share.
+type callerLimits struct {
+	headMemory *semaphore.Weighted
+	// headsCut counts the connections that were closed because there was no memory for a head.
+	headsCut *metrics.Counter
+}
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if c, ok := conn.(*gooselisten.Conn); ok && err == nil {
-		return &callerConn{Conn: c, state: connNew, since: time.Now()}, nil
+		return &callerConn{Conn: c, limits: l.limits, state: connNew, since: time.Now(), head: headCost{memory: l.limits.headMemory}}, nil
 	}
 	return conn, err
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
+	time.Sleep(c.readPause(len(p)))
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.receive() {
+	if n > 0 && !c.receive(p[:n], len(p)) {
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
-// receive records that bytes have arrived. It returns false if the connection is closed.
-func (c *callerConn) receive() bool {
+func (c *callerConn) readPause(bufferBytes int) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pacer.pause(bufferBytes)
+}
+
+// receive records that bytes have arrived. It returns false if the connection is closed, which
+// it also does if there is no memory for the head of the request.
+func (c *callerConn) receive(part []byte, bufferBytes int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.pacer = c.pacer.withRead(len(part), bufferBytes)
 	if c.state == connNew || c.state == connIdle {
 		c.state, c.since = connReceiving, time.Now()
 	}
+	if c.state == connReceiving && !c.head.add(part) {
+		c.limits.headsCut.Inc()
+		c.state = connClosed
+		_ = c.Close()
+	}
 	return c.state != connClosed
 }
 
@@ -90,6 +121,10 @@
 	if c.state != connClosed {
 		c.state, c.since = s, time.Now()
 	}
+	if s == connIdle || s == connClosed {
+		c.head.release()
+		c.pacer = readPacer{}
+	}
 }
 
 func (c *callerConn) currentState() connState {
@@ -163,6 +198,7 @@
 	case http.StateIdle:
 		c.setState(connIdle)
 	default:
+		c.setState(connClosed)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		delete(t.open, c)
--- a/internal/goosehost/conns_test.go
+++ b/internal/goosehost/conns_test.go
@@ -55,7 +55,7 @@
 // listenCallers returns a listener at a free port.
 func listenCallers() (callerListener, error) {
 	l, err := gooselisten.Listen("tcp4", "127.0.0.1:0", gooselisten.Options{Log: slog.New(slog.DiscardHandler)})
-	return callerListener{l}, err
+	return callerListener{l, &callerLimits{}}, err
 }
 
 // Guards against a graceful shutdown that closes connections on which a request is arriving or
--- /dev/null
+++ b/internal/goosehost/head_test.go
@@ -0,0 +1,40 @@
+package goosehost
+
+import (
+	"strings"
+	"testing"
+)
+
+// Guards against heads of many fields that take the memory of a machine, against usual heads that
+// are cut beside them, and against memory that stays reserved.
+func TestHeadMemory(t *testing.T) {
+	t.Parallel()
+	const machine = 8 << 20
+	memory := newHeadMemory(machine)
+	part := []byte(strings.Repeat("a:\r\n", 1000))
+	var heads []*headCost
+	for len(heads) < 1000 {
+		h := &headCost{memory: memory}
+		ok := true
+		for range 4 {
+			ok = ok && h.add(part)
+		}
+		heads = append(heads, h)
+		if !ok {
+			break
+		}
+	}
+	if n := len(heads); n < 2 || n > 3 {
+		t.Errorf("got %d heads of 4,000 fields before one had no memory, want 2 or 3", n)
+	}
+	usual := &headCost{memory: memory}
+	if !usual.add([]byte(strings.Repeat("X-Prompt-Prefix: "+strings.Repeat("a", 80)+"\r\n", 40))) {
+		t.Error("a usual head got no memory")
+	}
+	for _, h := range heads {
+		h.release()
+	}
+	if !memory.TryAcquire(machine / headMemoryShare) {
+		t.Error("memory stays reserved")
+	}
+}
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -225,12 +225,15 @@
 // run serves until ctx ends and the instance has drained.
 func (h *host) run(ctx context.Context, metricsPort int) error {
 	conns := newConnTracker()
-	callers, err := gooselisten.Listen("tcp4", h.settings.CallerAddress, gooselisten.Options{
+	listener, err := gooselisten.Listen("tcp4", h.settings.CallerAddress, gooselisten.Options{
 		MaxConns: gooselisten.MaxConns(h.settings.MaxDescriptors), CloseIdle: conns.closeLongestIdle, Log: h.log,
 	})
 	if err != nil {
 		return errors.Wrap(err, "setting listen.front")
 	}
+	callers := callerListener{listener, &callerLimits{
+		headMemory: newHeadMemory(h.settings.MemoryBytes), headsCut: h.metrics.NewCounter("gooseberryhold_caller_heads_cut_total"),
+	}}
 	readyListener, err := net.Listen("tcp4", h.settings.ReadyAddress)
 	if err != nil {
 		return errors.Wrap(err, "setting listen.ready-addr")
@@ -261,7 +264,7 @@
 		ErrorLog:                     slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
 	}
 	failed := make(chan error, 3)
-	go func() { failed <- errors.Wrap(server.Serve(callerListener{callers}), "callers' listener") }()
+	go func() { failed <- errors.Wrap(server.Serve(callers), "callers' listener") }()
 	go func() { failed <- errors.Wrap(http.Serve(readyListener, h.readinessHandler()), "readiness listener") }()
 	go func() { failed <- errors.Wrap(http.Serve(metricsListener, h.metricsHandler()), "metrics listener") }()
 	select {
@@ -269,7 +272,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	h.drain(server, callerListener{callers}, conns)
+	h.drain(server, callers, conns)
 	stop()
 	wg.Wait()
 	gooseevent.InstanceStopped.Log(h.log)
