gooseforward: the rest of a refused body is bounded and holds no memory

Cause: after a refusal the rest of the body was read for 3 s, as much as the link brings, and what had been read of a body beyond the limit held its memory meanwhile. Change: the memory is released first, and at most 16 MiB are read, four times the longest body of the users' platform. The connection closes after the refusal as before. Seen: TestRestOfRefusedBodyIsBounded hangs without the bound, reports 1,025 bytes that are still held without the release, and passes with both.

--- a/internal/gooseforward/body.go
+++ b/internal/gooseforward/body.go
@@ -190,10 +190,7 @@
 // readBody reads the complete body, so that the request can be sent again. If it returns a
 // refusal, the caller may have been sent one already.
 func (c *call) readBody() (goose.Refusal, bool) {
-	limit := c.snapshot.Table.Limits().BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
+	limit := c.bodyLimit()
 	if c.r.ContentLength > limit {
 		return tooLarge(limit), false
 	}
@@ -216,6 +213,14 @@
 	return goose.Refusal{}, true
 }
 
+// bodyLimit returns the length of the longest body that is read.
+func (c *call) bodyLimit() int64 {
+	if table := c.snapshot.Table; table != nil && table.Limits().BodyBytes > 0 {
+		return table.Limits().BodyBytes
+	}
+	return defaultBodyBytes
+}
+
 // readBounded reads the body once there is memory for it.
 func (c *call) readBounded(limit int64) ([]byte, error) {
 	if c.r.ContentLength == 0 {
@@ -258,13 +263,19 @@
 // Closing a connection with unread bytes resets it, and the caller may lose the refusal.
 const discardTimeout = 3 * time.Second
 
+// maxDiscardBytes bounds how much of it is read, four times the longest body that callers of the
+// users' platform may send. A caller that sends still more may lose the refusal.
+const maxDiscardBytes = 16 << 20
+
 // refuseBeforeBody sends a refusal at once, although the body has not been read, and then reads
 // and drops the rest of the body.
 func (c *call) refuseBeforeBody(r goose.Refusal) {
 	c.sendBeforeBody(r)
 	if c.r.ContentLength != 0 {
+		// The part that was read needs no memory any more.
+		c.releaseBody()
 		// An error means that the body has ended or that its time is over.
-		_, _ = io.Copy(io.Discard, c.r.Body)
+		_, _ = io.CopyN(io.Discard, c.r.Body, maxDiscardBytes)
 	}
 }
 
--- a/internal/gooseforward/body_test.go
+++ b/internal/gooseforward/body_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sort"
 	"strings"
 	"testing"
@@ -272,3 +273,41 @@
 		t.Errorf("got status %d on a connection that stays open, want it closed", resp.StatusCode)
 	}
 }
+
+// countedBody is an endless body that counts what is read of it, and records how much memory for
+// small bodies was free at the last read.
+type countedBody struct {
+	memory    *bodyMemory
+	read      int64
+	freeSmall int64
+}
+
+func (b *countedBody) Read(p []byte) (int, error) {
+	b.read += int64(len(p))
+	_, b.freeSmall = bodyMemoryLeft(b.memory)
+	return len(p), nil
+}
+
+// Guards against an endless body that is read at the cost of others after its refusal, and that
+// keeps memory meanwhile.
+func TestRestOfRefusedBodyIsBounded(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, succeed)
+	body := &countedBody{memory: h.forwarder.bodyMemory}
+	r := httptest.NewRequest(http.MethodPost, "http://desk.example/order/x", body)
+	r.ContentLength = -1
+	r.Header.Set("Authorization", "Bearer k1")
+	r.Header.Set("X-Attempt-Id", "a1")
+	long, small := bodyMemoryLeft(h.forwarder.bodyMemory)
+	w := httptest.NewRecorder()
+	h.forwarder.ServeHTTP(w, r)
+	if w.Code != http.StatusRequestEntityTooLarge || body.read > maxDiscardBytes+1<<20 {
+		t.Errorf("got status %d, %d bytes read, want 413 and at most %d", w.Code, body.read, maxDiscardBytes)
+	}
+	if body.freeSmall != small {
+		t.Errorf("got %d bytes free while the rest was read, want %d", body.freeSmall, small)
+	}
+	if gotLong, gotSmall := bodyMemoryLeft(h.forwarder.bodyMemory); gotLong != long || gotSmall != small {
+		t.Errorf("got %d and %d bytes free, want %d and %d", gotLong, gotSmall, long, small)
+	}
+}
