--- a/internal/gooseevent/events_forward.go
+++ b/internal/gooseevent/events_forward.go
@@ -31,6 +31,7 @@
 	PeerSilent           = define(721, slog.LevelWarn, "peer silent", "Another instance has not reported its load recently; its requests no longer count.")
 	InstanceRegistered   = define(722, slog.LevelInfo, "instance registered", "The instance is listed in the platform's store under its lease.")
 	RegistrationLost     = define(723, slog.LevelWarn, "registration lost", "The instance's entry in the platform's store could not be renewed; it is written again.")
+	TransferCut          = define(770, slog.LevelWarn, "slow transfer cut", "A caller sent its body, or read its response, at less than 4 KiB a second while another request waited for the memory that it held, of the kind in the field memory. A cut body is refused as not run; the connection closes.")
 	InputFailed          = define(732, slog.LevelError, "input failed", "A message of another instance or an entry of the store caused an internal error and was dropped; the fields input and error describe it. This is a bug.")
 	RoutineLinesLeftOut  = define(731, slog.LevelWarn, "routine log lines left out", "There were more lines about served requests than the limit per second; the field count is the number of lines left out since the last such line. Lines about failures are not left out.")
 	LogLinesDropped      = define(730, slog.LevelWarn, "log lines dropped", "Standard output did not accept the lines in time, or there were more lines than the limit; the field count is the number of lines dropped since the last such line.")
--- a/internal/gooseforward/body.go
+++ b/internal/gooseforward/body.go
@@ -44,19 +44,19 @@
 type bodyMemory struct {
 	longBytes   int64
 	long, small *semaphore.Weighted
-	transfers   *goosetransfer.Table
+	transfers   *transfers
 }
 
 // heldBody is the memory that one body holds.
 type heldBody struct{ long, small int64 }
 
-func newBodyMemory(machineBytes int64, transfers *goosetransfer.Table) *bodyMemory {
+func newBodyMemory(machineBytes int64, t *transfers) *bodyMemory {
 	if machineBytes <= 0 {
 		machineBytes = defaultMemoryBytes
 	}
 	long := machineBytes / longBodyShare
 	return &bodyMemory{
-		longBytes: long, long: semaphore.NewWeighted(long), small: semaphore.NewWeighted(machineBytes / smallBodyShare), transfers: transfers,
+		longBytes: long, long: semaphore.NewWeighted(long), small: semaphore.NewWeighted(machineBytes / smallBodyShare), transfers: t,
 	}
 }
 
--- a/internal/gooseforward/bounded.go
+++ b/internal/gooseforward/bounded.go
@@ -56,15 +56,15 @@
 type responseMemory struct {
 	bytes     int64
 	memory    *semaphore.Weighted
-	transfers *goosetransfer.Table
+	transfers *transfers
 }
 
-func newResponseMemory(machineBytes int64, transfers *goosetransfer.Table) *responseMemory {
+func newResponseMemory(machineBytes int64, t *transfers) *responseMemory {
 	if machineBytes <= 0 {
 		machineBytes = defaultMemoryBytes
 	}
 	bytes := min(maxResponseMemoryBytes, max(machineBytes/responseMemoryShare, maxResponseBytes))
-	return &responseMemory{bytes: bytes, memory: semaphore.NewWeighted(bytes), transfers: transfers}
+	return &responseMemory{bytes: bytes, memory: semaphore.NewWeighted(bytes), transfers: t}
 }
 
 // release frees memory that readAll has acquired.
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -49,13 +49,13 @@
 	responseMemory *responseMemory
 	bodyMemory     *bodyMemory
 	// transfers are the bodies that arrive and the responses that are written.
-	transfers *goosetransfer.Table
+	transfers *transfers
 }
 
 // New returns a forwarder.
 func New(o Options) *Forwarder {
-	transfers := goosetransfer.New()
-	return &Forwarder{o: o, transfers: transfers, responseMemory: newResponseMemory(o.MemoryBytes, transfers), bodyMemory: newBodyMemory(o.MemoryBytes, transfers)}
+	t := &transfers{Table: goosetransfer.New(), metrics: o.Metrics, log: o.Log}
+	return &Forwarder{o: o, transfers: t, responseMemory: newResponseMemory(o.MemoryBytes, t), bodyMemory: newBodyMemory(o.MemoryBytes, t)}
 }
 
 // notReadyRetryAfter is the Retry-After while the instance has no routing or the route
--- a/internal/gooseforward/metrics.go
+++ b/internal/gooseforward/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
 // Metrics are the counters and histograms of forwarded requests.
@@ -30,6 +31,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gooseberryhold_attempts_total{service=%q,outcome=%q}`, service, o)).Inc()
 }
 
+// countCut counts a transfer that was cut to make room for others.
+func (m *Metrics) countCut(kind goosetransfer.Kind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gooseberryhold_transfers_cut_total{memory=%q}`, kind)).Inc()
+}
+
 // observeTimeToFirst records the time to the first event of a stream or to the complete
 // response.
 func (m *Metrics) observeTimeToFirst(service goose.ServiceName, class goose.LengthClass, d time.Duration) {
--- a/internal/gooseforward/transfer.go
+++ b/internal/gooseforward/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"slices"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
@@ -32,6 +34,21 @@
 // is the time for the memory of the last one to be released.
 const cutInterval = 20 * time.Millisecond
 
+// transfers are the bodies that arrive and the responses that are written.
+type transfers struct {
+	*goosetransfer.Table
+	metrics *Metrics
+	log     *slog.Logger
+}
+
+// cutSlowest cuts the slowest transfer that holds memory of this kind, if it is too slow.
+func (t *transfers) cutSlowest(kind goosetransfer.Kind) {
+	if t.CutSlowest(kind, time.Now()) {
+		t.metrics.countCut(kind)
+		gooseevent.TransferCut.Log(t.log, slog.String("memory", string(kind)))
+	}
+}
+
 // errSlowBody reports a body that was cut because it arrived too slowly.
 var errSlowBody = errors.New("the body arrives too slowly")
 
@@ -50,7 +67,7 @@
 
 // acquireMemory waits for n bytes, and cuts slow transfers that hold memory of this kind. It
 // reports whether it has acquired them before ctx ended.
-func acquireMemory(ctx context.Context, memory *semaphore.Weighted, n int64, transfers *goosetransfer.Table, kind goosetransfer.Kind) bool {
+func acquireMemory(ctx context.Context, memory *semaphore.Weighted, n int64, transfers *transfers, kind goosetransfer.Kind) bool {
 	if memory.TryAcquire(n) {
 		return true
 	}
@@ -58,7 +75,7 @@
 	defer stop()
 	go func() {
 		for ticker := time.NewTicker(cutInterval); ; {
-			transfers.CutSlowest(kind, time.Now())
+			transfers.cutSlowest(kind)
 			select {
 			case <-ctx.Done():
 				ticker.Stop()
