goosehost: lines of a body do not count as fields of a head

Cause: the part of a body that arrives with the end of a head counted as fields, 128 bytes a line; bodies of many short lines could have closed their connections while memory for heads is scarce. Change: counting ends at the empty line, also if it comes in two parts. Seen: TestHeadMemory covers it; the tests of goosehost pass with the race detector, and TestUntrustedClients ran on this code.

--- a/internal/goosehost/head.go
+++ b/internal/goosehost/head.go
@@ -1,10 +1,6 @@
 package goosehost
 
-import (
-	"bytes"
-
-	"golang.org/x/sync/semaphore"
-)
+import "golang.org/x/sync/semaphore"
 
 const (
 	// headTextCost is the memory for a byte of a head, in the buffer and in the fields, and
@@ -35,14 +31,30 @@
 type headCost struct {
 	memory     *semaphore.Weighted
 	cost, held int64
+	// inLine is true if the current line of the head is not empty, and ended once the empty line
+	// after the fields has arrived.
+	inLine, ended bool
 }
 
-// add counts a part of a head. It returns false if there is no memory for it.
+// add counts a part of a head, up to its end. It returns false if there is no memory for it.
 func (h *headCost) add(part []byte) bool {
 	if h.memory == nil {
 		return true
 	}
-	h.cost += headTextCost*int64(len(part)) + headFieldCost*int64(bytes.Count(part, []byte{'\n'}))
+	for _, b := range part {
+		if h.ended {
+			break
+		}
+		h.cost += headTextCost
+		switch b {
+		case '\n':
+			h.cost += headFieldCost
+			h.inLine, h.ended = false, !h.inLine
+		case '\r':
+		default:
+			h.inLine = true
+		}
+	}
 	missing := h.cost - freeHeadCost - h.held
 	if missing <= 0 {
 		return true
@@ -60,5 +72,5 @@
 	if h.held > 0 {
 		h.memory.Release(h.held)
 	}
-	h.cost, h.held = 0, 0
+	*h = headCost{memory: h.memory}
 }
--- a/internal/goosehost/head_test.go
+++ b/internal/goosehost/head_test.go
@@ -31,7 +31,13 @@
 	if !usual.add([]byte(strings.Repeat("X-Prompt-Prefix: "+strings.Repeat("a", 80)+"\r\n", 40))) {
 		t.Error("a usual head got no memory")
 	}
-	for _, h := range heads {
+	// The end of the head comes in two parts.
+	for _, text := range []string{"\r", "\n" + strings.Repeat("\n", 4000)} {
+		if !usual.add([]byte(text)) {
+			t.Error("the lines of a body count as fields")
+		}
+	}
+	for _, h := range append(heads, usual) {
 		h.release()
 	}
 	if !memory.TryAcquire(machine / headMemoryShare) {
