--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -17,6 +17,7 @@
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosequarantine"
 	"github.com/gooseberryhold/gooseberryhold/pkg/gooseretry"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosetable"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
 // Options are the dependencies of a Forwarder; all are required.
@@ -48,11 +49,16 @@
 	responseMemory *responseMemory
 	bodyMemory     *bodyMemory
 	callers        *gooseretry.Callers
+	// transfers are the bodies that arrive and the responses that are written.
+	transfers *transfers
 }
 
 // New returns a forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{o: o, responseMemory: newResponseMemory(), bodyMemory: newBodyMemory(o.MemoryBytes), callers: gooseretry.NewCallers()}
+	t := &transfers{Table: goosetransfer.New(), metrics: o.Metrics, log: o.Log}
+	return &Forwarder{
+		o: o, transfers: t, responseMemory: newResponseMemory(o.MemoryBytes, t), bodyMemory: newBodyMemory(o.MemoryBytes, t), callers: gooseretry.NewCallers(),
+	}
 }
 
 // notReadyRetryAfter is the Retry-After while the instance has no routing or the route
@@ -72,14 +78,16 @@
 	defer f.o.Metrics.inFlight.Dec()
 	defer func() { f.responseMemory.release(c.responseBytes) }()
 	if refusal, ok := c.admit(); !ok {
+		c.limitWriting(c.arrived.Add(discardTimeout))
 		c.refuseBeforeBody(refusal)
 		return
 	}
+	c.limitWriting(c.deadline)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	defer context.AfterFunc(f.o.Stopping, cancel)()
 	c.ctx = ctx
-	defer func() { f.bodyMemory.release(c.heldBody) }()
+	defer c.releaseBody()
 	if refusal, ok := c.readBody(); !ok {
 		if !c.committed {
 			c.refuseBeforeBody(refusal)
