--- a/pkg/gooseplacement/choose.go
+++ b/pkg/gooseplacement/choose.go
@@ -78,34 +78,6 @@
 	ObstacleLate Obstacle = "late"
 )
 
-// Penalties that are added to the estimated time to the first event.
-const (
-	// requestPenalty is the penalty for each request in flight. It spreads requests over
-	// replicas with equal estimates.
-	requestPenalty = 2 * time.Millisecond
-	// distancePenalty is the penalty for a replica in another data centre: slightly more
-	// than the round trip.
-	distancePenalty = 3 * time.Millisecond
-	// failurePenalty is the cost of a failed attempt, which is retried on another replica.
-	failurePenalty = 800 * time.Millisecond
-	// fullPenalty ranks replicas without a free slot last.
-	fullPenalty = 5 * time.Second
-	// delayedStreamPenalty is the cost of each stream that a long prefill delays
-	// beyond its longest pause.
-	delayedStreamPenalty = 100 * time.Millisecond
-	// crowdPenalty is the cost of each stream that several concurrent short prefills delay
-	// beyond its longest pause.
-	crowdPenalty = 15 * time.Millisecond
-	// poolPenalty keeps short prompts off the replicas of the pool for long prompts, and
-	// outsidePoolPenalty keeps long prompts off all other replicas.
-	poolPenalty        = 200 * time.Millisecond
-	outsidePoolPenalty = 1500 * time.Millisecond
-)
-
-// crowdedPrefill is the pending prefill time of a replica above which another short prompt
-// delays the other streams of the replica beyond their longest pause.
-const crowdedPrefill = 90 * time.Millisecond
-
 // candidate is a replica that may serve the request.
 type candidate struct {
 	goosedirectory.Replica
@@ -261,71 +233,6 @@
 	return nil, none
 }
 
-const (
-	// coldWindow is the window over which the requests to a cold replica are bounded.
-	coldWindow = time.Second
-	// coldShare is the part of the cold bound that the instances together may use. The
-	// replica counts a request when it arrives, which can be later than it was sent.
-	coldShare = 0.8
-	// coldMargin is added to the time until which a replica reports that it is cold.
-	coldMargin = time.Second
-	// warmFactor raises an instance's share of the bound for a replica that does not report
-	// that it is cold. Such a replica can become cold before the instances learn of it, but
-	// they rarely all send to the same replica.
-	warmFactor = 2.5
-)
-
-// ownColdShare is the part of the cold bound of a replica that the instances of its data
-// centre share if the data centres report sums. The other instances share the rest.
-const ownColdShare = 0.7
-
-// coldBound is this instance's share of the requests that a cold replica may get in a
-// coldWindow.
-type coldBound struct {
-	// limited is false if the service sets no bound.
-	limited bool
-	// own is the share for replicas of the own data centre, other that for the others.
-	own, other float64
-}
-
-// coldBound returns the share of this instance.
-func (pl *Placer) coldBound(s goose.RoutedService, now time.Time) coldBound {
-	if s.ColdRate <= 0 {
-		return coldBound{}
-	}
-	total := coldShare * (s.ColdRate*pl.opts.ColdFactor + pl.opts.ColdSlack)
-	own, all := pl.instances(now)
-	if !pl.table.split() {
-		return coldBound{limited: true, own: total / float64(all), other: total / float64(all)}
-	}
-	return coldBound{limited: true, own: ownColdShare * total / float64(own), other: (1 - ownColdShare) * total / float64(max(all-own, 1))}
-}
-
-// reached reports whether this instance has sent the replica its share of the requests
-// that a cold replica may get.
-func (b coldBound) reached(r *replicaState, own, cold bool, now time.Time) bool {
-	if !b.limited {
-		return false
-	}
-	share := b.other
-	if own {
-		share = b.own
-	}
-	if !cold {
-		share *= warmFactor
-	}
-	window := coldWindow
-	if share < 1 {
-		window = time.Duration(float64(coldWindow) / share)
-		share = 1
-	}
-	recent := 0
-	for i := len(r.attemptTimes); i > 0 && now.Sub(r.attemptTimes[i-1]) <= window; i-- {
-		recent++
-	}
-	return recent >= int(share)
-}
-
 // placePlain picks the replica of a service without an engine, by the number of requests in
 // flight relative to its slots.
 func (pl *Placer) placePlain(all []candidate, now time.Time) placement {
@@ -443,41 +350,6 @@
 	return best.load.Requests >= slots+pl.maxQueued(d.CallerRetry, slots) || float64(expected) > lateFactor*float64(d.Objective)
 }
 
-// setCost sets the cost of a replica for a request.
-func (pl *Placer) setCost(c *candidate, e goose.EngineProfile, short bool, tokens int, now time.Time) {
-	wait := c.load.Prefill + passDuration(e, c.load)
-	cost := time.Duration(float64(wait) * c.state.health.slownessAt(now))
-	cost += time.Duration(c.load.Requests)*requestPenalty + pl.distance(c.DataCentre)
-	cost += time.Duration(c.state.health.failureRate * float64(failurePenalty))
-	switch {
-	case short && c.inLongPool:
-		cost += poolPenalty
-	case short && c.load.Prefill > crowdedPrefill:
-		// One engine pass would prefill so many prompts that the other streams pause.
-		cost += time.Duration(c.load.ShortPauseStreams) * crowdPenalty
-	case !short && !c.inLongPool:
-		cost += outsidePoolPenalty + time.Duration(c.load.ShortPauseStreams)*delayedStreamPenalty
-	case !short:
-		cost += time.Duration(c.load.ShortPauseStreams) * delayedStreamPenalty
-	}
-	if pl.table.split() {
-		cost += scarcity(e, c.load)
-	}
-	if c.load.Requests >= e.Slots || short && c.load.Tokens+tokens > e.MemoryTokens {
-		cost += fullPenalty
-	}
-	c.cost = cost
-}
-
-// passDuration returns the duration of one engine pass under the load. The engine starts the
-// prefill of a new prompt only after the current pass.
-func passDuration(e goose.EngineProfile, l Load) time.Duration {
-	decoding := l.Requests - l.Waiting
-	step := e.StepTime + time.Duration(max(decoding, 1))*e.StepTimePerSequence +
-		time.Duration(float64(l.Tokens)/1000*float64(e.StepTimePerThousandTokens))
-	return step * time.Duration(max(e.StepsPerPass, 1))
-}
-
 // countAttempt counts the attempt on its replicas. The first replica responds to the request.
 func (pl *Placer) countAttempt(d Demand, p placement, now time.Time) Choice {
 	replicas, reserved, expected := p.replicas, p.reservedTokens, p.expected
