goosestore: the address that refuses connections stays bound in a test

Seen: TestNotSent failed in 2 of 6 runs and TestNoResponse/internal_error/commit in 1 of 6, beside a load average of 20 to 30 on 7 cores. Cause: TestNotSent closed a listener and used its port as one that refuses. The kernel may give the port to the server of a parallel test, which then gets a request more than it expects, and responds. Change: the port is bound by a socket that does not listen. The checks are the same.

--- a/pkg/goosestore/etcd_test.go
+++ b/pkg/goosestore/etcd_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
@@ -136,15 +138,10 @@
 // response.
 func TestNotSent(t *testing.T) {
 	t.Parallel()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	refused, err := NewEtcd(refusingAddress(t), Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	refused, err := NewEtcd(l.Addr().String(), Options{})
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = l.Close()
 	var requests atomic.Int64
 	e := newTestEtcd(t, responseTimeout, func(http.ResponseWriter, *http.Request) { requests.Add(1) })
 	ended, cancel := context.WithCancel(t.Context())
@@ -165,6 +162,25 @@
 	}
 }
 
+// refusingAddress returns an address that refuses connections until the test ends. Its port is
+// bound: that of a closed listener may be given to the server of another test.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*unix.SockaddrInet4).Port))
+}
+
 // Guards against a watch that hangs after its stream was broken, its context ended or
 // its client was closed.
 func TestWatchEnds(t *testing.T) {
