--- a/internal/gooseengine/truncated_test.go
+++ b/internal/gooseengine/truncated_test.go
@@ -20,7 +20,7 @@
 const longBodyBytes = 16 << 20
 
 // untilUploadBlocks is how long a backend server that does not read waits. The writer fills the
-// socket buffers and blocks meanwhile, so that it is the one that the kernel tells of a reset.
+// socket buffers and blocks meanwhile, so that the kernel reports a reset to it.
 const untilUploadBlocks = 20 * time.Millisecond
 
 // serveRaw starts a backend server that handles its connections itself.
--- a/internal/gooseevent/events_forward.go
+++ b/internal/gooseevent/events_forward.go
@@ -39,6 +39,6 @@
 	LogLinesDropped      = define(730, slog.LevelWarn, "log lines dropped", "Standard output did not accept the lines in time, or there were more lines than the limit; the field count is the number of lines dropped since the last such line.")
 	HelperReplaced       = define(750, slog.LevelInfo, "memory helper replaced", "Replicas did not reserve memory for a prompt that needs several; others take their parts, and the reservations that were made are kept.")
 	ReservationExpired   = define(751, slog.LevelWarn, "release not confirmed", "A replica did not confirm that it released the memory that was reserved for a prompt; the reservation has expired there. The replica does not respond, or the network between it and the instance is interrupted.")
-	ReplicaMarked        = define(753, slog.LevelInfo, "replica marked", "A replica declined a request of this instance because it is full, or refused a reservation of memory (field mark); all instances rank it last for some 100 ms.")
+	ReplicaMarked        = define(753, slog.LevelInfo, "replica marked", "A replica declined a request of this instance because it is full, or refused a reservation of memory (field mark); all instances rank it last for long prompts and calls of plain services for some 100 ms.")
 	SetAwaited           = define(752, slog.LevelInfo, "waiting for replicas", "Not enough replicas are free for a long prompt; the request waits, since they are estimated to become free within its objective (fields after and expected).")
 )
--- a/internal/gooseforward/decline.go
+++ b/internal/gooseforward/decline.go
@@ -65,7 +65,7 @@
 }
 
 // excludeHelpers excludes the helpers that have not reserved memory: those without free memory
-// for a while, of which the peers are told, too, the others for the rest of the request.
+// for a while, which is also reported to the peers, the others for the rest of the request.
 func (c *call) excludeHelpers(choice gooseplacement.Choice, e *reservationError) {
 	for _, id := range e.replicas {
 		if slices.Contains(e.full, id) {
--- a/internal/gooseforward/truncated_test.go
+++ b/internal/gooseforward/truncated_test.go
@@ -62,7 +62,7 @@
 }
 
 // untilUploadBlocks is how long a replica that does not read waits. The writer fills the socket
-// buffers and blocks meanwhile, so that it is the one that the kernel tells of a reset.
+// buffers and blocks meanwhile, so that the kernel reports a reset to it.
 const untilUploadBlocks = 20 * time.Millisecond
 
 // Guards against a part of a response that ends as complete because the write of the request was
--- a/internal/gooseforward/write.go
+++ b/internal/gooseforward/write.go
@@ -16,7 +16,7 @@
 }
 
 // connectionBody is a body that ends with the connection. It is complete only if the whole
-// request was written before: a reset that the write was told of looks the same.
+// request was written before: a reset that was reported to the write looks the same.
 type connectionBody struct {
 	io.ReadCloser
 	write *goosedial.RequestWrite
--- a/pkg/goosedirectory/era.go
+++ b/pkg/goosedirectory/era.go
@@ -11,7 +11,7 @@
 )
 
 // removalMemory is how long a removed replica is remembered. The store is restored from copies
-// that are some seconds old, and the lease of an entry that nobody renews ends sooner, too.
+// that are some seconds old, and the lease of an entry that is not renewed ends sooner, too.
 const removalMemory = 10 * time.Minute
 
 // removal is a replica that was removed.
--- a/pkg/gooseplacement/mark.go
+++ b/pkg/gooseplacement/mark.go
@@ -97,7 +97,7 @@
 }
 
 // RecordMark records that this instance has observed the status of a replica, and reports
-// whether it was not marked before. The peers are told at once of a mark that they do not have.
+// whether it was not marked before. A mark that the peers do not have is reported immediately.
 func (pl *Placer) RecordMark(r goose.Replica, kind MarkKind, now time.Time) bool {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
