--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 SEEDS ?= 10
 SOAK_TIME ?= 12s
 
-.PHONY: all build demo $(BENCHES) rounds hunt test lint fmt vet unit fleet prove fuzz fuzz-fixed soak clients known-red tools rename-tool
+.PHONY: all build demo $(BENCHES) rounds hunt test lint fmt vet unit fleet prove fuzz fuzz-fixed soak clients all-clients known-red tools rename-tool
 
 all: build
 
@@ -79,7 +79,7 @@
 	KIT=$(KIT) FLEETBENCH=$(FLEETBENCH) JOBS=$(JOBS) sh scripts/hunt.sh $(SITE) $(DAYS) $(VARIANT)
 
 # Runs everything that CI runs.
-test: tools lint vet unit fleet fuzz-fixed known-red
+test: tools lint vet unit clients fleet fuzz-fixed known-red
 
 tools:
 	@$(GOLANGCI_LINT) version 2>/dev/null | grep -qF '$(GOLANGCI_LINT_VERSION:v%=%)' || $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
@@ -126,9 +126,13 @@
 	mkdir -p out/soak
 	$(GO) test -race -timeout 60m -v -run '^TestSoak$$' ./internal/goosesoak -soak.first $(FIRST) -soak.seeds $(SEEDS) -soak.length $(SOAK_TIME) -soak.keep $(CURDIR)/out/soak
 
-# Runs all kinds of untrusted clients; CI runs one or two of each behaviour.
+# Runs one or two kinds of untrusted clients of each behaviour, apart from other tests: the unit
+# tests of this package need most of their time.
 clients:
-	$(GO) test -race -count=1 -v -run '^TestUntrustedClients$$' ./internal/goosesoak -soak.clients
+	bash scripts/test.sh -count=1 -v -run '^TestUntrustedClients$$' ./internal/goosesoak -soak.clients some
+
+all-clients:
+	bash scripts/test.sh -count=1 -v -run '^TestUntrustedClients$$' ./internal/goosesoak -soak.clients all
 
 known-red:
 	@test ! -s KNOWN-RED.txt || { echo "known failures:"; cat KNOWN-RED.txt; }
--- a/internal/goosesoak/soak_test.go
+++ b/internal/goosesoak/soak_test.go
@@ -31,7 +31,7 @@
 	faultTime     = flag.Duration("soak.length", 5*time.Second, "`time` of faults for each seed")
 	instanceCount = flag.Int("soak.instances", 4, "`number` of instances")
 	callerCount   = flag.Int("soak.callers", 12, "`number` of callers")
-	allClients    = flag.Bool("soak.clients", false, "run all kinds of TestUntrustedClients")
+	clientKinds   = flag.String("soak.clients", "", "`kinds` of TestUntrustedClients to run: some or all")
 	keepDir       = flag.String("soak.keep", "", "`directory` for the logs of failed seeds")
 )
 
--- a/internal/goosesoak/untrusted_test.go
+++ b/internal/goosesoak/untrusted_test.go
@@ -58,6 +58,9 @@
 // Guards against clients that exhaust the memory or the descriptors of a process, or keep it from
 // serving ordinary callers.
 func TestUntrustedClients(t *testing.T) {
+	if *clientKinds == "" {
+		t.Skip("runs by itself, in the make targets clients and all-clients")
+	}
 	bin := buildInstance(t)
 	usual := processLimits{descriptors: 1000, memoryMB: 128}
 	few := processLimits{descriptors: 400, memoryMB: 128}
@@ -78,7 +81,7 @@
 		"slow readers that send further requests":  {clients: 80, limits: usual, send: pipelinedRequests},
 		"slow readers of streams":                  {clients: 200, limits: usual, send: func(c *untrustedClient) { c.head("GET", "/stream/x", "") }},
 	} {
-		if tc.always || *allClients {
+		if tc.always || *clientKinds == "all" {
 			t.Run(name, func(t *testing.T) { runUntrusted(t, bin, tc) })
 		}
 	}
