--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -20,6 +20,8 @@
 // cases are the scripts, by name. They report whether the rule was broken.
 var cases = map[string]func(record *Record, trouble bool) (bool, error){
 	"flood": flood,
+
+	"slowread": slowRead,
 }
 
 func main() { os.Exit(run()) }
