--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -19,9 +19,9 @@
 
 // cases are the scripts, by name. They report whether the rule was broken.
 var cases = map[string]func(record *Record, trouble bool) (bool, error){
-	"flood": flood,
-	"drain": drain,
-
+	"flood":    flood,
+	"drain":    drain,
+	"evacuate": evacuate,
 	"slowread": slowRead,
 }
 
