--- a/review/_stand2/fleet.go
+++ b/review/_stand2/fleet.go
@@ -251,7 +251,7 @@
 // uniqueAddress returns a loopback address that no other run uses at the same time.
 func uniqueAddress(n int) string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 100+pid>>14&63, pid>>6&255, (pid&63)*4%200+10+n)
+	return fmt.Sprintf("127.%d.%d.%d", 100+pid>>13&63, pid>>5&255, (pid&31)*7+1+n)
 }
 
 // Start starts the process with the command of the deploy file and waits until it is ready.
