--- a/review/_stand2/drain.go
+++ b/review/_stand2/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -23,8 +24,13 @@
 	roundTime     = 15 * time.Second
 	stableTime    = 3 * time.Second
 	drainBound    = 2 * time.Second
+	// cutMachines is the number of machines that are cut off (core_cut: count = 1).
+	cutMachines = 1
 )
 
+// ordinaryClient opens a channel for each request.
+var ordinaryClient = http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
+
 // drainCase is the state of a run.
 type drainCase struct {
 	record *Record
@@ -40,8 +46,8 @@
 	lost        atomic.Int64
 }
 
-// drain plays replicas that leave soon after some machines reach the store again, from which
-// they were cut off when an outage of the store ended.
+// drain plays replicas that leave soon after a machine reaches the store again, from which it was
+// cut off when an outage of the store ended.
 func drain(record *Record, trouble bool) (bool, error) {
 	p, err := NewPlatform(record)
 	if err != nil {
@@ -94,19 +100,19 @@
 		c.p.Store.SetFault(func(string) gooseplatformtest.Fault { return gooseplatformtest.FaultUnavailable })
 		c.touch(machines, begin.Add(outageTime+stableTime))
 		at(cutFrom)
-		c.record.Log("the machines of leith are cut off from the store for %s", cutTime)
-		for _, m := range machines[:3] {
+		c.record.Log("%s is cut off from the store for %s", machines[0].Name, cutTime)
+		for _, m := range machines[:cutMachines] {
 			m.Proxy.SetCut(true)
 		}
-		c.touch(machines[:3], begin.Add(cutFrom+cutTime+stableTime))
+		c.touch(machines[:cutMachines], begin.Add(cutFrom+cutTime+stableTime))
 		at(outageTime)
 		c.p.Store.SetFault(nil)
 		c.record.Log("the store is back")
 		at(cutFrom + cutTime)
-		for _, m := range machines[:3] {
+		for _, m := range machines[:cutMachines] {
 			m.Proxy.SetCut(false)
 		}
-		c.record.Log("the machines of leith reach the store")
+		c.record.Log("%s reaches the store", machines[0].Name)
 	}
 	at(leaveAt)
 	c.mu.Lock()
--- a/review/_stand2/fleet.go
+++ b/review/_stand2/fleet.go
@@ -9,8 +9,6 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -59,12 +57,16 @@
 	UseProxies bool
 }
 
+// tempDir is the folder of the run, which is removed also if a signal ends it.
+var tempDir string
+
 // NewPlatform starts the store on a loopback address.
 func NewPlatform(record *Record) (*Platform, error) {
 	dir, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		return nil, err
 	}
+	tempDir = dir
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -175,10 +177,6 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
-	// PeakMB is the most memory that was seen, and MemoryEnds is how often the platform has killed
-	// the process because it exceeded the limit.
-	PeakMB     float64
-	MemoryEnds int
 }
 
 // NewMachine writes the settings file of a machine of dk-sealworks.
@@ -341,69 +339,3 @@
 		<-m.exited
 	}
 }
-
-// ResidentMB returns the resident memory of the process.
-func (m *Machine) ResidentMB() float64 {
-	m.mu.Lock()
-	pid := m.cmd.Process.Pid
-	m.mu.Unlock()
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(b)) {
-		if v, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, _ := strconv.ParseFloat(strings.TrimSuffix(strings.TrimSpace(v), " kB"), 64)
-			return kb / 1024
-		}
-	}
-	return 0
-}
-
-// UnreadMB returns what the kernel has received for the process and it has not read.
-func (m *Machine) UnreadMB() float64 {
-	text, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return 0
-	}
-	ip := net.ParseIP(m.IP).To4()
-	local := fmt.Sprintf("%02X%02X%02X%02X:", ip[3], ip[2], ip[1], ip[0])
-	total := int64(0)
-	for line := range strings.Lines(string(text)) {
-		if f := strings.Fields(line); len(f) > 4 && strings.HasPrefix(f[1], local) && f[3] != "0A" {
-			var tx, rx int64
-			_, _ = fmt.Sscanf(f[4], "%x:%x", &tx, &rx)
-			total += rx
-		}
-	}
-	return float64(total) / (1 << 20)
-}
-
-// WatchMemory does what the platform does: it kills a process that exceeds memory-mb. What the
-// machine has received and the process has not read counts. It returns when stop is closed.
-func (m *Machine) WatchMemory(stop <-chan struct{}) {
-	for tick := 0; ; tick++ {
-		select {
-		case <-stop:
-			return
-		case <-time.After(20 * time.Millisecond):
-		}
-		if !m.Running() {
-			continue
-		}
-		resident, unread := m.ResidentMB(), m.UnreadMB()
-		m.mu.Lock()
-		m.PeakMB = max(m.PeakMB, resident+unread)
-		m.mu.Unlock()
-		if tick%50 == 0 {
-			m.p.Record.Log("%s: memory %.0f MB, and %.0f MB received and not read", m.Name, resident, unread)
-		}
-		if resident+unread > float64(m.MemoryMB) {
-			m.p.Record.Log("%s: memory %.0f MB, and %.0f MB received and not read, exceeds memory-mb = %d: the platform kills process %d", m.Name, resident, unread, m.MemoryMB, m.cmd.Process.Pid)
-			m.Kill()
-			m.mu.Lock()
-			m.MemoryEnds++
-			m.mu.Unlock()
-		}
-	}
-}
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -19,9 +19,7 @@
 
 // cases are the scripts, by name. They report whether the rule was broken.
 var cases = map[string]func(record *Record, trouble bool) (bool, error){
-	"flood":    flood,
 	"drain":    drain,
-	"evacuate": evacuate,
 	"slowread": slowRead,
 }
 
@@ -42,6 +40,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
+		_ = os.RemoveAll(tempDir)
 		os.Exit(exitFailed)
 	}()
 	trouble := os.Getenv("TROUBLE") != "0"
--- a/review/_stand2/proxy.go
+++ b/review/_stand2/proxy.go
@@ -3,11 +3,15 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
-// Proxy is the link between a machine and the store. While it is cut it is silent: connections
-// are accepted, as a network that drops packets shows no reset, but nothing passes, and what was
-// sent meanwhile is lost, so that such a connection stays silent.
+// synRetry is after what time the kernel sends the opening packet of a connection again.
+const synRetry = time.Second
+
+// Proxy is the link between a machine and the store. While it is cut it is silent. A connection
+// that is opened meanwhile passes once the opening packet would have been sent again, if the cut
+// has ended by then; otherwise it stays silent, like one that was open when the cut began.
 type Proxy struct {
 	listener net.Listener
 	target   string
@@ -72,20 +76,35 @@
 		if err != nil {
 			return
 		}
-		p.mu.Lock()
-		l := &link{client: conn, dead: p.cut}
-		p.open[l] = struct{}{}
-		p.mu.Unlock()
-		if !l.dead {
-			l.server, err = net.Dial("tcp4", p.target)
-			if err != nil {
-				p.end(l)
-				continue
-			}
-			go p.copy(l, l.server, l.client)
+		go p.connect(conn)
+	}
+}
+
+// connect passes a new connection on.
+func (p *Proxy) connect(conn net.Conn) {
+	if p.isCut() {
+		time.Sleep(synRetry)
+	}
+	p.mu.Lock()
+	l := &link{client: conn, dead: p.cut}
+	p.open[l] = struct{}{}
+	p.mu.Unlock()
+	if !l.dead {
+		server, err := net.Dial("tcp4", p.target)
+		if err != nil {
+			p.end(l)
+			return
 		}
-		go p.copy(l, l.client, l.server)
+		l.server = server
+		go p.copy(l, l.server, l.client)
 	}
+	p.copy(l, l.client, l.server)
+}
+
+func (p *Proxy) isCut() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cut
 }
 
 func (p *Proxy) end(l *link) {
