gooselisten, gooseforward: what the kernel receives for callers is bounded

Callers saw: a process that is killed, since bytes that have been received and not read count as its memory; few ordinary orders served beside a crowd. Cause: the kernel chose the receive buffers of callers' connections: 128 KB for one that nobody reads, also in the queue of the listener, and megabytes for one whose refused body is read and dropped quickly. Change: connections begin with a buffer of 4 KiB, set at the listener so that it also holds for those that wait to be accepted. Once a body has memory, the buffer grows to its length, at most 64 KiB, and shrinks when the body is read. The rests of refused bodies share a 32nd of the memory; others wait, and slow ones are cut like bodies. TestUnreadBytesAreBounded fails without the bound at the listener: 114,688 bytes held, at most 8,192 allowed. Cost: the scale of a window is set when a connection opens, so that a caller sends at most 64 KiB in a round trip. A prompt of 4 MB takes 64 of them, 0.4 s at 6 ms.

--- a/internal/gooseforward/body.go
+++ b/internal/gooseforward/body.go
@@ -68,29 +68,43 @@
 // errNoBodyMemory reports that the bodies of other requests hold all memory.
 var errNoBodyMemory = errors.New("no memory for the body")
 
-// read reads a body of at most limit bytes into one buffer. length is its length, or negative if
-// it is unknown. The memory that is held has to be released, also with an error. A body that is
-// longer than limit is returned with a length above limit. Function cut has to make r return an
-// error; it is called if the body arrives too slowly and others need its memory.
-func (m *bodyMemory) read(ctx context.Context, r io.Reader, length, limit int64, cut func()) ([]byte, heldBody, error) {
-	transfer := m.transfers.Begin(time.Now(), cut)
-	buf, held, err := m.readTransfer(ctx, transferReader{Reader: r, transfer: transfer}, length, limit)
+// bodySource is a body that arrives.
+type bodySource struct {
+	io.Reader
+	conn goose.CallerConn
+	// length is negative if it is unknown, and limit the length of the longest body.
+	length, limit int64
+	// cut has to make Read return an error. It is called if the body arrives too slowly and others
+	// need its memory.
+	cut func()
+}
+
+// read reads a body into one buffer. The memory that is held has to be released, also with an
+// error. A body that is longer than its limit is returned with a length above it.
+func (m *bodyMemory) read(ctx context.Context, s bodySource) ([]byte, heldBody, error) {
+	transfer := m.transfers.Begin(time.Now(), s.cut)
+	buf, held, err := m.readTransfer(ctx, s, transfer)
+	_ = s.conn.SetReceiveBuffer(0)
 	if transfer.End() && err != nil && !errors.Is(err, errNoBodyMemory) {
 		err = errSlowBody
 	}
 	return buf, held, err
 }
 
-func (m *bodyMemory) readTransfer(ctx context.Context, r transferReader, length, limit int64) ([]byte, heldBody, error) {
+func (m *bodyMemory) readTransfer(ctx context.Context, s bodySource, transfer *goosetransfer.Transfer) ([]byte, heldBody, error) {
 	var (
 		held  heldBody
 		buf   []byte
 		ended bool
 	)
-	for _, size := range bufferSizes(length, limit) {
-		if err := m.grow(ctx, size, &held, r.transfer); err != nil {
+	r := transferReader{Reader: s, transfer: transfer}
+	for _, size := range bufferSizes(s.length, s.limit) {
+		if err := m.grow(ctx, size, &held, transfer); err != nil {
 			return nil, held, err
 		}
+		// The kernel receives more once there is memory for it. An error means that the caller
+		// has disconnected, which the read reports.
+		_ = s.conn.SetReceiveBuffer(size)
 		larger := make([]byte, len(buf), size)
 		copy(larger, buf)
 		var err error
@@ -229,13 +243,16 @@
 	wait := min(maxMemoryWait, c.deadline.Sub(c.arrived)/memoryWaitDivisor)
 	ctx, cancel := context.WithTimeout(c.ctx, wait)
 	defer cancel()
-	body, held, err := c.bodyMemory.read(ctx, c.r.Body, c.r.ContentLength, limit, func() {
-		_ = http.NewResponseController(c.w).SetReadDeadline(time.Unix(1, 0))
+	body, held, err := c.bodyMemory.read(ctx, bodySource{
+		Reader: c.r.Body, conn: c.conn, length: c.r.ContentLength, limit: limit, cut: c.cutBody,
 	})
 	c.heldBody = held
 	return body, err
 }
 
+// cutBody makes the read of the body return an error.
+func (c *call) cutBody() { _ = http.NewResponseController(c.w).SetReadDeadline(time.Unix(1, 0)) }
+
 // bodyRefusal returns a refusal if a body could not be read or is too long.
 func bodyRefusal(err error, length, limit int64) (goose.Refusal, bool) {
 	switch {
@@ -258,37 +275,3 @@
 func tooLarge(limit int64) goose.Refusal {
 	return goose.NotRunRefusal(goose.CodePromptTooLong, fmt.Sprintf("the body exceeds %d bytes", limit))
 }
-
-// discardTimeout bounds how long the rest of a body is read after its request was refused.
-// Closing a connection with unread bytes resets it, and the caller may lose the refusal.
-const discardTimeout = 3 * time.Second
-
-// maxDiscardBytes bounds how much of it is read, four times the longest body that callers of the
-// users' platform may send. A caller that sends still more may lose the refusal.
-const maxDiscardBytes = 16 << 20
-
-// refuseBeforeBody sends a refusal at once, although the body has not been read, and then reads
-// and drops the rest of the body.
-func (c *call) refuseBeforeBody(r goose.Refusal) {
-	c.sendBeforeBody(r)
-	if c.r.ContentLength != 0 {
-		// The part that was read needs no memory any more.
-		c.releaseBody()
-		// An error means that the body has ended or that its time is over.
-		_, _ = io.CopyN(io.Discard, c.r.Body, maxDiscardBytes)
-	}
-}
-
-// sendBeforeBody sends a refusal while the body may still be arriving.
-func (c *call) sendBeforeBody(r goose.Refusal) {
-	control := http.NewResponseController(c.w)
-	// Without full duplex, a server may read the whole body before it sends a response.
-	_ = control.EnableFullDuplex()
-	if c.r.ContentLength != 0 {
-		// The rest of the body must not be read as the next request.
-		c.w.Header().Set("Connection", "close")
-	}
-	c.refuse(r)
-	_ = control.Flush()
-	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
-}
--- a/internal/gooseforward/body_test.go
+++ b/internal/gooseforward/body_test.go
@@ -35,6 +35,11 @@
 	}) - 1)
 }
 
+// source returns a body on no connection.
+func source(r io.Reader, length, limit int64) bodySource {
+	return bodySource{Reader: r, conn: unknownConn{}, length: length, limit: limit, cut: func() {}}
+}
+
 // Guards against bodies that are changed on the way into their buffer, and against memory that
 // stays reserved after a request.
 func TestBodiesAreReadWhole(t *testing.T) {
@@ -54,7 +59,7 @@
 				if known {
 					announced = int64(length)
 				}
-				got, held, err := m.read(context.Background(), iotest.HalfReader(bytes.NewReader(body)), announced, limit, func() {})
+				got, held, err := m.read(context.Background(), source(iotest.HalfReader(bytes.NewReader(body)), announced, limit))
 				switch {
 				case err != nil:
 					t.Fatal(err)
@@ -82,7 +87,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			cut := io.MultiReader(strings.NewReader("abc"), iotest.ErrReader(io.ErrUnexpectedEOF))
-			if _, _, err := newBodyMemory(0, newTransfers()).read(context.Background(), cut, length, 100, func() {}); !errors.Is(err, io.ErrUnexpectedEOF) {
+			if _, _, err := newBodyMemory(0, newTransfers()).read(context.Background(), source(cut, length, 100)); !errors.Is(err, io.ErrUnexpectedEOF) {
 				t.Errorf("got error %v, want %v", err, io.ErrUnexpectedEOF)
 			}
 		})
@@ -103,7 +108,7 @@
 			read := func(body string, announced int64, wait time.Duration) (heldBody, error) {
 				ctx, cancel := context.WithTimeout(context.Background(), wait)
 				defer cancel()
-				_, held, err := m.read(ctx, strings.NewReader(body), announced, length, func() {})
+				_, held, err := m.read(ctx, source(strings.NewReader(body), announced, length))
 				return held, err
 			}
 			long := strings.Repeat("x", length)
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -48,6 +48,7 @@
 	o              Options
 	responseMemory *responseMemory
 	bodyMemory     *bodyMemory
+	discards       *discards
 	callers        *gooseretry.Callers
 	// transfers are the bodies that arrive and the responses that are written.
 	transfers *transfers
@@ -57,7 +58,8 @@
 func New(o Options) *Forwarder {
 	t := &transfers{Table: goosetransfer.New(), metrics: o.Metrics, log: o.Log}
 	return &Forwarder{
-		o: o, transfers: t, responseMemory: newResponseMemory(o.MemoryBytes, t), bodyMemory: newBodyMemory(o.MemoryBytes, t), callers: gooseretry.NewCallers(),
+		o: o, transfers: t, responseMemory: newResponseMemory(o.MemoryBytes, t), bodyMemory: newBodyMemory(o.MemoryBytes, t),
+		discards: newDiscards(o.MemoryBytes, t), callers: gooseretry.NewCallers(),
 	}
 }
 
@@ -68,7 +70,7 @@
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{
-		Forwarder: f, w: w, r: r, arrived: f.o.Clock.Now(),
+		Forwarder: f, w: w, r: r, conn: connOf(r.Context()), arrived: f.o.Clock.Now(),
 		tried: map[goose.ReplicaID]bool{}, declines: newDeclines(), snapshot: f.o.Directory.Current(),
 	}
 	if !f.o.StopAt().IsZero() {
@@ -101,8 +103,9 @@
 // call is one request of a caller.
 type call struct {
 	*Forwarder
-	w http.ResponseWriter
-	r *http.Request
+	w    http.ResponseWriter
+	r    *http.Request
+	conn goose.CallerConn
 	// ctx ends when the caller disconnects, the deadline passes or the instance stops.
 	ctx      context.Context
 	arrived  time.Time
--- a/internal/gooseforward/transfer.go
+++ b/internal/gooseforward/transfer.go
@@ -20,6 +20,8 @@
 	kindSmallBody goosetransfer.Kind = "small-body"
 	kindLongBody  goosetransfer.Kind = "long-body"
 	kindResponse  goosetransfer.Kind = "response"
+	// kindDiscard is that of the kernel for the rest of a refused body.
+	kindDiscard goosetransfer.Kind = "discard"
 )
 
 const (
--- a/internal/goosehost/conns.go
+++ b/internal/goosehost/conns.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseforward"
 	"github.com/gooseberryhold/gooseberryhold/internal/gooselisten"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
@@ -81,6 +82,15 @@
 	return conn, err
 }
 
+// connContext gives the requests on a connection access to it; it is the ConnContext of a
+// http.Server.
+func connContext(ctx context.Context, conn net.Conn) context.Context {
+	if c, ok := conn.(*callerConn); ok {
+		return gooseforward.WithConn(ctx, c)
+	}
+	return ctx
+}
+
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	time.Sleep(c.readPause(len(p)))
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -262,6 +262,7 @@
 	wg.Go(func() { h.registration.Run(ctx) })
 	server := &http.Server{
 		Handler: h.forwarder, ConnState: conns.handleState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: connContext,
 		// net/http would answer "OPTIONS *" itself, with a success that no replica has given.
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
--- a/internal/gooselisten/listener.go
+++ b/internal/gooselisten/listener.go
@@ -4,6 +4,7 @@
 package gooselisten
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"os"
@@ -58,7 +59,8 @@
 
 // Listen returns a listener at an address, an IP:port. The network is "tcp" or "tcp4".
 func Listen(network, address string, o Options) (*Listener, error) {
-	l, err := net.Listen(network, address)
+	config := net.ListenConfig{Control: boundReceived}
+	l, err := config.Listen(context.Background(), network, address)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- /dev/null
+++ b/pkg/goose/caller.go
@@ -0,0 +1,8 @@
+package goose
+
+// CallerConn is the connection of a caller, as the code that serves its requests sees it.
+type CallerConn interface {
+	// SetReceiveBuffer bounds what the kernel receives for the connection and the process has
+	// not read. The bound has a minimum and a maximum of its own.
+	SetReceiveBuffer(bytes int64) error
+}
