gooselisten, gooseforward: slow bodies and readers give way to other callers' connections

Callers saw: no response for as long as clients hold all connections with bodies that stop short; new connections wait in the kernel's queue. Cause: at the bound on connections only idle ones were closed. Bodies were cut for the sake of memory alone, so that 68 clients with bodies of 1,000 bytes, which do not exhaust it, kept all places of a process with 400 descriptors. Change: at the bound the listener also cuts the slowest body or reader below the least rate, whatever memory it holds. Event 770 names the workspace and the route of what was cut. TestSlowestOfAnyKindIsCut is the rule by itself; what waits for memory is not slow.

--- a/internal/gooseforward/body.go
+++ b/internal/gooseforward/body.go
@@ -44,13 +44,13 @@
 type bodyMemory struct {
 	longBytes   int64
 	long, small *semaphore.Weighted
-	transfers   *transfers
+	transfers   *goosetransfer.Table
 }
 
 // heldBody is the memory that one body holds.
 type heldBody struct{ long, small int64 }
 
-func newBodyMemory(machineBytes int64, t *transfers) *bodyMemory {
+func newBodyMemory(machineBytes int64, t *goosetransfer.Table) *bodyMemory {
 	if machineBytes <= 0 {
 		machineBytes = defaultMemoryBytes
 	}
@@ -76,7 +76,7 @@
 	length, limit int64
 	// cut has to make Read return an error. It is called if the body arrives too slowly and others
 	// need its memory.
-	cut func()
+	cut func(goosetransfer.Kind)
 }
 
 // read reads a body into one buffer. The memory that is held has to be released, also with an
@@ -250,9 +250,6 @@
 	return body, err
 }
 
-// cutBody makes the read of the body return an error.
-func (c *call) cutBody() { _ = http.NewResponseController(c.w).SetReadDeadline(time.Unix(1, 0)) }
-
 // bodyRefusal returns a refusal if a body could not be read or is too long.
 func bodyRefusal(err error, length, limit int64) (goose.Refusal, bool) {
 	switch {
@@ -260,7 +257,7 @@
 		return goose.NotRunRefusal(goose.CodeNotReady, "the bodies of other requests take all memory").
 			WithReason("body-memory").WithRetryAfter(bodyRetryAfter + rand.N(bodyRetryAfter)), false
 	case errors.Is(err, errSlowBody):
-		return goose.NotRunRefusal(goose.CodeRequestTimeout, "the body arrives too slowly while others need its memory").
+		return goose.NotRunRefusal(goose.CodeRequestTimeout, "the body arrives too slowly while others need its memory or its connection").
 			WithReason("slow-body").WithRetryAfter(bodyRetryAfter + rand.N(bodyRetryAfter)), false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return goose.NotRunRefusal(goose.CodeRequestTimeout, "the request's time was over before its body had arrived"), false
--- a/internal/gooseforward/body_test.go
+++ b/internal/gooseforward/body_test.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
 // bodyMemoryLeft returns the memory that is free for long and small bodies.
@@ -37,7 +38,7 @@
 
 // source returns a body on no connection.
 func source(r io.Reader, length, limit int64) bodySource {
-	return bodySource{Reader: r, conn: unknownConn{}, length: length, limit: limit, cut: func() {}}
+	return bodySource{Reader: r, conn: unknownConn{}, length: length, limit: limit, cut: func(goosetransfer.Kind) {}}
 }
 
 // Guards against bodies that are changed on the way into their buffer, and against memory that
@@ -52,7 +53,7 @@
 		for _, known := range []bool{false, true} {
 			t.Run(name+map[bool]string{true: ", length known", false: ", length unknown"}[known], func(t *testing.T) {
 				t.Parallel()
-				m := newBodyMemory(4<<20, newTransfers())
+				m := newBodyMemory(4<<20, goosetransfer.New())
 				wantLong, wantSmall := bodyMemoryLeft(m)
 				body := bytes.Repeat([]byte("0123456789abcde"), length/15+1)[:length]
 				announced := int64(-1)
@@ -87,7 +88,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			cut := io.MultiReader(strings.NewReader("abc"), iotest.ErrReader(io.ErrUnexpectedEOF))
-			if _, _, err := newBodyMemory(0, newTransfers()).read(context.Background(), source(cut, length, 100)); !errors.Is(err, io.ErrUnexpectedEOF) {
+			if _, _, err := newBodyMemory(0, goosetransfer.New()).read(context.Background(), source(cut, length, 100)); !errors.Is(err, io.ErrUnexpectedEOF) {
 				t.Errorf("got error %v, want %v", err, io.ErrUnexpectedEOF)
 			}
 		})
@@ -104,7 +105,7 @@
 	for name, announced := range map[string]int64{"length known": length, "length unknown": -1} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			m := newBodyMemory(machine, newTransfers())
+			m := newBodyMemory(machine, goosetransfer.New())
 			read := func(body string, announced int64, wait time.Duration) (heldBody, error) {
 				ctx, cancel := context.WithTimeout(context.Background(), wait)
 				defer cancel()
--- a/internal/gooseforward/bounded.go
+++ b/internal/gooseforward/bounded.go
@@ -56,10 +56,10 @@
 type responseMemory struct {
 	bytes     int64
 	memory    *semaphore.Weighted
-	transfers *transfers
+	transfers *goosetransfer.Table
 }
 
-func newResponseMemory(machineBytes int64, t *transfers) *responseMemory {
+func newResponseMemory(machineBytes int64, t *goosetransfer.Table) *responseMemory {
 	if machineBytes <= 0 {
 		machineBytes = defaultMemoryBytes
 	}
--- a/internal/gooseforward/discard.go
+++ b/internal/gooseforward/discard.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
 // discardTimeout bounds how long the rest of a body is read after its request was refused.
@@ -29,10 +30,10 @@
 // discards are the rests of refused bodies that are read and dropped.
 type discards struct {
 	memory    *semaphore.Weighted
-	transfers *transfers
+	transfers *goosetransfer.Table
 }
 
-func newDiscards(machineBytes int64, t *transfers) *discards {
+func newDiscards(machineBytes int64, t *goosetransfer.Table) *discards {
 	if machineBytes <= 0 {
 		machineBytes = defaultMemoryBytes
 	}
--- a/internal/gooseforward/endless_test.go
+++ b/internal/gooseforward/endless_test.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/goosetest"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
 // endlessBoundBytes is far above the size of the buffers of a connection.
@@ -85,7 +86,7 @@
 // and against response memory that is not released.
 func TestResponseMemory(t *testing.T) {
 	t.Parallel()
-	b := newResponseMemory(1<<30, newTransfers())
+	b := newResponseMemory(1<<30, goosetransfer.New())
 	// Responses do not wait for memory.
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -51,12 +51,12 @@
 	discards       *discards
 	callers        *gooseretry.Callers
 	// transfers are the bodies that arrive and the responses that are written.
-	transfers *transfers
+	transfers *goosetransfer.Table
 }
 
 // New returns a forwarder.
 func New(o Options) *Forwarder {
-	t := &transfers{Table: goosetransfer.New(), metrics: o.Metrics, log: o.Log}
+	t := goosetransfer.New()
 	return &Forwarder{
 		o: o, transfers: t, responseMemory: newResponseMemory(o.MemoryBytes, t), bodyMemory: newBodyMemory(o.MemoryBytes, t),
 		discards: newDiscards(o.MemoryBytes, t), callers: gooseretry.NewCallers(),
--- a/internal/gooseforward/transfer.go
+++ b/internal/gooseforward/transfer.go
@@ -1,6 +1,7 @@
 package gooseforward
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"log/slog"
@@ -22,6 +23,8 @@
 	kindResponse  goosetransfer.Kind = "response"
 	// kindDiscard is that of the kernel for the rest of a refused body.
 	kindDiscard goosetransfer.Kind = "discard"
+	// kindConnection is that of a transfer which holds its connection alone.
+	kindConnection goosetransfer.Kind = "connection"
 )
 
 const (
@@ -36,19 +39,27 @@
 // is the time for the memory of the last one to be released.
 const cutInterval = 20 * time.Millisecond
 
-// transfers are the bodies that arrive and the responses that are written.
-type transfers struct {
-	*goosetransfer.Table
-	metrics *Metrics
-	log     *slog.Logger
+// CutSlowest cuts the slowest body or reader, whatever memory it holds, and reports whether there
+// was one that may be cut. It makes room for the connections of other callers.
+func (f *Forwarder) CutSlowest() bool { return f.transfers.CutSlowest("", time.Now()) }
+
+// recordCut counts and logs a body or a response of the request that is cut.
+func (c *call) recordCut(kind goosetransfer.Kind) {
+	c.o.Metrics.countCut(kind)
+	gooseevent.TransferCut.Log(c.o.Log, slog.String("memory", string(kind)),
+		slog.String("workspace", string(c.workspace.Name)), slog.String("route", c.route.Name))
 }
 
-// cutSlowest cuts the slowest transfer that holds memory of this kind, if it is too slow.
-func (t *transfers) cutSlowest(kind goosetransfer.Kind) {
-	if t.CutSlowest(kind, time.Now()) {
-		t.metrics.countCut(kind)
-		gooseevent.TransferCut.Log(t.log, slog.String("memory", string(kind)))
-	}
+// cutBody makes the read of the body return an error.
+func (c *call) cutBody(kind goosetransfer.Kind) {
+	c.recordCut(kind)
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Unix(1, 0))
+}
+
+// cutResponse makes the write of the response return an error.
+func (c *call) cutResponse(kind goosetransfer.Kind) {
+	c.recordCut(kind)
+	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Unix(1, 0))
 }
 
 // errSlowBody reports a body that was cut because it arrived too slowly.
@@ -69,7 +80,7 @@
 
 // acquireMemory waits for n bytes, and cuts slow transfers that hold memory of this kind. It
 // reports whether it has acquired them before ctx ended.
-func acquireMemory(ctx context.Context, memory *semaphore.Weighted, n int64, transfers *transfers, kind goosetransfer.Kind) bool {
+func acquireMemory(ctx context.Context, memory *semaphore.Weighted, n int64, transfers *goosetransfer.Table, kind goosetransfer.Kind) bool {
 	if memory.TryAcquire(n) {
 		return true
 	}
@@ -77,7 +88,7 @@
 	defer stop()
 	go func() {
 		for ticker := time.NewTicker(cutInterval); ; {
-			transfers.cutSlowest(kind)
+			transfers.CutSlowest(kind, time.Now())
 			select {
 			case <-ctx.Done():
 				ticker.Stop()
@@ -92,10 +103,9 @@
 // writeTransfer writes to the caller. If the caller reads too slowly while others need memory of
 // this kind, the connection breaks.
 func (c *call) writeTransfer(data []byte, kind goosetransfer.Kind, flush bool) error {
-	control := http.NewResponseController(c.w)
-	transfer := c.transfers.Begin(time.Now(), func() { _ = control.SetWriteDeadline(time.Unix(1, 0)) })
+	transfer := c.transfers.Begin(time.Now(), c.cutResponse)
 	defer transfer.End()
-	transfer.Hold(kind, time.Now())
+	transfer.Hold(cmp.Or(kind, kindConnection), time.Now())
 	for piece := range slices.Chunk(data, writePieceBytes) {
 		n, err := c.w.Write(piece)
 		if err != nil {
@@ -104,7 +114,7 @@
 		transfer.Progress(n, time.Now())
 	}
 	if flush {
-		return control.Flush()
+		return http.NewResponseController(c.w).Flush()
 	}
 	return nil
 }
--- a/internal/gooseforward/transfer_test.go
+++ b/internal/gooseforward/transfer_test.go
@@ -2,23 +2,13 @@
 
 import (
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
-
-	"github.com/VictoriaMetrics/metrics"
-
-	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
-// newTransfers returns an empty table.
-func newTransfers() *transfers {
-	return &transfers{Table: goosetransfer.New(), metrics: NewMetrics(metrics.NewSet()), log: slog.New(slog.DiscardHandler)}
-}
-
 // Guards against a caller that does not read its response and keeps a request, its memory and its
 // connection after the deadline. A kernel takes less than the response.
 func TestUnreadResponseEnds(t *testing.T) {
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -229,7 +229,7 @@
 func (h *host) run(ctx context.Context, metricsPort int) error {
 	conns := newConnTracker()
 	listener, err := gooselisten.Listen("tcp4", h.settings.CallerAddress, gooselisten.Options{
-		MaxConns: gooselisten.MaxConns(h.settings.MaxDescriptors), CloseIdle: conns.closeLongestIdle, Log: h.log,
+		MaxConns: gooselisten.MaxConns(h.settings.MaxDescriptors), MakeRoom: h.makeRoom(conns), Log: h.log,
 	})
 	if err != nil {
 		return errors.Wrap(err, "setting listen.front")
@@ -283,6 +283,12 @@
 	return nil
 }
 
+// makeRoom returns a function that makes room for the connections of other callers: idle ones are
+// closed, or the slowest body or reader is cut.
+func (h *host) makeRoom(conns *connTracker) func() bool {
+	return func() bool { return conns.closeLongestIdle() || h.forwarder.CutSlowest() }
+}
+
 // ready reports whether the instance should receive new callers.
 func (h *host) ready() bool {
 	s := h.directory.Current()
--- a/internal/gooselisten/listener.go
+++ b/internal/gooselisten/listener.go
@@ -34,9 +34,9 @@
 	// MaxConns bounds the connections that are open at one time; zero means no bound.
 	// Further connections wait in the kernel's queue.
 	MaxConns int
-	// CloseIdle closes connections that are not in use, to make room for others, and reports
-	// whether it has closed any. It may be nil.
-	CloseIdle func() bool
+	// MakeRoom closes connections, or ends what keeps them open, to make room for others. It
+	// reports whether there was any. It may be nil.
+	MakeRoom func() bool
 	// Log gets an event when connections cannot be accepted.
 	Log *slog.Logger
 }
@@ -68,8 +68,8 @@
 	if !ok {
 		return nil, errors.Errorf("listener of type %T", l)
 	}
-	if o.CloseIdle == nil {
-		o.CloseIdle = func() bool { return false }
+	if o.MakeRoom == nil {
+		o.MakeRoom = func() bool { return false }
 	}
 	d := &Listener{TCPListener: tcp, o: o, accept: tcp.AcceptTCP, drain: make(chan struct{}), drained: make(chan struct{})}
 	d.beginDrain = sync.OnceFunc(func() { close(d.drain) })
@@ -127,20 +127,23 @@
 // waitForPlace waits while as many connections are open as may be. A listener that drains does
 // not wait.
 func (l *Listener) waitForPlace() {
-	for l.o.MaxConns > 0 && l.open.Load() >= int64(l.o.MaxConns) && !l.draining() {
-		if !l.o.CloseIdle() {
+	for l.full() && !l.draining() {
+		l.o.MakeRoom()
+		if l.full() {
 			time.Sleep(fullCheckInterval)
 		}
 	}
 }
 
+func (l *Listener) full() bool { return l.o.MaxConns > 0 && l.open.Load() >= int64(l.o.MaxConns) }
+
 // waitAfter waits after an error of the kernel, for example if the process has no free
 // descriptor, and returns the delay. The error passes when other connections close.
 func (l *Listener) waitAfter(err error, delay time.Duration) time.Duration {
 	if delay == 0 {
 		gooseevent.AcceptFailed.Log(l.o.Log, slog.String("error", err.Error()), slog.Int64("open", l.open.Load()))
 	}
-	l.o.CloseIdle()
+	l.o.MakeRoom()
 	delay = min(max(2*delay, minRetryDelay), maxRetryDelay)
 	time.Sleep(delay)
 	return delay
--- a/internal/gooselisten/listener_test.go
+++ b/internal/gooselisten/listener_test.go
@@ -57,7 +57,7 @@
 			t.Parallel()
 			const failures = 4
 			idle := 0
-			l := listen(t, Options{CloseIdle: func() bool { idle++; return false }})
+			l := listen(t, Options{MakeRoom: func() bool { idle++; return false }})
 			failed := 0
 			l.accept = func() (*net.TCPConn, error) {
 				if failed++; failed <= failures {
@@ -84,7 +84,7 @@
 	t.Parallel()
 	const maxConns = 3
 	var asked atomic.Int64
-	l := listen(t, Options{MaxConns: maxConns, CloseIdle: func() bool { asked.Add(1); return false }})
+	l := listen(t, Options{MaxConns: maxConns, MakeRoom: func() bool { asked.Add(1); return false }})
 	var accepted []net.Conn
 	for range maxConns + 1 {
 		dial(t, l)
--- a/pkg/goosetransfer/transfer.go
+++ b/pkg/goosetransfer/transfer.go
@@ -21,8 +21,8 @@
 // Transfer is one body that arrives or one response that is read. It is safe for concurrent use.
 type Transfer struct {
 	table *Table
-	// cut ends the transfer.
-	cut func()
+	// cut ends the transfer, which holds memory of this kind.
+	cut func(Kind)
 
 	mu   sync.Mutex
 	kind Kind
@@ -46,8 +46,9 @@
 // New returns an empty table.
 func New() *Table { return &Table{transfers: map[*Transfer]struct{}{}} }
 
-// Begin adds a transfer that holds no memory. Function cut has to end it; it must not block.
-func (t *Table) Begin(now time.Time, cut func()) *Transfer {
+// Begin adds a transfer that holds no memory. Function cut has to end it, and gets the kind of memory
+// that it holds; it must not block.
+func (t *Table) Begin(now time.Time, cut func(Kind)) *Transfer {
 	x := &Transfer{table: t, cut: cut, windowStart: now}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -85,11 +86,11 @@
 	x.progressed = now
 }
 
-// rateIfSlow returns the rate of a transfer that may be cut.
+// rateIfSlow returns the rate of a transfer that may be cut. No kind stands for all.
 func (x *Transfer) rateIfSlow(kind Kind, now time.Time) (float64, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.kind != kind || x.wasCut {
+	if x.kind == "" || (kind != "" && x.kind != kind) || x.wasCut {
 		return 0, false
 	}
 	if now.Sub(x.progressed) >= Window {
@@ -102,8 +103,8 @@
 
 func rate(n int64, passed time.Duration) float64 { return float64(n) / passed.Seconds() }
 
-// CutSlowest cuts the slowest transfer that holds memory of this kind and that is below MinRate.
-// It reports whether there was one.
+// CutSlowest cuts the slowest transfer that holds memory of this kind, or of any if kind is empty,
+// and that is below MinRate. It reports whether there was one.
 func (t *Table) CutSlowest(kind Kind, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -117,9 +118,15 @@
 	if slowest == nil {
 		return false
 	}
-	slowest.mu.Lock()
-	slowest.wasCut = true
-	slowest.mu.Unlock()
-	slowest.cut()
+	slowest.end()
 	return true
 }
+
+// end calls cut, under the lock of the table: a transfer that has ended is not cut.
+func (x *Transfer) end() {
+	x.mu.Lock()
+	x.wasCut = true
+	kind := x.kind
+	x.mu.Unlock()
+	x.cut(kind)
+}
--- a/pkg/goosetransfer/transfer_test.go
+++ b/pkg/goosetransfer/transfer_test.go
@@ -37,7 +37,7 @@
 			start := time.Unix(1000, 0)
 			table := New()
 			cuts := 0
-			x := table.Begin(start, func() { cuts++ })
+			x := table.Begin(start, func(Kind) { cuts++ })
 			x.Hold(tc.kind, start)
 			for _, p := range tc.progress {
 				x.Progress(p.bytes, start.Add(p.at))
@@ -64,7 +64,7 @@
 	var cuts []int
 	var transfers []*Transfer
 	for n := range 4 {
-		x := table.Begin(start, func() { cuts = append(cuts, n) })
+		x := table.Begin(start, func(Kind) { cuts = append(cuts, n) })
 		x.Hold(kind, start)
 		x.Progress(1000-100*n, start.Add(Window/2))
 		transfers = append(transfers, x)
@@ -77,12 +77,33 @@
 	}
 }
 
+// Guards against slow transfers that keep their connections from other callers: they are cut
+// whatever memory they hold, but not while they wait for memory.
+func TestSlowestOfAnyKindIsCut(t *testing.T) {
+	t.Parallel()
+	start := time.Unix(1000, 0)
+	for name, tc := range map[string]struct {
+		kind Kind
+		want bool
+	}{"one kind": {kind, true}, "another kind": {otherKind, true}, "waits for memory": {"", false}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			table := New()
+			got := Kind("not cut")
+			table.Begin(start, func(k Kind) { got = k }).Hold(tc.kind, start)
+			if cut := table.CutSlowest("", start.Add(Window)); cut != tc.want || (got == tc.kind) != tc.want {
+				t.Errorf("got %t, kind %q, want %t", cut, got, tc.want)
+			}
+		})
+	}
+}
+
 // Guards against a transfer that counts as slow because it has waited for memory.
 func TestWaitForMemoryIsNotSlow(t *testing.T) {
 	t.Parallel()
 	start := time.Unix(1000, 0)
 	table := New()
-	x := table.Begin(start, func() {})
+	x := table.Begin(start, func(Kind) {})
 	x.Hold(kind, start.Add(10*Window))
 	if table.CutSlowest(kind, start.Add(10*Window+Window/2)) {
 		t.Error("a transfer was cut that has had memory for less than a window")
