goosememory, goosetransfer: memory for bodies goes to those that use it fastest

Callers saw: long bodies refused for as long as a crowd of slow clients stays (503, body-memory), short ones for 13 s. Cause: memory was given in the order of arrival and taken back only below one rate, 4 KiB/s. Clients at 5 kB/s, and clients that always come again, kept it from all others. Change: the first 4 KiB of a body need no memory but that of the connection, so that short orders never wait. The rate at which they arrive decides who gets memory first; among equals those whose workspace and address hold least go first. A body is also cut, if others wait for its memory, when it is eight times slower than the request that waits, or when it pauses for 250 ms and twice the time for its rest although it should have ended. Bodies in chunks begin in memory of their own, since they hold it while they wait for more. pkg/goosememory replaces the semaphores. Tests changed: those of body memory use bodies above 4 KiB where they used 4 bytes, since these need no memory any more, and the harness permits such bodies; what they check is the same. TestNoBodyMemoryIsRefused checks in addition that a short body is served without memory.

--- a/internal/gooseforward/bounded.go
+++ b/internal/gooseforward/bounded.go
@@ -6,8 +6,8 @@
 	"math"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/semaphore"
 
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosememory"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
@@ -54,9 +54,8 @@
 
 // responseMemory bounds the memory that responses hold.
 type responseMemory struct {
-	bytes     int64
-	memory    *semaphore.Weighted
-	transfers *goosetransfer.Table
+	bytes int64
+	*sharedMemory
 }
 
 func newResponseMemory(machineBytes int64, t *goosetransfer.Table) *responseMemory {
@@ -64,11 +63,11 @@
 		machineBytes = defaultMemoryBytes
 	}
 	bytes := min(maxResponseMemoryBytes, max(machineBytes/responseMemoryShare, maxResponseBytes))
-	return &responseMemory{bytes: bytes, memory: semaphore.NewWeighted(bytes), transfers: t}
+	return &responseMemory{bytes: bytes, sharedMemory: newSharedMemory(bytes, kindResponse, t)}
 }
 
 // release frees memory that readAll has acquired.
-func (m *responseMemory) release(held int64) { m.memory.Release(held) }
+func (m *responseMemory) release(held int64) { m.Release(goosememory.Claim{Bytes: held}) }
 
 // readAll reads a complete response; length is its length, or negative if it is unknown. It
 // returns the memory that the caller has to release, also with an error.
@@ -77,7 +76,7 @@
 	defer cancel()
 	// Responses that hold parts of their memory and wait for that of each other could not go on.
 	if length > responseMemoryUnitBytes && length <= maxResponseBytes {
-		if !acquireMemory(ctx, m.memory, length, m.transfers, kindResponse) {
+		if !m.acquire(ctx, goosememory.Claim{Bytes: length}) {
 			return nil, 0, errNoResponseMemory
 		}
 		held = length
@@ -97,7 +96,7 @@
 			return body, held, err
 		}
 		for int64(len(body)) > responseMemoryUnitBytes+held {
-			if !acquireMemory(ctx, m.memory, responseMemoryUnitBytes, m.transfers, kindResponse) {
+			if !m.acquire(ctx, goosememory.Claim{Bytes: responseMemoryUnitBytes}) {
 				return body, held, errNoResponseMemory
 			}
 			held += responseMemoryUnitBytes
--- a/internal/gooseforward/discard.go
+++ b/internal/gooseforward/discard.go
@@ -6,9 +6,8 @@
 	"net/http"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosememory"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
@@ -28,25 +27,23 @@
 )
 
 // discards are the rests of refused bodies that are read and dropped.
-type discards struct {
-	memory    *semaphore.Weighted
-	transfers *goosetransfer.Table
-}
+type discards struct{ *sharedMemory }
 
 func newDiscards(machineBytes int64, t *goosetransfer.Table) *discards {
 	if machineBytes <= 0 {
 		machineBytes = defaultMemoryBytes
 	}
-	return &discards{memory: semaphore.NewWeighted(max(machineBytes/discardMemoryShare, discardBytes)), transfers: t}
+	return &discards{newSharedMemory(max(machineBytes/discardMemoryShare, discardBytes), kindDiscard, t)}
 }
 
 // read reads and drops the rest of a body until it ends, its time is over or ctx ends.
 func (d *discards) read(ctx context.Context, s bodySource) {
-	if !acquireMemory(ctx, d.memory, discardBytes, d.transfers, kindDiscard) {
+	claim := goosememory.Claim{Bytes: discardBytes, Owners: s.owners()}
+	if !d.acquire(ctx, claim) {
 		return
 	}
-	defer d.memory.Release(discardBytes)
-	transfer := d.transfers.Begin(time.Now(), s.cut)
+	defer d.Release(claim)
+	transfer := d.transfers.Begin(goosetransfer.LengthUnknown, time.Now(), s.cut)
 	defer transfer.End()
 	transfer.Hold(kindDiscard, time.Now())
 	_ = s.conn.SetReceiveBuffer(discardBytes)
@@ -64,7 +61,9 @@
 	c.releaseBody()
 	ctx, cancel := context.WithTimeout(c.r.Context(), discardTimeout)
 	defer cancel()
-	c.discards.read(ctx, bodySource{Reader: c.r.Body, conn: c.conn, limit: maxDiscardBytes, cut: c.cutBody})
+	c.discards.read(ctx, bodySource{
+		Reader: c.r.Body, conn: c.conn, owners: c.owners, length: -1, limit: maxDiscardBytes, cut: c.cutBody,
+	})
 }
 
 // sendBeforeBody sends a refusal while the body may still be arriving.
--- a/internal/gooseforward/metrics.go
+++ b/internal/gooseforward/metrics.go
@@ -1,6 +1,7 @@
 package gooseforward
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -36,6 +37,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gooseberryhold_caller_retries_total{service=%q}`, service)).Inc()
 }
 
+// countBodyRefusal counts a request that was refused because of its body.
+func (m *Metrics) countBodyRefusal(r goose.Refusal) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gooseberryhold_bodies_refused_total{reason=%q}`, cmp.Or(r.Reason, string(r.Code)))).Inc()
+}
+
 // countCut counts a transfer that was cut to make room for others.
 func (m *Metrics) countCut(kind goosetransfer.Kind) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gooseberryhold_transfers_cut_total{memory=%q}`, kind)).Inc()
--- a/internal/gooseforward/transfer.go
+++ b/internal/gooseforward/transfer.go
@@ -10,17 +10,19 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goosememory"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
 // Kinds of memory that transfers hold.
 const (
 	kindSmallBody goosetransfer.Kind = "small-body"
-	kindLongBody  goosetransfer.Kind = "long-body"
-	kindResponse  goosetransfer.Kind = "response"
+	// kindSmallChunks is that of the begin of bodies of unknown length.
+	kindSmallChunks goosetransfer.Kind = "small-chunks"
+	kindLongBody    goosetransfer.Kind = "long-body"
+	kindResponse    goosetransfer.Kind = "response"
 	// kindDiscard is that of the kernel for the rest of a refused body.
 	kindDiscard goosetransfer.Kind = "discard"
 	// kindConnection is that of a transfer which holds its connection alone.
@@ -41,7 +43,9 @@
 
 // CutSlowest cuts the slowest body or reader, whatever memory it holds, and reports whether there
 // was one that may be cut. It makes room for the connections of other callers.
-func (f *Forwarder) CutSlowest() bool { return f.transfers.CutSlowest("", time.Now()) }
+func (f *Forwarder) CutSlowest() bool {
+	return f.transfers.CutSlowest(goosetransfer.Need{}, time.Now())
+}
 
 // recordCut counts and logs a body or a response of the request that is cut.
 func (c *call) recordCut(kind goosetransfer.Kind) {
@@ -78,32 +82,46 @@
 	return n, err
 }
 
-// acquireMemory waits for n bytes, and cuts slow transfers that hold memory of this kind. It
-// reports whether it has acquired them before ctx ended.
-func acquireMemory(ctx context.Context, memory *semaphore.Weighted, n int64, transfers *goosetransfer.Table, kind goosetransfer.Kind) bool {
-	if memory.TryAcquire(n) {
+// sharedMemory is memory that transfers of one kind hold. A request that waits for it cuts slow ones.
+type sharedMemory struct {
+	*goosememory.Budget
+	kind      goosetransfer.Kind
+	transfers *goosetransfer.Table
+}
+
+func newSharedMemory(bytes int64, kind goosetransfer.Kind, t *goosetransfer.Table) *sharedMemory {
+	return &sharedMemory{Budget: goosememory.New(bytes), kind: kind, transfers: t}
+}
+
+// acquire waits for the memory of a claim, and reports whether it was acquired before ctx ended.
+func (m *sharedMemory) acquire(ctx context.Context, c goosememory.Claim) bool {
+	if m.TryAcquire(c) {
 		return true
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	go func() {
-		for ticker := time.NewTicker(cutInterval); ; {
-			transfers.CutSlowest(kind, time.Now())
-			select {
-			case <-ctx.Done():
-				ticker.Stop()
-				return
-			case <-ticker.C:
-			}
+	go m.cutSlow(ctx, goosetransfer.Need{Kind: m.kind, Rate: c.Rate})
+	return m.Acquire(ctx, c)
+}
+
+// cutSlow cuts a slow transfer at each interval until ctx ends.
+func (m *sharedMemory) cutSlow(ctx context.Context, need goosetransfer.Need) {
+	ticker := time.NewTicker(cutInterval)
+	defer ticker.Stop()
+	for {
+		m.transfers.CutSlowest(need, time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
 		}
-	}()
-	return memory.Acquire(ctx, n) == nil
+	}
 }
 
 // writeTransfer writes to the caller. If the caller reads too slowly while others need memory of
 // this kind, the connection breaks.
 func (c *call) writeTransfer(data []byte, kind goosetransfer.Kind, flush bool) error {
-	transfer := c.transfers.Begin(time.Now(), c.cutResponse)
+	transfer := c.transfers.Begin(goosetransfer.LengthPausing, time.Now(), c.cutResponse)
 	defer transfer.End()
 	transfer.Hold(cmp.Or(kind, kindConnection), time.Now())
 	for piece := range slices.Chunk(data, writePieceBytes) {
@@ -121,21 +139,10 @@
 
 // releaseBody releases the memory of a body that is not sent again.
 func (c *call) releaseBody() {
-	c.bodyMemory.release(c.heldBody)
+	c.heldBody.release()
 	c.body, c.heldBody = nil, heldBody{}
 }
 
-// kind returns the kind of memory that a body holds.
-func (h heldBody) kind() goosetransfer.Kind {
-	switch {
-	case h.long > 0:
-		return kindLongBody
-	case h.small > 0:
-		return kindSmallBody
-	}
-	return ""
-}
-
 // limitWriting ends the writing of a response after the request's deadline. The deadline stays
 // in force for what net/http writes after the handler, and the next request sets its own.
 func (c *call) limitWriting(deadline time.Time) {
