gooseforward: bodies in very small chunks are refused

Callers saw: a third of the ordinary orders served beside 200 clients that send 4 MiB in chunks of one byte. Cause: such a body costs a parse for each byte, and nothing bounded the frames. Change: the frames of a body's chunks may take 64 KiB and the length of the body; then it is refused as not run (400, chunk-overhead) and its rest is not read. Chunks of five bytes and more never exceed the bound.

--- a/internal/gooseforward/body.go
+++ b/internal/gooseforward/body.go
@@ -74,7 +74,7 @@
 		return nil, nil
 	}
 	body, held, err := c.bodyMemory.read(c.ctx, bodySource{
-		Reader: c.r.Body, conn: c.conn, owners: c.owners, length: c.r.ContentLength, limit: limit,
+		Reader: c.incoming, conn: c.conn, owners: c.owners, length: c.r.ContentLength, limit: limit,
 		wait: min(maxMemoryWait, c.deadline.Sub(c.arrived)/memoryWaitDivisor), cut: c.cutBody,
 	})
 	c.heldBody = held
@@ -103,6 +103,8 @@
 	case errors.Is(err, errSlowBody):
 		return goose.NotRunRefusal(goose.CodeRequestTimeout, "the body arrives too slowly while others need its memory or its connection").
 			WithReason("slow-body").WithRetryAfter(bodyRetryAfter + rand.N(bodyRetryAfter)), false
+	case errors.Is(err, errChunkOverhead):
+		return goose.NotRunRefusal(goose.CodeBadRequest, err.Error()).WithReason("chunk-overhead"), false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return goose.NotRunRefusal(goose.CodeRequestTimeout, "the request's time was over before its body had arrived"), false
 	case err != nil:
--- a/internal/gooseforward/conn.go
+++ b/internal/gooseforward/conn.go
@@ -28,3 +28,6 @@
 
 // SetReceiveBuffer implements goose.CallerConn.
 func (unknownConn) SetReceiveBuffer(int64) error { return nil }
+
+// ReceivedBytes implements goose.CallerConn.
+func (unknownConn) ReceivedBytes() int64 { return 0 }
--- a/internal/gooseforward/discard.go
+++ b/internal/gooseforward/discard.go
@@ -62,7 +62,7 @@
 	ctx, cancel := context.WithTimeout(c.r.Context(), discardTimeout)
 	defer cancel()
 	c.discards.read(ctx, bodySource{
-		Reader: c.r.Body, conn: c.conn, owners: c.owners, length: -1, limit: maxDiscardBytes, cut: c.cutBody,
+		Reader: c.incoming, conn: c.conn, owners: c.owners, length: -1, limit: maxDiscardBytes, cut: c.cutBody,
 	})
 }
 
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -69,8 +70,9 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn := connOf(r.Context())
 	c := &call{
-		Forwarder: f, w: w, r: r, conn: connOf(r.Context()), arrived: f.o.Clock.Now(),
+		Forwarder: f, w: w, r: r, conn: conn, incoming: newIncoming(r, conn), arrived: f.o.Clock.Now(),
 		tried: map[goose.ReplicaID]bool{}, declines: newDeclines(), snapshot: f.o.Directory.Current(),
 	}
 	if !f.o.StopAt().IsZero() {
@@ -106,6 +108,8 @@
 	w    http.ResponseWriter
 	r    *http.Request
 	conn goose.CallerConn
+	// incoming is the body as it arrives.
+	incoming io.Reader
 	// ctx ends when the caller disconnects, the deadline passes or the instance stops.
 	ctx      context.Context
 	arrived  time.Time
--- a/internal/goosehost/conns.go
+++ b/internal/goosehost/conns.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -50,6 +51,8 @@
 type callerConn struct {
 	*gooselisten.Conn
 	limits *callerLimits
+	// received is what has been read from the connection.
+	received atomic.Int64
 
 	mu    sync.Mutex
 	state connState
@@ -95,12 +98,16 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	time.Sleep(c.readPause(len(p)))
 	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
 	if n > 0 && !c.receive(p[:n], len(p)) {
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
+// ReceivedBytes implements goose.CallerConn.
+func (c *callerConn) ReceivedBytes() int64 { return c.received.Load() }
+
 func (c *callerConn) readPause(bufferBytes int) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/goose/caller.go
+++ b/pkg/goose/caller.go
@@ -5,4 +5,6 @@
 	// SetReceiveBuffer bounds what the kernel receives for the connection and the process has
 	// not read. The bound has a minimum and a maximum of its own.
 	SetReceiveBuffer(bytes int64) error
+	// ReceivedBytes returns how many bytes have been read from the connection.
+	ReceivedBytes() int64
 }
