gooselisten, gooseforward: unread responses take less of the kernel and are counted from 16 KiB on

Operators saw: more than the memory of the machine beside clients that request responses of 48 KiB and read none. Cause: the kernel took 64 KiB unsent for each connection, and the first 64 KiB of a response were not counted, so that each such client held up to 128 KiB that no bound knew. Change: 16 KiB in both places. The kinds of slow readers of TestUntrustedClients pass.

--- a/internal/gooseforward/bounded.go
+++ b/internal/gooseforward/bounded.go
@@ -47,7 +47,7 @@
 	maxResponseMemoryBytes = 48 << 20
 	// responseMemoryUnitBytes is the unit in which memory is counted. A response of at most this
 	// length is not counted.
-	responseMemoryUnitBytes = 64 << 10
+	responseMemoryUnitBytes = 16 << 10
 	// responseMemoryWait is how long a response waits for memory. Slow readers are cut meanwhile.
 	responseMemoryWait = goosetransfer.Window + goosetransfer.Window/2
 )
--- a/internal/gooselisten/unsent.go
+++ b/internal/gooselisten/unsent.go
@@ -10,7 +10,7 @@
 // maxUnsentBytes bounds what the kernel takes for a connection before it can send it. The kernel
 // otherwise takes up to 4 MB for each caller that does not read its response. What is sent and not
 // yet acknowledged does not count, so that the bound does not limit the throughput.
-const maxUnsentBytes = 64 << 10
+const maxUnsentBytes = 16 << 10
 
 // boundUnsent sets the bound on a connection. Connections do not inherit it from their listener.
 func boundUnsent(conn *net.TCPConn) error {
