gooselisten: the number of connections is bounded by the memory of the machine, too

Suspected, not seen: the bound on connections came from the descriptors alone. A machine with 8,192 descriptors and 184 MB may have 3,964 connections, which at 32 KiB each take 124 MB beside the shares of bodies, heads and responses. Change: connections take a third of the memory at most, at 32 KiB each. The users' machines with 284 MB and 4,200 descriptors keep their 1,968.

--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -229,7 +229,7 @@
 func (h *host) run(ctx context.Context, metricsPort int) error {
 	conns := newConnTracker()
 	listener, err := gooselisten.Listen("tcp4", h.settings.CallerAddress, gooselisten.Options{
-		MaxConns: gooselisten.MaxConns(h.settings.MaxDescriptors), MakeRoom: h.makeRoom(conns), Log: h.log,
+		MaxConns: gooselisten.MaxConns(h.settings.MaxDescriptors, h.settings.MemoryBytes), MakeRoom: h.makeRoom(conns), Log: h.log,
 	})
 	if err != nil {
 		return errors.Wrap(err, "setting listen.front")
--- a/internal/gooselisten/listener_test.go
+++ b/internal/gooselisten/listener_test.go
@@ -119,22 +119,30 @@
 	}
 }
 
-// Guards against bounds that leave no descriptor for replicas, or none for callers.
+// Guards against bounds that leave no descriptor for replicas, or none for callers, and against more
+// connections than the machine has memory for.
 func TestMaxConns(t *testing.T) {
 	t.Parallel()
-	for name, tc := range map[string]struct{ descriptors, want int }{
-		"users' machines": {4200, 1968},
-		"few":             {300, 18},
-		"almost none":     {20, minConns},
+	for name, tc := range map[string]struct {
+		descriptors int
+		memory      int64
+		want        int
+	}{
+		"users' machines":                 {4200, 284 << 20, 1968},
+		"few":                             {300, 284 << 20, 18},
+		"almost none":                     {20, 284 << 20, minConns},
+		"many descriptors, little memory": {8192, 184 << 20, 1962},
+		"almost no memory":                {8192, 1 << 20, minConns},
+		"unknown memory":                  {8192, 0, 3964},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			if got := MaxConns(tc.descriptors); got != tc.want {
+			if got := MaxConns(tc.descriptors, tc.memory); got != tc.want {
 				t.Errorf("got %d connections for %d descriptors, want %d", got, tc.descriptors, tc.want)
 			}
 		})
 	}
-	if got := MaxConns(0); got < minConns {
+	if got := MaxConns(0, 0); got < minConns {
 		t.Errorf("got %d connections by the limit of the kernel, want at least %d", got, minConns)
 	}
 }
--- a/internal/goosesoak/untrusted_client_test.go
+++ b/internal/goosesoak/untrusted_client_test.go
@@ -198,6 +198,14 @@
 	}
 }
 
+// manyBytes sends a head with one long field, and a body that stops short.
+func manyBytes(length int) func(*untrustedClient) {
+	return func(c *untrustedClient) {
+		c.head("POST", c.target.short, fmt.Sprintf("X-Note: %s\r\nContent-Length: 2\r\n", strings.Repeat("x", length)))
+		c.write([]byte("x"))
+	}
+}
+
 // pipelinedRequests sends requests for long responses one after the other.
 func pipelinedRequests(c *untrustedClient) {
 	for range 5 {
--- a/internal/goosesoak/untrusted_test.go
+++ b/internal/goosesoak/untrusted_test.go
@@ -60,6 +60,8 @@
 	fewLimits   = processLimits{descriptors: 400, memoryMB: 128}
 	// manyLimits permit more connections than the memory for small bodies has room for.
 	manyLimits = processLimits{descriptors: 1600, memoryMB: 128}
+	// mostLimits permit more connections than the memory of the machine has room for.
+	mostLimits = processLimits{descriptors: 4200, memoryMB: 128}
 )
 
 // untrustedKinds are single kinds of clients, in small numbers.
@@ -97,6 +99,7 @@
 	"trailers without end":                     {clients: 200, limits: usualLimits, send: trailers, goesOn: true, returns: true},
 	"heads without end":                        {clients: 200, limits: usualLimits, send: headWithoutEnd, goesOn: true, returns: true},
 	"short responses that are not read":        {clients: 600, limits: manyLimits, send: unreadResponses, goesOn: true},
+	"heads that are not counted":               {clients: 1900, limits: mostLimits, send: manyBytes(12 << 10)},
 	"several kinds at once":                    {always: true, clients: 600, limits: usualLimits, send: severalKinds, goesOn: true, returns: true},
 }
 
