--- a/internal/goosesoak/untrusted_client_test.go
+++ b/internal/goosesoak/untrusted_client_test.go
@@ -80,16 +80,22 @@
 	}
 }
 
+const (
+	// slowPieceBytes and slowPieceInterval are those of bodies at 5 kB/s.
+	slowPieceBytes    = 1000
+	slowPieceInterval = 200 * time.Millisecond
+)
+
 // announcedSlowly sends a body whole, a piece at each interval.
-func announcedSlowly(length, piece int, interval time.Duration) func(*untrustedClient) {
+func announcedSlowly(length int) func(*untrustedClient) {
 	return func(c *untrustedClient) {
 		ok := c.head("POST", c.target.short, fmt.Sprintf("Content-Length: %d\r\n", length))
-		for rest := length; ok && rest > 0; rest -= piece {
-			ok = c.write(make([]byte, min(piece, rest)))
+		for rest := length; ok && rest > 0; rest -= slowPieceBytes {
+			ok = c.write(make([]byte, min(slowPieceBytes, rest)))
 			select {
 			case <-c.stop:
 				return
-			case <-time.After(interval):
+			case <-time.After(slowPieceInterval):
 			}
 		}
 	}
@@ -176,7 +182,7 @@
 		chunked(64<<10, untrustedBodyBytes-1, 1),
 		chunked(1, untrustedBodyBytes-1, 4096),
 		announced(500<<20, 8<<20, 64<<10),
-		announcedSlowly(64<<10, 1000, 200*time.Millisecond),
+		announcedSlowly(64 << 10),
 		unknownKey(untrustedBodyBytes, untrustedBodyBytes-1),
 		announced(1000, 999, 1000),
 		manyFields(15 << 10),
--- a/internal/goosesoak/untrusted_serve_test.go
+++ b/internal/goosesoak/untrusted_serve_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"time"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/goosefleet"
 )
@@ -22,7 +21,7 @@
 	"one-byte chunks at full speed":        {clients: 200, limits: serveLimits, send: chunked(1, untrustedBodyBytes-1, 4096), goesOn: true, returns: true},
 	"announced bodies far above the limit": {always: true, clients: 350, limits: serveLimits, send: announced(500<<20, 24<<20, 64<<10)},
 	"sent bodies far above the limit":      {clients: 350, limits: serveLimits, send: chunked(64<<10, 24<<20, 1)},
-	"bodies just above the least rate":     {clients: 600, limits: serveLimits, send: announcedSlowly(64<<10, 1000, 200*time.Millisecond), goesOn: true, returns: true},
+	"bodies just above the least rate":     {clients: 600, limits: serveLimits, send: announcedSlowly(64 << 10), goesOn: true, returns: true},
 	"unknown keys, long bodies":            {clients: 600, limits: serveLimits, send: unknownKey(untrustedBodyBytes, untrustedBodyBytes-1), goesOn: true, returns: true},
 	"heads of many fields":                 {clients: 600, limits: serveLimits, send: manyFields(15 << 10)},
 	"several kinds at once":                {clients: 600, limits: serveLimits, send: severalKinds, goesOn: true, returns: true},
