goosememory, goosebody, goosetransfer: parts of forward that serve needs, too

Cause: the pool that cuts slow transfers, the bound on the frames of chunks and the reader that records progress were part of gooseforward. Change: moved without a change of behaviour; the tests of these packages pass.

--- a/internal/gooseforward/chunk.go
+++ b/internal/goosebody/chunk.go
@@ -1,8 +1,8 @@
-package gooseforward
+// Package goosebody bounds what the bodies of callers' requests cost beside their bytes.
+package goosebody
 
 import (
 	"io"
-	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -13,10 +13,10 @@
 // body itself. Chunks of five bytes and more never exceed it.
 const maxChunkOverheadBytes = 64 << 10
 
-// errChunkOverhead reports a body in very small chunks, each of which costs as much as a large one.
-var errChunkOverhead = errors.New("the chunks of the body are too small")
+// ErrChunkOverhead reports a body in very small chunks, each of which costs as much as a large one.
+var ErrChunkOverhead = errors.New("the chunks of the body are too small")
 
-// chunkedBody is a body in chunks that ends with errChunkOverhead if they are too small.
+// chunkedBody is a body in chunks that ends with ErrChunkOverhead if they are too small.
 type chunkedBody struct {
 	io.Reader
 	conn goose.CallerConn
@@ -27,16 +27,12 @@
 	length int64
 }
 
-func newChunkedBody(body io.Reader, conn goose.CallerConn) *chunkedBody {
-	return &chunkedBody{Reader: body, conn: conn, begin: conn.ReceivedBytes()}
-}
-
-// newIncoming returns the body of a request as it arrives.
-func newIncoming(r *http.Request, conn goose.CallerConn) io.Reader {
-	if r.ContentLength < 0 {
-		return newChunkedBody(r.Body, conn)
+// New returns the body of a request as it arrives; length is negative if it is unknown.
+func New(body io.Reader, length int64, conn goose.CallerConn) io.Reader {
+	if length >= 0 {
+		return body
 	}
-	return r.Body
+	return &chunkedBody{Reader: body, conn: conn, begin: conn.ReceivedBytes()}
 }
 
 // Read implements io.Reader.
@@ -45,7 +41,7 @@
 	b.length += int64(n)
 	overhead := b.conn.ReceivedBytes() - b.begin - b.length
 	if err == nil && overhead > maxChunkOverheadBytes+b.length {
-		return n, errChunkOverhead
+		return n, ErrChunkOverhead
 	}
 	return n, err
 }
--- a/internal/gooseforward/chunk_test.go
+++ b/internal/goosebody/chunk_test.go
@@ -1,4 +1,4 @@
-package gooseforward
+package goosebody
 
 import (
 	"errors"
@@ -11,7 +11,6 @@
 
 // countedConn counts what is read from a text, as a connection does.
 type countedConn struct {
-	unknownConn
 	io.Reader
 	received int64
 }
@@ -22,6 +21,9 @@
 	return n, err
 }
 
+// SetReceiveBuffer implements goose.CallerConn.
+func (c *countedConn) SetReceiveBuffer(int64) error { return nil }
+
 // ReceivedBytes implements goose.CallerConn.
 func (c *countedConn) ReceivedBytes() int64 { return c.received }
 
@@ -33,18 +35,18 @@
 		chunk, length int
 		want          error
 	}{
-		"one-byte chunks":            {1, 1 << 20, errChunkOverhead},
+		"one-byte chunks":            {1, 1 << 20, ErrChunkOverhead},
 		"one-byte chunks, few":       {1, 10_000, nil},
 		"five-byte chunks":           {5, 1 << 20, nil},
 		"chunks of a kilobyte":       {1 << 10, 4 << 20, nil},
 		"one chunk":                  {1 << 20, 1 << 20, nil},
-		"three-byte chunks, endless": {3, 16 << 20, errChunkOverhead},
+		"three-byte chunks, endless": {3, 16 << 20, ErrChunkOverhead},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			text := strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", tc.chunk, strings.Repeat("x", tc.chunk)), tc.length/tc.chunk)
 			conn := &countedConn{Reader: strings.NewReader(text + "0\r\n\r\n")}
-			n, err := io.Copy(io.Discard, newChunkedBody(httputil.NewChunkedReader(conn), conn))
+			n, err := io.Copy(io.Discard, New(httputil.NewChunkedReader(conn), -1, conn))
 			if !errors.Is(err, tc.want) {
 				t.Errorf("got error %v after %d bytes, want %v", err, n, tc.want)
 			}
--- a/internal/gooseforward/body.go
+++ b/internal/gooseforward/body.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gooseberryhold/gooseberryhold/internal/goosebody"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosememory"
 )
@@ -103,7 +104,7 @@
 	case errors.Is(err, errSlowBody):
 		return goose.NotRunRefusal(goose.CodeRequestTimeout, "the body arrives too slowly while others need its memory or its connection").
 			WithReason("slow-body").WithRetryAfter(bodyRetryAfter + rand.N(bodyRetryAfter)), false
-	case errors.Is(err, errChunkOverhead):
+	case errors.Is(err, goosebody.ErrChunkOverhead):
 		return goose.NotRunRefusal(goose.CodeBadRequest, err.Error()).WithReason("chunk-overhead"), false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return goose.NotRunRefusal(goose.CodeRequestTimeout, "the request's time was over before its body had arrived"), false
--- a/internal/gooseforward/bodymemory.go
+++ b/internal/gooseforward/bodymemory.go
@@ -31,14 +31,14 @@
 // bodyMemory bounds the memory that the bodies of all requests hold in total.
 type bodyMemory struct {
 	longBytes                int64
-	long, small, smallChunks *sharedMemory
+	long, small, smallChunks *goosememory.Pool
 	transfers                *goosetransfer.Table
 }
 
 // heldBody is the memory that one body holds.
 type heldBody struct {
 	// memory is nil for a body that needs none but that of its connection.
-	memory *sharedMemory
+	memory *goosememory.Pool
 	claim  goosememory.Claim
 }
 
@@ -47,7 +47,7 @@
 	if h.memory == nil {
 		return ""
 	}
-	return h.memory.kind
+	return h.memory.Kind()
 }
 
 func (h heldBody) release() {
@@ -62,9 +62,9 @@
 	}
 	long := machineBytes / longBodyShare
 	return &bodyMemory{
-		longBytes: long, long: newSharedMemory(long, kindLongBody, t),
-		small:       newSharedMemory(machineBytes/smallBodyShare, kindSmallBody, t),
-		smallChunks: newSharedMemory(machineBytes/smallChunksShare, kindSmallChunks, t), transfers: t,
+		longBytes: long, long: goosememory.NewPool(long, kindLongBody, t),
+		small:       goosememory.NewPool(machineBytes/smallBodyShare, kindSmallBody, t),
+		smallChunks: goosememory.NewPool(machineBytes/smallChunksShare, kindSmallChunks, t), transfers: t,
 	}
 }
 
@@ -104,7 +104,7 @@
 		buf   []byte
 		ended bool
 	)
-	r := transferReader{Reader: s, transfer: transfer}
+	r := goosetransfer.Reader{Reader: s, Transfer: transfer}
 	for _, size := range bufferSizes(s.length, s.limit) {
 		if err := m.grow(ctx, s, size, &held, transfer); err != nil {
 			return nil, held, err
@@ -157,19 +157,19 @@
 	larger.claim = goosememory.Claim{Bytes: min(size, m.longBytes), Owners: s.owners(), Rate: rate}
 	ctx, cancel := context.WithTimeout(ctx, s.wait)
 	defer cancel()
-	if !larger.memory.acquire(ctx, larger.claim) {
+	if !larger.memory.Acquire(ctx, larger.claim) {
 		return errNoBodyMemory
 	}
 	held.release()
 	*held = larger
-	transfer.Hold(larger.memory.kind, time.Now())
+	transfer.Hold(larger.memory.Kind(), time.Now())
 	// An error means that the caller has disconnected, which the read reports.
 	_ = s.conn.SetReceiveBuffer(size)
 	return nil
 }
 
 // memoryFor returns the memory for a buffer of a body, or nil if that of the connection suffices.
-func (m *bodyMemory) memoryFor(size, length int64) *sharedMemory {
+func (m *bodyMemory) memoryFor(size, length int64) *goosememory.Pool {
 	switch {
 	case size <= firstBufferBytes:
 		return nil
--- a/internal/gooseforward/bounded.go
+++ b/internal/gooseforward/bounded.go
@@ -55,7 +55,7 @@
 // responseMemory bounds the memory that responses hold.
 type responseMemory struct {
 	bytes int64
-	*sharedMemory
+	*goosememory.Pool
 }
 
 func newResponseMemory(machineBytes int64, t *goosetransfer.Table) *responseMemory {
@@ -63,7 +63,7 @@
 		machineBytes = defaultMemoryBytes
 	}
 	bytes := min(maxResponseMemoryBytes, max(machineBytes/responseMemoryShare, maxResponseBytes))
-	return &responseMemory{bytes: bytes, sharedMemory: newSharedMemory(bytes, kindResponse, t)}
+	return &responseMemory{bytes: bytes, Pool: goosememory.NewPool(bytes, kindResponse, t)}
 }
 
 // release frees memory that readAll has acquired.
@@ -76,7 +76,7 @@
 	defer cancel()
 	// Responses that hold parts of their memory and wait for that of each other could not go on.
 	if length > responseMemoryUnitBytes && length <= maxResponseBytes {
-		if !m.acquire(ctx, goosememory.Claim{Bytes: length}) {
+		if !m.Acquire(ctx, goosememory.Claim{Bytes: length}) {
 			return nil, 0, errNoResponseMemory
 		}
 		held = length
@@ -96,7 +96,7 @@
 			return body, held, err
 		}
 		for int64(len(body)) > responseMemoryUnitBytes+held {
-			if !m.acquire(ctx, goosememory.Claim{Bytes: responseMemoryUnitBytes}) {
+			if !m.Acquire(ctx, goosememory.Claim{Bytes: responseMemoryUnitBytes}) {
 				return body, held, errNoResponseMemory
 			}
 			held += responseMemoryUnitBytes
--- a/internal/gooseforward/discard.go
+++ b/internal/gooseforward/discard.go
@@ -27,19 +27,22 @@
 )
 
 // discards are the rests of refused bodies that are read and dropped.
-type discards struct{ *sharedMemory }
+type discards struct {
+	*goosememory.Pool
+	transfers *goosetransfer.Table
+}
 
 func newDiscards(machineBytes int64, t *goosetransfer.Table) *discards {
 	if machineBytes <= 0 {
 		machineBytes = defaultMemoryBytes
 	}
-	return &discards{newSharedMemory(max(machineBytes/discardMemoryShare, discardBytes), kindDiscard, t)}
+	return &discards{transfers: t, Pool: goosememory.NewPool(max(machineBytes/discardMemoryShare, discardBytes), kindDiscard, t)}
 }
 
 // read reads and drops the rest of a body until it ends, its time is over or ctx ends.
 func (d *discards) read(ctx context.Context, s bodySource) {
 	claim := goosememory.Claim{Bytes: discardBytes, Owners: s.owners()}
-	if !d.acquire(ctx, claim) {
+	if !d.Acquire(ctx, claim) {
 		return
 	}
 	defer d.Release(claim)
@@ -47,7 +50,7 @@
 	defer transfer.End()
 	transfer.Hold(kindDiscard, time.Now())
 	_ = s.conn.SetReceiveBuffer(discardBytes)
-	_, _ = io.CopyN(io.Discard, transferReader{Reader: s, transfer: transfer}, s.limit)
+	_, _ = io.CopyN(io.Discard, goosetransfer.Reader{Reader: s, Transfer: transfer}, s.limit)
 }
 
 // refuseBeforeBody sends a refusal at once, although the body has not been read, and then reads
--- a/internal/gooseforward/forward.go
+++ b/internal/gooseforward/forward.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/gooseberryhold/gooseberryhold/internal/goosebody"
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosedirectory"
@@ -72,7 +73,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := connOf(r.Context())
 	c := &call{
-		Forwarder: f, w: w, r: r, conn: conn, incoming: newIncoming(r, conn), arrived: f.o.Clock.Now(),
+		Forwarder: f, w: w, r: r, conn: conn, incoming: goosebody.New(r.Body, r.ContentLength, conn), arrived: f.o.Clock.Now(),
 		tried: map[goose.ReplicaID]bool{}, declines: newDeclines(), snapshot: f.o.Directory.Current(),
 	}
 	if !f.o.StopAt().IsZero() {
--- a/internal/gooseforward/transfer.go
+++ b/internal/gooseforward/transfer.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -12,7 +10,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
-	"github.com/gooseberryhold/gooseberryhold/pkg/goosememory"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
 
@@ -37,10 +34,6 @@
 	writeGrace = 2 * time.Second
 )
 
-// cutInterval is the interval at which a request that waits for memory cuts a slow transfer. It
-// is the time for the memory of the last one to be released.
-const cutInterval = 20 * time.Millisecond
-
 // CutSlowest cuts the slowest body or reader, whatever memory it holds, and reports whether there
 // was one that may be cut. It makes room for the connections of other callers.
 func (f *Forwarder) CutSlowest() bool {
@@ -69,55 +62,6 @@
 // errSlowBody reports a body that was cut because it arrived too slowly.
 var errSlowBody = errors.New("the body arrives too slowly")
 
-// transferReader records the progress of a body.
-type transferReader struct {
-	io.Reader
-	transfer *goosetransfer.Transfer
-}
-
-// Read implements io.Reader.
-func (r transferReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	r.transfer.Progress(n, time.Now())
-	return n, err
-}
-
-// sharedMemory is memory that transfers of one kind hold. A request that waits for it cuts slow ones.
-type sharedMemory struct {
-	*goosememory.Budget
-	kind      goosetransfer.Kind
-	transfers *goosetransfer.Table
-}
-
-func newSharedMemory(bytes int64, kind goosetransfer.Kind, t *goosetransfer.Table) *sharedMemory {
-	return &sharedMemory{Budget: goosememory.New(bytes), kind: kind, transfers: t}
-}
-
-// acquire waits for the memory of a claim, and reports whether it was acquired before ctx ended.
-func (m *sharedMemory) acquire(ctx context.Context, c goosememory.Claim) bool {
-	if m.TryAcquire(c) {
-		return true
-	}
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	go m.cutSlow(ctx, goosetransfer.Need{Kind: m.kind, Rate: c.Rate})
-	return m.Acquire(ctx, c)
-}
-
-// cutSlow cuts a slow transfer at each interval until ctx ends.
-func (m *sharedMemory) cutSlow(ctx context.Context, need goosetransfer.Need) {
-	ticker := time.NewTicker(cutInterval)
-	defer ticker.Stop()
-	for {
-		m.transfers.CutSlowest(need, time.Now())
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 // writeTransfer writes to the caller. If the caller reads too slowly while others need memory of
 // this kind, the connection breaks.
 func (c *call) writeTransfer(data []byte, kind goosetransfer.Kind, flush bool) error {
