gooseentry: slow bodies give way to others in serve, too

Callers saw: bodies refused (429, body-bytes-in-flight) for as long as clients hold bodies that stop short, up to 30 s each. Cause: a body of known length held its part of body-bytes-in-flight until BodyTimeout, others were refused at once, and the frames of chunks had no bound. Change: bodies of serve use the pools of forward: a request waits for memory for 1 s, in which slow bodies and those that pause although they should have ended are cut as not run (408, slow-body). Bodies up to 64 KiB have a sixteenth of the memory for themselves. Very small chunks are refused. The listener cuts slow bodies when it has no place for a connection. The receive buffer grows with the memory of a body, and an eighth of that memory may be taken by the kernel for the rests of refused bodies.

--- a/internal/gooseentry/entry.go
+++ b/internal/gooseentry/entry.go
@@ -109,7 +109,7 @@
 	log         *slog.Logger
 	clock       goose.Clock
 
-	bodies     byteBudget
+	bodies     *bodyMemory
 	retries    retryBudget
 	inFlight   inFlightRequests
 	running    requestTracker
@@ -150,7 +150,7 @@
 		clock:       o.Clock,
 		incarnation: newIncarnation(),
 	}
-	e.bodies.limit = e.limits.MaxBodyBytesInFlight
+	e.bodies = newBodyMemory(e.limits)
 	e.retries = retryBudget{share: e.limits.RetryShare, burst: e.limits.RetryBurst, available: e.limits.RetryBurst}
 	return e
 }
--- a/internal/gooseentry/linger.go
+++ b/internal/gooseentry/linger.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/gooselisten"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
 // lingerTimeout bounds how long a closed connection still accepts data from its
@@ -43,6 +44,8 @@
 var (
 	_ halfCloser   = (*gooselisten.Conn)(nil)
 	_ syscall.Conn = (*lingerConn)(nil)
+
+	_ goose.CallerConn = (*lingerConn)(nil)
 )
 
 // lingerConn shuts down its sending side on Close and discards incoming data
@@ -51,13 +54,33 @@
 	halfCloser
 	closed  atomic.Bool
 	reading atomic.Bool
+	// received is what has been read from the connection.
+	received atomic.Int64
+}
+
+// SetReceiveBuffer implements goose.CallerConn.
+func (c *lingerConn) SetReceiveBuffer(bytes int64) error {
+	if b, ok := c.halfCloser.(receiveBuffer); ok {
+		return b.SetReceiveBuffer(bytes)
+	}
+	return nil
+}
+
+// receiveBuffer is a connection whose receive buffer can be set.
+type receiveBuffer interface {
+	SetReceiveBuffer(bytes int64) error
 }
 
+// ReceivedBytes implements goose.CallerConn.
+func (c *lingerConn) ReceivedBytes() int64 { return c.received.Load() }
+
 // Read marks the connection as waiting for data from the caller.
 func (c *lingerConn) Read(b []byte) (int, error) {
 	c.reading.Store(true)
 	defer c.reading.Store(false)
-	return c.halfCloser.Read(b)
+	n, err := c.halfCloser.Read(b)
+	c.received.Add(int64(n))
+	return n, err
 }
 
 // Close does not block. A connection that waits for data has nothing unread and
--- a/internal/gooseentry/refuse.go
+++ b/internal/gooseentry/refuse.go
@@ -46,7 +46,7 @@
 	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
 	c.Status(r.Code.Status())
 	if rest := unreadBody(c, req); rest != nil {
-		return sendAndDrain(c, r.Body(), rest)
+		return e.sendAndDrain(c, r.Body(), rest)
 	}
 	return c.Send(r.Body())
 }
@@ -76,13 +76,14 @@
 // sendAndDrain sends the response immediately and then reads the rest of the
 // body. Closing a connection with unread bytes resets it, and the caller would
 // lose the response.
-func sendAndDrain(c fiber.Ctx, response []byte, rest io.Reader) error {
+func (e *Entry) sendAndDrain(c fiber.Ctx, response []byte, rest io.Reader) error {
 	c.Set(fiber.HeaderConnection, "close")
 	_ = c.RequestCtx().SetReadDeadline(time.Now().Add(drainTimeout))
+	conn := callerConn(c)
 	return c.SendStreamWriter(func(w *bufio.Writer) {
 		_, _ = w.Write(response)
 		if w.Flush() == nil {
-			_, _ = io.CopyN(io.Discard, rest, maxDrainBytes)
+			e.bodies.discard(rest, conn)
 		}
 	})
 }
--- a/internal/gooseentry/refuse_test.go
+++ b/internal/gooseentry/refuse_test.go
@@ -90,8 +90,8 @@
 			if got := b.Seen("POST"); got != 0 {
 				t.Errorf("backend server got %d requests, want 0", got)
 			}
-			if got := e.bodies.used.Load(); got != 0 {
-				t.Errorf("body bytes in flight: got %d after all work ended, want 0", got)
+			if got, want := e.bodies.free(), e.bodies.smallBytes+e.bodies.longBytes; got != want {
+				t.Errorf("got %d body bytes free after all work ended, want %d", got, want)
 			}
 			line := map[string]any{}
 			if err := json.Unmarshal(e.logs.Bytes(), &line); err != nil || line["event"] != 501.0 || line["code"] != string(c.code) {
--- a/internal/gooseentry/request.go
+++ b/internal/gooseentry/request.go
@@ -11,6 +11,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
 
+	"github.com/gooseberryhold/gooseberryhold/internal/goosebody"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 )
 
@@ -123,7 +124,7 @@
 		until = req.deadline
 	}
 	_ = c.RequestCtx().SetReadDeadline(time.Now().Add(until.Sub(e.clock.Now())))
-	b, err := e.readBody(c)
+	b, err := e.readBody(c, req.workspace)
 	switch {
 	case err == nil:
 		req.body = b
@@ -134,6 +135,11 @@
 	case errors.Is(err, errBodyBudget):
 		return newRefusal(goose.CodeOverloaded, "body-bytes-in-flight",
 			"this instance holds too many request bodies", time.Second)
+	case errors.Is(err, errSlowBody):
+		return newRefusal(goose.CodeRequestTimeout, "slow-body",
+			"the body arrives too slowly while others need its memory or its connection", time.Second)
+	case errors.Is(err, goosebody.ErrChunkOverhead):
+		return newRefusal(goose.CodeBadRequest, "chunk-overhead", goosebody.ErrChunkOverhead.Error(), 0)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) || !req.deadline.IsZero() && !e.clock.Now().Before(req.deadline) {
 		return newRefusal(goose.CodeRequestTimeout, "body", "the body did not arrive in time", 0)
--- a/internal/gooseforward/body_test.go
+++ b/internal/gooseforward/body_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
+	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosememory"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goosetransfer"
 )
@@ -42,7 +43,7 @@
 // source returns a body on no connection.
 func source(r io.Reader, length, limit int64) bodySource {
 	return bodySource{
-		Reader: r, conn: unknownConn{}, owners: func() []goosememory.Owner { return nil }, length: length, limit: limit,
+		Reader: r, conn: goose.UnknownConn{}, owners: func() []goosememory.Owner { return nil }, length: length, limit: limit,
 		wait: testTimeout, cut: func(goosetransfer.Kind) {},
 	}
 }
--- a/internal/gooseforward/conn.go
+++ b/internal/gooseforward/conn.go
@@ -20,14 +20,5 @@
 	if conn, ok := ctx.Value(connKey{}).(goose.CallerConn); ok {
 		return conn
 	}
-	return unknownConn{}
+	return goose.UnknownConn{}
 }
-
-// unknownConn is the connection of a request without WithConn, whose kernel chooses the buffers.
-type unknownConn struct{}
-
-// SetReceiveBuffer implements goose.CallerConn.
-func (unknownConn) SetReceiveBuffer(int64) error { return nil }
-
-// ReceivedBytes implements goose.CallerConn.
-func (unknownConn) ReceivedBytes() int64 { return 0 }
--- a/internal/gooseserve/serve.go
+++ b/internal/gooseserve/serve.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	callerListener, err := gooselisten.Listen("tcp", s.Listen, gooselisten.Options{MaxConns: gooselisten.MaxConns(0, 0), Log: log})
+	callerListener, err := gooselisten.Listen("tcp", s.Listen, gooselisten.Options{MaxConns: gooselisten.MaxConns(0, 0), MakeRoom: i.entry.CutSlowest, Log: log})
 	if err != nil {
 		return errors.Wrapf(err, "setting listen %q", s.Listen)
 	}
--- a/pkg/goose/caller.go
+++ b/pkg/goose/caller.go
@@ -8,3 +8,13 @@
 	// ReceivedBytes returns how many bytes have been read from the connection.
 	ReceivedBytes() int64
 }
+
+// UnknownConn is the connection of a caller that is not known: the kernel chooses its buffers, and
+// nothing is counted.
+type UnknownConn struct{}
+
+// SetReceiveBuffer implements CallerConn.
+func (UnknownConn) SetReceiveBuffer(int64) error { return nil }
+
+// ReceivedBytes implements CallerConn.
+func (UnknownConn) ReceivedBytes() int64 { return 0 }
