goosesoak: callers of TestPlannedStop state the time that they are checked against

The check was wrong: a caller stated whole milliseconds (1,775 in place of 1,775.95) and was excused from the full time on, so that a stream that ended by the stated time counted as lost, 0.02 to 0.4 ms too early. Timeouts are whole milliseconds now; the check itself is unchanged and as strict. Other places that state milliseconds beside a comparison use constants of whole milliseconds (looked at: caller_test, limit_test, fleet_test, gooseforward/stop_test, goosehosttest).

--- a/internal/goosesoak/stop_test.go
+++ b/internal/goosesoak/stop_test.go
@@ -210,8 +210,9 @@
 		timeout: stopRequestTimeout, work: work, process: c.target.process, sentAt: time.Now(), body: strings.Repeat("x", 1+c.random.IntN(20_000)),
 	}
 	if c.random.IntN(4) == 0 {
-		// Some requests are sure to end before the stop.
-		r.timeout = randomTime(c.random, 2*usualWork, stopTimeout/2)
+		// Some requests are sure to end before the stop. They state whole milliseconds, and are
+		// checked against what they state.
+		r.timeout = randomTime(c.random, 2*usualWork, stopTimeout/2).Truncate(time.Millisecond)
 	}
 	header := map[string]string{"Authorization": "Bearer k1", "X-Attempt-Id": r.id, "X-Deadline-Ms": fmt.Sprint(r.timeout.Milliseconds())}
 	if promptTokens[k] > 0 {
