--- a/internal/gooseentry/helpers_test.go
+++ b/internal/gooseentry/helpers_test.go
@@ -73,7 +73,7 @@
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		_ = app.Listener(NewListener(ln, nil), fiber.ListenConfig{DisableStartupMessage: true})
+		_ = app.Listener(NewListener(ln, nil, nil), fiber.ListenConfig{DisableStartupMessage: true})
 	}()
 	t.Cleanup(func() {
 		_ = app.Shutdown()
--- a/internal/gooseentry/linger.go
+++ b/internal/gooseentry/linger.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gooseberryhold/gooseberryhold/internal/gooseevent"
 	"github.com/gooseberryhold/gooseberryhold/internal/goosehead"
 	"github.com/gooseberryhold/gooseberryhold/internal/gooselisten"
 	"github.com/gooseberryhold/gooseberryhold/pkg/goose"
@@ -22,20 +24,22 @@
 // NewListener wraps a listener so that its connections close without a TCP
 // reset. A refusal is often sent before the request's body was read. Closing a
 // connection with unread bytes resets it, and the reset can destroy the refusal
-// before the caller has read it. The heads of requests share the given memory; nil means no bound.
-func NewListener(l net.Listener, heads *goosehead.Memory) net.Listener {
-	return lingerListener{l, heads}
+// before the caller has read it. The heads of requests share the given memory, and those
+// that are cut are logged; nil means no bound.
+func NewListener(l net.Listener, heads *goosehead.Memory, log *slog.Logger) net.Listener {
+	return lingerListener{l, heads, log}
 }
 
 type lingerListener struct {
 	net.Listener
 	heads *goosehead.Memory
+	log   *slog.Logger
 }
 
 func (l lingerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if t, ok := c.(halfCloser); ok && err == nil {
-		return &lingerConn{halfCloser: t, head: l.heads.Begin(), inHead: true}, nil
+		return &lingerConn{halfCloser: t, head: l.heads.Begin(), log: l.log, inHead: true}, nil
 	}
 	return c, err
 }
@@ -63,6 +67,7 @@
 	reading atomic.Bool
 	// received is what has been read from the connection.
 	received atomic.Int64
+	log      *slog.Logger
 
 	mu sync.Mutex
 	// head is the memory of the current head, or of the last one that counted, until the
@@ -127,6 +132,7 @@
 	c.received.Add(int64(n))
 	if n > 0 && !c.addHead(b[:n]) {
 		headsCut.Inc()
+		gooseevent.HeadCut.Log(c.log, slog.String("address", c.RemoteAddr().String()))
 		_ = c.Close()
 		return 0, errors.WithStack(net.ErrClosed)
 	}
--- a/internal/gooseentry/linger_test.go
+++ b/internal/gooseentry/linger_test.go
@@ -30,7 +30,7 @@
 	}
 	app := fiber.New((&Entry{}).FiberConfig())
 	app.Post("/", func(c fiber.Ctx) error { return c.Status(fiber.StatusUnauthorized).SendString("refused") })
-	go func() { _ = app.Listener(NewListener(l, nil), fiber.ListenConfig{DisableStartupMessage: true}) }()
+	go func() { _ = app.Listener(NewListener(l, nil, nil), fiber.ListenConfig{DisableStartupMessage: true}) }()
 	t.Cleanup(func() { _ = app.Shutdown() })
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/goosehost/conns.go
+++ b/internal/goosehost/conns.go
@@ -74,6 +74,7 @@
 	headMemory *goosehead.Memory
 	// headsCut counts the connections that were closed because there was no memory for a head.
 	headsCut *metrics.Counter
+	log      *slog.Logger
 }
 
 // Accept implements net.Listener.
@@ -125,6 +126,7 @@
 	}
 	if c.state == connReceiving && !c.head.Add(part) {
 		c.limits.headsCut.Inc()
+		gooseevent.HeadCut.Log(c.limits.log, slog.String("address", c.RemoteAddr().String()))
 		c.state = connClosed
 		_ = c.Close()
 	}
--- a/internal/goosehost/host.go
+++ b/internal/goosehost/host.go
@@ -225,7 +225,7 @@
 		return errors.Wrap(err, "setting listen.front")
 	}
 	callers := callerListener{listener, &callerLimits{
-		headMemory: goosehead.NewMemory(h.settings.MemoryBytes), headsCut: h.metrics.NewCounter("gooseberryhold_caller_heads_cut_total"),
+		headMemory: goosehead.NewMemory(h.settings.MemoryBytes), headsCut: h.metrics.NewCounter("gooseberryhold_caller_heads_cut_total"), log: h.log,
 	}}
 	readyListener, err := net.Listen("tcp4", h.settings.ReadyAddress)
 	if err != nil {
--- a/internal/gooseserve/serve.go
+++ b/internal/gooseserve/serve.go
@@ -268,7 +268,7 @@
 	tasks.Go(func() { i.watchCertificate(controlCtx) })
 	failed := make(chan error, 2)
 	tasks.Go(func() {
-		failed <- errors.Wrap(i.callerServer.Listener(gooseentry.NewListener(callerListener, goosehead.NewMemory(i.settings.MemoryBytes)), fiber.ListenConfig{DisableStartupMessage: true}), "caller API")
+		failed <- errors.Wrap(i.callerServer.Listener(gooseentry.NewListener(callerListener, goosehead.NewMemory(i.settings.MemoryBytes), i.log), fiber.ListenConfig{DisableStartupMessage: true}), "caller API")
 	})
 	tasks.Go(func() { failed <- i.operatorServer.Serve(operatorListener) })
 	gooseevent.InstanceStarted.Log(i.log, "listen", callerListener.Addr().String(),
