goosedirectory: the grace for lapsed entries counts from the return of the store

Cause: the instance kept missing replicas for 2.2 s from its own first success, although its peers had reached the store for seconds and replicas had had their time to register again. Change: the time for which the peer with the longest access has reached the store is taken off the grace. TestGraceCountsFromReturnOfStore fails before ("a peer noticed it long ago": one replica kept, none wanted).

--- a/pkg/goosedirectory/follow.go
+++ b/pkg/goosedirectory/follow.go
@@ -203,9 +203,9 @@
 }
 
 // recordResult records whether the last call for a prefix succeeded. The first success
-// after an outage of the store starts the time in which missing replicas are kept. It does
-// not start that time if some peer could reach the store throughout, which means that only
-// the connection of this instance had failed.
+// after an outage of the store starts the time in which missing replicas are kept. It counts
+// from the return of the store, which peers may have noticed before this instance. If some
+// peer could reach the store throughout, only the connection of this instance had failed.
 func (f *Follower) recordResult(prefix string, err error) {
 	now := f.o.Clock.Now()
 	f.mu.Lock()
@@ -213,8 +213,10 @@
 	if err != nil {
 		f.failing[prefix] = true
 	} else {
-		if f.failing[prefix] && f.o.PeerStoreReachableFor(now) <= now.Sub(f.stateSince) {
-			f.o.Directory.KeepMissing(now.Add(f.o.ReregistrationGrace + graceMargin))
+		returnedFor := f.o.PeerStoreReachableFor(now)
+		keepFor := f.o.ReregistrationGrace + graceMargin - returnedFor
+		if f.failing[prefix] && returnedFor <= now.Sub(f.stateSince) && keepFor > 0 {
+			f.o.Directory.KeepMissing(now.Add(keepFor))
 		}
 		delete(f.failing, prefix)
 	}
--- a/pkg/goosedirectory/follow_test.go
+++ b/pkg/goosedirectory/follow_test.go
@@ -199,6 +199,38 @@
 	})
 }
 
+// Guards against requests to replicas that have left: an instance that was cut off from the store when
+// it returned keeps lapsed entries no longer than the others, which noticed the return before.
+func TestGraceCountsFromReturnOfStore(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		peerReachableFor time.Duration
+		want             int
+	}{
+		"no peer":                      {0, 1},
+		"a peer noticed it just now":   {200 * time.Millisecond, 1},
+		"a peer noticed it long ago":   {4 * time.Second, 0},
+		"a peer has reached it always": {time.Hour, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				store, d := startDirectory(t, tc.peerReachableFor)
+				commit(t, store, goose.Put("r/a", nil))
+				time.Sleep(settleTime)
+				store.SetDown(true)
+				time.Sleep(settleTime)
+				store.SetDown(false)
+				commit(t, store, goose.Delete("r/a"))
+				time.Sleep(time.Second)
+				if got := activeIDs(d); len(got) != tc.want {
+					t.Errorf("got replicas %v just after the outage, want %d", got, tc.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against changes that are not applied, and against an unreadable entry that hides
 // others.
 func TestFollow(t *testing.T) {
