--- a/internal/gooselisten/listener_test.go
+++ b/internal/gooselisten/listener_test.go
@@ -21,16 +21,17 @@
 	return l
 }
 
-func dial(t *testing.T, l *Listener) {
+func dial(t *testing.T, l *Listener) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp4", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
+	return c
 }
 
-// Guards against a shutdown that waits for a listener that nobody reads, or that was closed.
+// Guards against a shutdown that waits for a listener without Accept, or for one that was closed.
 func TestListenerDrainEnds(t *testing.T) {
 	t.Parallel()
 	l := listen(t, Options{})
@@ -41,7 +42,7 @@
 	l.Drain(time.Minute)
 }
 
-// Guards against a process that ends, or serves nobody any more, because the kernel could not
+// Guards against a process that ends, or accepts no connection any more, because the kernel could not
 // accept a connection for a while: all requests that run would be lost.
 func TestListenerOutlastsErrors(t *testing.T) {
 	t.Parallel()
--- a/internal/gooselisten/receive.go
+++ b/internal/gooselisten/receive.go
@@ -10,15 +10,15 @@
 const (
 	// MinReceiveBytes is the receive buffer of a connection, also while it waits to be accepted.
 	// It holds the head of most requests. The kernel otherwise takes some 100 KB for a connection
-	// that nobody reads, and megabytes for one that is read quickly.
+	// that is not read, and megabytes for one that is read quickly.
 	MinReceiveBytes = 4 << 10
 	// MaxReceiveBytes is the largest receive buffer. A connection whose listener has a small
 	// buffer has no larger window, since the scale of its window is set when it is opened.
 	MaxReceiveBytes = 64 << 10
 )
 
-// boundReceived bounds what the kernel receives for the connections of a listener that nobody has
-// read. It is a control function of net.ListenConfig.
+// boundReceived bounds the unread bytes of the connections of a listener. It is a control function of
+// net.ListenConfig.
 func boundReceived(_, _ string, raw syscall.RawConn) error {
 	return setReceiveBuffer(raw, MinReceiveBytes)
 }
--- a/internal/gooselisten/receive_test.go
+++ b/internal/gooselisten/receive_test.go
@@ -8,7 +8,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// unreadBytes returns what the kernel has received for a connection and nobody has read.
+// unreadBytes returns the number of bytes in the receive buffer of a connection.
 func unreadBytes(t *testing.T, c *Conn) int {
 	t.Helper()
 	raw, err := c.SyscallConn()
@@ -53,11 +53,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			l := listen(t, Options{})
-			caller, err := net.Dial("tcp4", l.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { _ = caller.Close() })
+			caller := dial(t, l)
 			accepted, err := l.Accept()
 			if err != nil {
 				t.Fatal(err)
@@ -92,12 +88,7 @@
 	t.Run("not accepted", func(t *testing.T) {
 		t.Parallel()
 		l := listen(t, Options{})
-		caller, err := net.Dial("tcp4", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = caller.Close() })
-		fill(t, caller)
+		fill(t, dial(t, l))
 		accepted, err := l.Accept()
 		if err != nil {
 			t.Fatal(err)
--- a/pkg/goosememory/budget.go
+++ b/pkg/goosememory/budget.go
@@ -39,7 +39,7 @@
 // Budget is an amount of memory. It is safe for concurrent use.
 type Budget struct {
 	mu sync.Mutex
-	// free is what nobody holds, from zero to the size of the budget.
+	// free is what no claim holds, from zero to the size of the budget.
 	free int64
 	// held is what the claims of each owner hold; it has no entry for an owner that holds nothing.
 	held map[Owner]int64
@@ -54,7 +54,7 @@
 	granted chan struct{}
 }
 
-// New returns a budget of a size in bytes that nobody holds.
+// New returns a budget of a size in bytes, all of it free.
 func New(size int64) *Budget { return &Budget{free: size, held: map[Owner]int64{}} }
 
 // TryAcquire acquires the memory of a claim if it is free and no other claim goes before it.
@@ -101,7 +101,7 @@
 	b.grant()
 }
 
-// Free returns what nobody holds.
+// Free returns what no claim holds.
 func (b *Budget) Free() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/goosememory/pool.go
+++ b/pkg/goosememory/pool.go
@@ -18,7 +18,7 @@
 	transfers *goosetransfer.Table
 }
 
-// NewPool returns a pool of a size in bytes that nobody holds.
+// NewPool returns a pool of a size in bytes, all of it free.
 func NewPool(size int64, kind goosetransfer.Kind, transfers *goosetransfer.Table) *Pool {
 	return &Pool{Budget: New(size), kind: kind, transfers: transfers}
 }
