gooseforward, gooseentry: receive buffers are set for bodies that have memory alone

Cause: each request with a body, and in serve each request, set the receive buffer to the size that it had already: one to two system calls, which the platform prices. Change: the buffer is lowered only after it was raised, and bodies that the HTTP server has read raise none. Evidence: the tests of bodies pass; not measured by itself.

--- a/internal/gooseentry/bodymemory.go
+++ b/internal/gooseentry/bodymemory.go
@@ -91,6 +91,8 @@
 	conn     goose.CallerConn
 	owners   []goosememory.Owner
 	transfer *goosetransfer.Transfer
+	// grown is true once the kernel receives more than for a connection without a body.
+	grown bool
 }
 
 // newBodyReader returns a reader for a body; length is negative if it is unknown.
@@ -119,7 +121,9 @@
 
 // end ends the transfer and reports whether it was cut.
 func (r *bodyReader) end() bool {
-	_ = r.conn.SetReceiveBuffer(0)
+	if r.grown {
+		_ = r.conn.SetReceiveBuffer(0)
+	}
 	return r.transfer.End()
 }
 
@@ -139,8 +143,11 @@
 	}
 	r.body.held = append(r.body.held, heldMemory{pool, claim})
 	r.transfer.Hold(pool.Kind(), time.Now())
-	// An error means that the caller has disconnected, which the read reports.
-	_ = r.conn.SetReceiveBuffer(n)
+	if r.source != nil {
+		// An error means that the caller has disconnected, which the read reports.
+		_ = r.conn.SetReceiveBuffer(n)
+		r.grown = true
+	}
 	return nil
 }
 
--- a/internal/gooseforward/bodymemory.go
+++ b/internal/gooseforward/bodymemory.go
@@ -91,7 +91,9 @@
 func (m *bodyMemory) read(ctx context.Context, s bodySource) ([]byte, heldBody, error) {
 	transfer := m.transfers.Begin(max(goosetransfer.Length(s.length), goosetransfer.LengthUnknown), time.Now(), s.cut)
 	buf, held, err := m.readTransfer(ctx, s, transfer)
-	_ = s.conn.SetReceiveBuffer(0)
+	if held.memory != nil {
+		_ = s.conn.SetReceiveBuffer(0)
+	}
 	if transfer.End() && err != nil && !errors.Is(err, errNoBodyMemory) {
 		err = errSlowBody
 	}
