gooseforward: TestSlowBodyIsCut covers bodies in chunks again

Cause: when short bodies stopped needing memory, the test was rewritten with a body of known length in place of one in chunks. Change: a case for each form, with the memory that it uses; the wait for the slow body has an end.

--- a/internal/gooseforward/body_test.go
+++ b/internal/gooseforward/body_test.go
@@ -27,11 +27,11 @@
 	return m.long.Free(), m.small.Free() + m.smallChunks.Free()
 }
 
-// takeSmall takes all memory for small bodies that is free.
-func takeSmall(t *testing.T, m *bodyMemory) goosememory.Claim {
+// takeAll takes all memory of a pool that is free.
+func takeAll(t *testing.T, p *goosememory.Pool) goosememory.Claim {
 	t.Helper()
-	all := goosememory.Claim{Bytes: m.small.Free()}
-	if !m.small.TryAcquire(all) {
+	all := goosememory.Claim{Bytes: p.Free()}
+	if !p.TryAcquire(all) {
 		t.Fatal("the memory is in use")
 	}
 	return all
@@ -150,46 +150,68 @@
 // slow one is refused as not run, on a connection that closes, and the other one is served.
 func TestSlowBodyIsCut(t *testing.T) {
 	t.Parallel()
-	h := newHarness(t, succeed)
-	_, all := bodyMemoryLeft(h.forwarder.bodyMemory)
-	slowBody, w := io.Pipe()
-	defer func() { _ = w.Close() }()
-	slow := h.request(context.Background(), "/order/x", "")
-	slow.Body, slow.ContentLength = slowBody, smallBodyBytes
-	refused := make(chan struct{})
-	go func() {
-		defer close(refused)
-		resp, err := http.DefaultTransport.RoundTrip(slow)
-		if err != nil {
-			t.Error(err)
-			return
-		}
-		defer resp.Body.Close()
-		text, _ := io.ReadAll(resp.Body)
-		if resp.StatusCode != http.StatusRequestTimeout || !resp.Close || !strings.Contains(string(text), `"run":"not-run"`) {
-			t.Errorf("got status %d, closed %t, body %s for the slow body, want 408 as not run and a closed connection", resp.StatusCode, resp.Close, text)
-		}
-	}()
-	_, _ = io.WriteString(w, smallBody)
-	for {
-		if _, left := bodyMemoryLeft(h.forwarder.bodyMemory); left < all {
-			break
-		}
-		time.Sleep(time.Millisecond)
+	for name, tc := range map[string]struct {
+		announced int64
+		pool      func(m *bodyMemory) *goosememory.Pool
+	}{
+		"of known length": {smallBodyBytes, func(m *bodyMemory) *goosememory.Pool { return m.small }},
+		"in chunks":       {-1, func(m *bodyMemory) *goosememory.Pool { return m.smallChunks }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, succeed)
+			pool := tc.pool(h.forwarder.bodyMemory)
+			all := pool.Free()
+			slowBody, w := io.Pipe()
+			defer func() { _ = w.Close() }()
+			slow := h.request(context.Background(), "/order/x", "")
+			slow.Body, slow.ContentLength = slowBody, tc.announced
+			refused := make(chan struct{})
+			go func() {
+				defer close(refused)
+				checkSlowBodyRefused(t, slow)
+			}()
+			_, _ = io.WriteString(w, smallBody)
+			started := time.Now()
+			for ; pool.Free() == all; time.Sleep(time.Millisecond) {
+				if time.Since(started) > testTimeout {
+					t.Fatal("the slow body holds no memory")
+				}
+			}
+			takeAll(t, pool)
+			for {
+				r := h.request(context.Background(), "/order/x", smallBody)
+				if tc.announced < 0 {
+					r.ContentLength = -1
+				}
+				got := h.send(r)
+				if got.status == http.StatusOK {
+					break
+				}
+				if time.Since(started) > testTimeout {
+					t.Fatalf("got status %d, body %s beside a body that stopped short, want 200", got.status, got.body)
+				}
+			}
+			<-refused
+			if !h.log.Has(gooseevent.TransferCut.Message) {
+				t.Errorf("got log %s without the cut", h.log.String())
+			}
+		})
 	}
-	takeSmall(t, h.forwarder.bodyMemory)
-	for started := time.Now(); ; {
-		got := h.post("/order/x", smallBody)
-		if got.status == http.StatusOK {
-			break
-		}
-		if time.Since(started) > testTimeout {
-			t.Fatalf("got status %d, body %s beside a body that stopped short, want 200", got.status, got.body)
-		}
+}
+
+// checkSlowBodyRefused sends a request whose body stops short, and checks that it is refused as not
+// run on a connection that closes.
+func checkSlowBodyRefused(t *testing.T, slow *http.Request) {
+	resp, err := http.DefaultTransport.RoundTrip(slow)
+	if err != nil {
+		t.Error(err)
+		return
 	}
-	<-refused
-	if !h.log.Has(gooseevent.TransferCut.Message) {
-		t.Errorf("got log %s without the cut", h.log.String())
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusRequestTimeout || !resp.Close || !strings.Contains(string(text), `"run":"not-run"`) {
+		t.Errorf("got status %d, closed %t, body %s for the slow body, want 408 as not run and a closed connection", resp.StatusCode, resp.Close, text)
 	}
 }
 
@@ -199,7 +221,7 @@
 	t.Parallel()
 	h := newHarness(t, succeed)
 	_, all := bodyMemoryLeft(h.forwarder.bodyMemory)
-	taken := takeSmall(t, h.forwarder.bodyMemory)
+	taken := takeAll(t, h.forwarder.bodyMemory.small)
 	r := h.request(context.Background(), "/order/x", smallBody)
 	r.Header.Set("X-Deadline-Ms", "400")
 	got := h.send(r)
--- a/internal/goosesoak/untrusted_test.go
+++ b/internal/goosesoak/untrusted_test.go
@@ -129,7 +129,7 @@
 // instances at the same time do not.
 func TestCrowdAtEveryInstance(t *testing.T) {
 	if *clientKinds != "all" {
-		t.Skip("runs by itself, in the make target all-clients")
+		t.Skip("runs by itself, among the make targets in all-clients alone")
 	}
 	var targets []untrustedTarget
 	for _, i := range newUntrustedFleet(t, buildInstance(t), usualLimits, 3) {
@@ -147,7 +147,7 @@
 // crowd of clients holds connections and opens new ones.
 func TestCrowdDuringStop(t *testing.T) {
 	if *clientKinds != "all" {
-		t.Skip("runs by itself, in the make target all-clients")
+		t.Skip("runs by itself, among the make targets in all-clients alone")
 	}
 	i := newUntrustedFleet(t, buildInstance(t), usualLimits, 1)[0]
 	p := i.current()
